--- /dev/null
+++ b/src/net/acacianotch.capnp
@@ -0,0 +1,119 @@
+# Messages between the processes of acacianotch. Run scripts/generate after a
+# change; the generated code in wire/ is committed.
+@0xb6d1f7a3c5e20948;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("acacianotch::wire");
+
+struct LoadReport {
+  # Load of one backend server, piggybacked on every outcome.
+  running @0 :UInt32;     # Requests running on the backend server.
+  queued @1 :UInt32;      # Requests waiting at the agent.
+  slots @2 :UInt32;       # Requests that may run at once.
+  firstTokenUs @3 :UInt32; # Smoothed time to first token, microseconds.
+  leaving @4 :Bool;       # No new work.
+}
+
+struct WorkRequest {
+  # One attempt of a caller's request.
+  requestId @0 :Text;
+  attempt @1 :UInt32;         # Counts from 0 within one request.
+  account @2 :Text;
+  model @3 :Text;             # Empty for a plain service.
+  version @4 :Text;
+  service @5 :Text;           # Empty for a model.
+  requestClass @6 :Text;
+  priority @7 :UInt8;         # 0 is the most urgent.
+  longWork @8 :Bool;          # Counts against the cap for long work.
+  idempotent @9 :Bool;
+  streamed @10 :Bool;
+  deadlineMs @11 :UInt32;     # Remaining time, milliseconds.
+  catalogueRevision @12 :UInt64;
+  epoch @13 :UInt64;
+  fingerprint @14 :UInt64;    # Digest of account and body, for crash tracking.
+  isolated @15 :Bool;         # Must run alone on its backend server.
+  method @16 :Text;
+  path @17 :Text;
+  contentType @18 :Text;
+  body @19 :Data;
+}
+
+struct WorkOutcome {
+  # Final result of one attempt.
+  requestId @0 :Text;
+  verdict @1 :UInt8;          # acacianotch::verdict.
+  error @2 :UInt16;           # acacianotch::errc; 0 is success.
+  detail @3 :Text;
+  httpStatus @4 :UInt16;      # Status of the backend server's answer.
+  contentType @5 :Text;
+  bytes @6 :UInt64;           # Bytes sent to the sink.
+  promptTokens @7 :UInt64;
+  completionTokens @8 :UInt64;
+  load @9 :LoadReport;
+  retryAfterMs @10 :UInt32;   # 0 if unknown.
+}
+
+interface ResponseSink {
+  # Receives the answer of one attempt. The return of each call is the
+  # acknowledgement that opens the sender's window.
+  write @0 (requestId :Text, offset :UInt64, data :Data) -> ();
+}
+
+interface Agent {
+  run @0 (request :WorkRequest, sink :ResponseSink) -> (outcome :WorkOutcome);
+  # Cancelling the call cancels the attempt.
+  probe @1 () -> (load :LoadReport, revision :UInt64, epoch :UInt64, ready :Bool);
+}
+
+struct NodeFacts {
+  # What a node tells control about itself when it subscribes.
+  nodeId @0 :Text;
+  role @1 :Text;
+  zone @2 :Text;
+  backend @3 :Text;      # Name of the backend server, agents only.
+  startedAt @4 :UInt64;  # Wall clock, milliseconds since 1970.
+}
+
+struct NodeUpdate {
+  # Catalogue delta, snapshot chunk, or only a confirmation.
+  epoch @0 :UInt64;
+  baseRevision @1 :UInt64;   # Revision the delta starts from; 0 in a snapshot.
+  revision @2 :UInt64;       # Revision after this update.
+  chunk @3 :UInt32;          # Position within a snapshot.
+  chunks @4 :UInt32;         # Number of chunks; 0 in a delta.
+  confirmed @5 :Bool;        # The leader held its lease at this revision.
+  payload @6 :Data;          # CBOR: changed and removed entries.
+}
+
+struct NodeAck {
+  revision @0 :UInt64;
+  epoch @1 :UInt64;
+  load @2 :LoadReport;
+  reports @3 :Data;          # CBOR: usage, evidence and crash reports, if any.
+}
+
+interface NodeSink {
+  update @0 (update :NodeUpdate) -> (ack :NodeAck);
+}
+
+struct CommandOutcome {
+  error @0 :UInt16;          # acacianotch::errc; 0 is success.
+  detail @1 :Text;
+  revision @2 :UInt64;
+  leader @3 :Text;           # Address of the leader, if known.
+  payload @4 :Data;          # CBOR: command-specific result.
+}
+
+interface Control {
+  subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> ();
+  # Returns when the subscription ends.
+  execute @1 (command :Data) -> (outcome :CommandOutcome);
+  # CBOR command; answered after it is committed and applied.
+  replicate @2 (sender :Text, message :Data) -> ();
+  # One consensus message; delivery is not confirmed.
+}
+
+interface Admin {
+  # Served by every process on its admin address.
+  query @0 (what :Text, arguments :Text) -> (error :UInt16, json :Text);
+}
