Add: [Controller] placement and agent queue

Cause: the data path needs the placement and agent queue interfaces to call. Change: src/board/backend_board holds an entry's view of the backend servers; placement picks by power of two choices within a rendezvous subset, with bounded affinity on a ring; agent_queue orders work by aged urgency and by weighted fair share, caps long work, rejects what cannot meet its deadline and runs isolated work alone. The load report carries the amount of long work, which the wire LoadReport does not have yet; 0 is a valid value for it.

--- /dev/null
+++ b/src/controller/placement.h
@@ -0,0 +1,265 @@
+/// \file Placement: which backend server of a pool runs a request.
+#pragma once
+
+#include "board/backend_board.h"
+#include "controller/subset.h"
+#include "core/clock_type.h"
+#include "core/random_type.h"
+#include "core/result.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace acacianotch {
+
+/// Settings of placement.
+struct placement_settings {
+  subset_settings Subset;               ///< Which backend servers are used.
+  duration ReportHorizon{5'000'000};    ///< Age at which a report is ignored.
+  double SpillLoad = 1.0;               ///< Load per slot that opens remote
+                                        ///< zones.
+  double AffinityFreeLoad = 0.5;        ///< Load per slot below which affinity
+                                        ///< always holds.
+  double AffinityLoadFactor = 1.25;     ///< Load bound relative to peers.
+  std::uint32_t AffinityCandidates = 3; ///< Ring members tried in turn.
+  double LongShare = 0.5;               ///< Share of slots for long work.
+  duration SummaryInterval{10'000};     ///< Least time between two summaries.
+};
+
+/// One request as placement sees it.
+struct place_request {
+  std::optional<std::uint64_t> AffinityKey; ///< Hash of session or prefix.
+  std::span<const backend_handle> Exclude;  ///< Backend servers already tried.
+  bool Long = false;                        ///< Long work.
+};
+
+/// Load of the subset that one entry works on.
+struct pool_load {
+  std::uint32_t Backends = 0; ///< Eligible backend servers.
+  std::uint32_t Slots = 0;    ///< Their slots.
+  double Load = 0.0;          ///< Estimated requests running or waiting there.
+
+  /// \return estimated requests per slot.
+  [[nodiscard]] auto perSlot() const -> double {
+    return Slots == 0 ? 0.0 : Load / Slots;
+  }
+};
+
+/// Chooses backend servers for one pool: those that serve one version or one
+/// plain service. Not thread-safe; the clock, random source and board outlive
+/// it.
+template <clock_source clock, random_source random> class placement {
+public:
+  placement(const clock &ClockRef, random &RandomRef, backend_board &BoardRef,
+            node_id EntryId, zone_id OwnZone, placement_settings Values = {})
+      : Clock(&ClockRef), Random(&RandomRef), Board(&BoardRef),
+        Settings(Values), Subset(std::move(EntryId), std::move(OwnZone)) {}
+
+  /// Sets the members of the pool; call after each membership change. Costs
+  /// one hash per member.
+  auto update(std::vector<backend_handle> Handles) -> void {
+    Members = std::move(Handles);
+    Subset.rebuild(*Board, Members, Settings.Subset);
+    SeenRevision = 0;
+  }
+
+  /// \return the backend server for \p Request, or `no_backend`. The caller
+  /// then calls started() and later finished() on the board.
+  [[nodiscard]] auto pick(const place_request &Request)
+      -> result<backend_handle> {
+    refresh();
+    const auto Spread = spread(Request);
+    if (!Spread)
+      return failure::of(errc::no_backend);
+    if (!Request.AffinityKey)
+      return *Spread;
+    return affine(Request, *Spread).value_or(*Spread);
+  }
+
+  /// \return the load of the subset; at most SummaryInterval old.
+  [[nodiscard]] auto load() -> const pool_load & {
+    refresh();
+    return Summary;
+  }
+
+  /// \return the members of the subset, eligible or not.
+  [[nodiscard]] auto subset() const -> const backend_subset & { return Subset; }
+
+  /// \return estimated requests per slot at \p Handle, one more included. For
+  /// long work, the share of slots that it may take counts as well.
+  [[nodiscard]] auto perSlot(backend_handle Handle, bool Long) const -> double {
+    const auto *Row = Board->row(Handle);
+    if (Row == nullptr)
+      return 0.0;
+    const auto Weight = reportWeight(*Row);
+    const auto All = Row->InFlight + Weight * Row->Others + 1.0;
+    if (!Long)
+      return All / slots(*Row);
+    const auto Capped = Row->InFlightLong + Weight * Row->OthersLong + 1.0;
+    const auto CappedSlots = std::max(1.0, Settings.LongShare * slots(*Row));
+    return std::max(All / slots(*Row), Capped / CappedSlots);
+  }
+
+  /// \return candidates and ring positions examined by all picks so far.
+  [[nodiscard]] auto steps() const -> std::uint64_t { return Steps; }
+
+private:
+  static auto slots(const backend_row &Row) -> double {
+    return std::max(1U, Row.Facts.Slots);
+  }
+
+  // Own attempts are exact. The part of other entries is as old as the last
+  // reply, so its weight falls with age; a backend server without recent
+  // replies then looks idle and is tried again, which brings a new report.
+  [[nodiscard]] auto reportWeight(const backend_row &Row) const -> double {
+    const auto Age =
+        std::chrono::duration<double>(Clock->now() - Row.ReportedAt);
+    const auto Horizon = std::chrono::duration<double>(Settings.ReportHorizon);
+    return std::clamp(1.0 - Age / Horizon, 0.0, 1.0);
+  }
+
+  auto refresh() -> void {
+    const auto Now = Clock->now();
+    const bool Changed = SeenRevision != Board->eligibilityRevision();
+    if (Changed)
+      collectEligible();
+    if (Changed || Now - SummaryAt >= Settings.SummaryInterval)
+      summarise(Now);
+  }
+
+  auto collectEligible() -> void {
+    SeenRevision = Board->eligibilityRevision();
+    if (anyLeaving(Subset.local()) || anyLeaving(Subset.remote()))
+      Subset.rebuild(*Board, Members, Settings.Subset);
+    collect(Subset.local(), Local);
+    collect(Subset.remote(), Remote);
+  }
+
+  // Leaving members are replaced at once; ejected ones keep their place because
+  // they return within seconds.
+  [[nodiscard]] auto anyLeaving(std::span<const backend_handle> Of) const
+      -> bool {
+    return std::any_of(Of.begin(), Of.end(), [&](backend_handle Handle) {
+      const auto *Row = Board->row(Handle);
+      return Row == nullptr || Row->Gone || Row->Facts.Leaving;
+    });
+  }
+
+  auto collect(std::span<const backend_handle> From,
+               std::vector<backend_handle> &Into) const -> void {
+    Into.clear();
+    for (const auto Handle : From)
+      if (Board->eligible(Handle))
+        Into.push_back(Handle);
+  }
+
+  auto summarise(time_point Now) -> void {
+    SummaryAt = Now;
+    Summary = {};
+    for (const auto *Tier : {&Local, &Remote})
+      for (const auto Handle : *Tier)
+        addToSummary(*Board->row(Handle));
+  }
+
+  auto addToSummary(const backend_row &Row) -> void {
+    ++Summary.Backends;
+    Summary.Slots += std::max(1U, Row.Facts.Slots);
+    Summary.Load += Row.InFlight + reportWeight(Row) * Row.Others;
+  }
+
+  [[nodiscard]] auto spread(const place_request &Request)
+      -> std::optional<backend_handle> {
+    const bool Long = Request.Long;
+    const auto Near = twoChoices(Local, Request);
+    if (Near && perSlot(*Near, Long) <= Settings.SpillLoad)
+      return Near;
+    const auto Far = twoChoices(Remote, Request);
+    if (!Near || (Far && perSlot(*Far, Long) < perSlot(*Near, Long)))
+      return Far;
+    return Near;
+  }
+
+  [[nodiscard]] auto twoChoices(const std::vector<backend_handle> &Tier,
+                                const place_request &Request)
+      -> std::optional<backend_handle> {
+    const auto First = draw(Tier, Request.Exclude);
+    if (!First)
+      return std::nullopt;
+    const auto Second = draw(Tier, Request.Exclude);
+    const bool Long = Request.Long;
+    return perSlot(*Second, Long) < perSlot(*First, Long) ? Second : First;
+  }
+
+  // Draws one member that is not excluded; moves on from an excluded one, so
+  // at most one step per excluded member is needed.
+  [[nodiscard]] auto draw(const std::vector<backend_handle> &Tier,
+                          std::span<const backend_handle> Exclude)
+      -> std::optional<backend_handle> {
+    if (Tier.empty())
+      return std::nullopt;
+    auto Position = randomBelow(*Random, Tier.size());
+    const auto Tries = std::min(Tier.size(), Exclude.size() + 1);
+    for (std::size_t Try = 0; Try < Tries; ++Try) {
+      ++Steps;
+      const auto Handle = Tier[Position];
+      if (std::find(Exclude.begin(), Exclude.end(), Handle) == Exclude.end())
+        return Handle;
+      Position = (Position + 1) % Tier.size();
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] auto affine(const place_request &Request,
+                            backend_handle Alternative)
+      -> std::optional<backend_handle> {
+    const bool Long = Request.Long;
+    const auto Bound = affinityBound(perSlot(Alternative, Long));
+    auto Cursor = Subset.ring().seek(*Request.AffinityKey, Steps);
+    for (std::uint32_t Try = 0; Try < Settings.AffinityCandidates; ++Try) {
+      const auto Handle = Subset.ring().next(Cursor, Steps);
+      if (!Handle)
+        return std::nullopt;
+      if (acceptable(*Handle, Request.Exclude) &&
+          perSlot(*Handle, Long) <= Bound)
+        return Handle;
+    }
+    return std::nullopt;
+  }
+
+  // Without a queue the bound is relative to the mean load of the subset; with
+  // one it is relative to the alternative, so that affinity neither builds a
+  // queue of its own nor is lost as soon as every backend server has one.
+  [[nodiscard]] auto affinityBound(double Other) const -> double {
+    const auto Mean = Settings.AffinityLoadFactor * Summary.perSlot();
+    const auto WithoutQueue =
+        std::min(1.0, std::max(Settings.AffinityFreeLoad, Mean));
+    if (Other <= 1.0)
+      return WithoutQueue;
+    return std::max(WithoutQueue, Settings.AffinityLoadFactor * Other);
+  }
+
+  [[nodiscard]] auto acceptable(backend_handle Handle,
+                                std::span<const backend_handle> Exclude) const
+      -> bool {
+    return Board->eligible(Handle) &&
+           std::find(Exclude.begin(), Exclude.end(), Handle) == Exclude.end();
+  }
+
+  const clock *Clock;
+  random *Random;
+  backend_board *Board;
+  placement_settings Settings;
+  std::vector<backend_handle> Members;
+  backend_subset Subset;
+  std::vector<backend_handle> Local;
+  std::vector<backend_handle> Remote;
+  pool_load Summary;
+  time_point SummaryAt{};
+  std::uint64_t SeenRevision = 0;
+  std::uint64_t Steps = 0;
+};
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/controller/subset.h
@@ -0,0 +1,91 @@
+/// \file The subset of a pool that one entry works on, and its affinity ring.
+#pragma once
+
+#include "board/backend_board.h"
+#include "core/id_type.h"
+
+#include <cstdint>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace acacianotch {
+
+/// Settings of subset selection.
+struct subset_settings {
+  std::uint32_t MinSize = 32;    ///< Least size while the pool has as many.
+  std::uint32_t SpillSize = 8;   ///< Members from other availability zones.
+  std::uint32_t Entries = 1;     ///< Entries in the own availability zone.
+  std::uint32_t Coverage = 16;   ///< Entries that use one backend server, mean.
+  std::uint32_t RingPoints = 32; ///< Points per member on the affinity ring.
+};
+
+/// \return how many of \p Backends local backend servers an entry uses.
+[[nodiscard]] auto subsetSize(std::size_t Backends,
+                              const subset_settings &Settings) -> std::size_t;
+
+/// Consistent-hash ring over the members of a subset.
+class affinity_ring {
+public:
+  /// Position of a search on the ring.
+  struct cursor {
+    std::size_t Position = 0;                 ///< Next point to examine.
+    std::optional<backend_handle> Previous{}; ///< Last member returned.
+  };
+
+  /// Replaces all members.
+  auto rebuild(const backend_board &Board,
+               std::span<const backend_handle> Members, std::uint32_t Points)
+      -> void;
+
+  /// \return the position of \p Key; adds the comparisons made to \p Steps.
+  [[nodiscard]] auto seek(std::uint64_t Key, std::uint64_t &Steps) const
+      -> cursor;
+
+  /// \return the next member that differs from the previous one, if any.
+  [[nodiscard]] auto next(cursor &Cursor, std::uint64_t &Steps) const
+      -> std::optional<backend_handle>;
+
+private:
+  struct point {
+    std::uint64_t Hash;
+    backend_handle Member;
+  };
+
+  std::vector<point> Points;
+};
+
+/// Members that one entry uses, chosen by rendezvous hashing of entry and
+/// backend server: one change of membership moves at most one member.
+class backend_subset {
+public:
+  backend_subset(node_id EntryId, zone_id OwnZone)
+      : Entry(std::move(EntryId)), Zone(std::move(OwnZone)) {}
+
+  /// Chooses from \p Members, leaving and removed ones apart.
+  auto rebuild(const backend_board &Board,
+               std::span<const backend_handle> Members,
+               const subset_settings &Settings) -> void;
+
+  /// \return chosen members in the own availability zone.
+  [[nodiscard]] auto local() const -> std::span<const backend_handle> {
+    return Local;
+  }
+
+  /// \return chosen members in other availability zones.
+  [[nodiscard]] auto remote() const -> std::span<const backend_handle> {
+    return Remote;
+  }
+
+  /// \return the ring for session and prefix affinity.
+  [[nodiscard]] auto ring() const -> const affinity_ring & { return Ring; }
+
+private:
+  node_id Entry;
+  zone_id Zone;
+  std::vector<backend_handle> Local;
+  std::vector<backend_handle> Remote;
+  affinity_ring Ring;
+};
+
+} // namespace acacianotch
--- /dev/null
+++ b/test/controller_agent_queue_test.cpp
@@ -0,0 +1,221 @@
+/// \file Tests of the agent queue.
+#include "controller/agent_queue.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace acacianotch;
+
+namespace {
+
+using test_queue = agent_queue<virtual_clock>;
+
+constexpr duration Millisecond{1'000};
+constexpr duration Second{1'000'000};
+
+auto shortWork(const std::string &Account = "a") -> work_item {
+  work_item Item;
+  Item.Account = account_id(Account);
+  return Item;
+}
+
+auto longWork(const std::string &Account = "a") -> work_item {
+  auto Item = shortWork(Account);
+  Item.Long = true;
+  Item.Priority = 2;
+  return Item;
+}
+
+auto take(test_queue &Queue, const work_item &Item) -> work_ticket {
+  REQUIRE(Queue.offer(Item).ok());
+  return Queue.lastTicket();
+}
+
+auto startAll(test_queue &Queue) -> std::vector<work_ticket> {
+  std::vector<work_ticket> Started;
+  while (const auto Ticket = Queue.next())
+    Started.push_back(*Ticket);
+  return Started;
+}
+
+} // namespace
+
+// Guards against long work that fills all slots in a moment without short
+// work, which then waits for the whole length of a long request.
+TEST_CASE("long work stays within its cap while short work is absent") {
+  virtual_clock Clock;
+  test_queue Queue(Clock);
+  for (int Count = 0; Count < 10; ++Count)
+    take(Queue, longWork());
+  CHECK(startAll(Queue).size() == 4U);
+  const auto Short = take(Queue, shortWork());
+  CHECK(Queue.next() == Short);
+  CHECK(Queue.report().Long == 10U);
+}
+
+// Guards against starvation: without ageing, a steady flow of short work keeps
+// long work waiting for ever.
+TEST_CASE("long work gets a slot under a steady flow of short work") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.Slots = 1;
+  test_queue Queue(Clock, Settings);
+  auto Running = take(Queue, shortWork());
+  REQUIRE(Queue.next() == Running);
+  const auto Long = take(Queue, longWork());
+  bool Ran = false;
+  for (int Step = 0; Step < 100 && !Ran; ++Step) {
+    take(Queue, shortWork());
+    Clock.advance(100 * Millisecond);
+    Queue.finished(Running, true);
+    Running = *Queue.next();
+    Ran = Running == Long;
+  }
+  CHECK(Ran);
+}
+
+// Guards against urgent work behind a backlog of less urgent work.
+TEST_CASE("a more urgent class goes first") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.Slots = 1;
+  test_queue Queue(Clock, Settings);
+  take(Queue, shortWork());
+  auto Urgent = shortWork();
+  Urgent.Priority = 0;
+  const auto Ticket = take(Queue, Urgent);
+  CHECK(Queue.next() == Ticket);
+}
+
+// Guards against a wait in vain: the caller learns at once that its deadline
+// cannot be met, and when to come back.
+TEST_CASE("work that cannot meet its deadline is rejected at once") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.Slots = 1;
+  test_queue Queue(Clock, Settings);
+  auto Item = shortWork();
+  Item.Deadline = Clock.now() + 100 * Millisecond;
+  CHECK(Queue.offer(Item).Code == errc::deadline_exceeded);
+  Item.Deadline = Clock.now() + 1200 * Millisecond;
+  CHECK(Queue.offer(Item).ok());
+  REQUIRE(Queue.next().has_value());
+  CHECK(Queue.offer(Item).ok());
+  const auto Rejected = Queue.offer(Item);
+  CHECK(Rejected.Code == errc::overloaded);
+  CHECK(Rejected.RetryAfter >= 500 * Millisecond);
+  CHECK(Rejected.error().Verdict == verdict::not_run);
+}
+
+// Guards against work that runs after its caller has stopped waiting.
+TEST_CASE("work that has become late is dropped without running") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.Slots = 1;
+  test_queue Queue(Clock, Settings);
+  const auto First = take(Queue, shortWork());
+  REQUIRE(Queue.next() == First);
+  auto Item = shortWork();
+  Item.Deadline = Clock.now() + 2 * Second;
+  const auto Late = take(Queue, Item);
+  REQUIRE(Queue.nextTimeout().has_value());
+  Clock.set(*Queue.nextTimeout() + Millisecond);
+  Queue.finished(First, true);
+  CHECK_FALSE(Queue.next().has_value());
+  const auto Dropped = Queue.takeDropped();
+  REQUIRE(Dropped.size() == 1U);
+  CHECK(Dropped[0].Ticket == Late);
+  CHECK(Dropped[0].Reason.Code == errc::deadline_exceeded);
+}
+
+// Guards against one account that takes all slots because it sends more.
+TEST_CASE("accounts share slots by weight") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.Slots = 1;
+  test_queue Queue(Clock, Settings);
+  std::set<work_ticket> Small;
+  for (int Count = 0; Count < 60; ++Count)
+    take(Queue, shortWork("large"));
+  auto Item = shortWork("small");
+  Item.Weight = 2.0;
+  for (int Count = 0; Count < 30; ++Count)
+    Small.insert(take(Queue, Item));
+  int SmallRan = 0;
+  for (int Count = 0; Count < 30; ++Count) {
+    const auto Ticket = *Queue.next();
+    SmallRan += Small.count(Ticket) > 0 ? 1 : 0;
+    Queue.finished(Ticket, false);
+  }
+  CHECK(SmallRan >= 19);
+  CHECK(SmallRan <= 21);
+}
+
+// Guards against a full queue that turns away everybody because one account
+// filled it.
+TEST_CASE("a full class makes room at the cost of the greediest account") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.LaneLimit = 10;
+  test_queue Queue(Clock, Settings);
+  for (int Count = 0; Count < 10; ++Count)
+    take(Queue, shortWork("large"));
+  const auto Newest = Queue.lastTicket();
+  CHECK(Queue.offer(shortWork("large")).Code == errc::overloaded);
+  take(Queue, shortWork("small"));
+  const auto Dropped = Queue.takeDropped();
+  REQUIRE(Dropped.size() == 1U);
+  CHECK(Dropped[0].Ticket == Newest);
+  CHECK(Dropped[0].Reason.Code == errc::overloaded);
+}
+
+// Guards against urgent work turned away by a queue full of less urgent work.
+TEST_CASE("a full queue drops the least urgent work") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.TotalLimit = 4;
+  test_queue Queue(Clock, Settings);
+  for (int Count = 0; Count < 4; ++Count)
+    take(Queue, longWork());
+  CHECK_FALSE(Queue.offer(longWork()).ok());
+  CHECK(Queue.offer(shortWork()).ok());
+  CHECK(Queue.takeDropped().size() == 1U);
+}
+
+// Guards against innocent requests that share a crash with a suspect one.
+TEST_CASE("an isolated request runs alone") {
+  virtual_clock Clock;
+  test_queue Queue(Clock);
+  const auto Before = take(Queue, shortWork());
+  REQUIRE(Queue.next() == Before);
+  auto Suspect = shortWork();
+  Suspect.Isolated = true;
+  const auto Isolated = take(Queue, Suspect);
+  Clock.advance(Millisecond);
+  const auto After = take(Queue, shortWork());
+  CHECK_FALSE(Queue.next().has_value());
+  Queue.finished(Before, true);
+  CHECK(Queue.next() == Isolated);
+  CHECK_FALSE(Queue.next().has_value());
+  Queue.finished(Isolated, true);
+  CHECK(Queue.next() == After);
+}
+
+// Guards against slots that stay taken after a caller has gone.
+TEST_CASE("cancelled work frees its place, waiting or running") {
+  virtual_clock Clock;
+  agent_queue_settings Settings;
+  Settings.Slots = 1;
+  test_queue Queue(Clock, Settings);
+  const auto First = take(Queue, shortWork());
+  const auto Second = take(Queue, shortWork());
+  const auto Third = take(Queue, shortWork());
+  REQUIRE(Queue.next() == First);
+  Queue.cancel(Second);
+  Queue.cancel(First);
+  CHECK(Queue.next() == Third);
+  Queue.cancel(Third);
+  CHECK(Queue.report().Running == 0U);
+  CHECK(Queue.report().Queued == 0U);
+}
