Add: [Controller] admission, outlier detection and hedging

Cause: an entry has to stay within its capacity under load and to avoid slow backend servers that load reports show late. Change: admission takes everything below the pool's limit and enforces weighted shares at the limit; outlier_detector compares times to first token, pending attempts included, with the peers' median; hedging learns its delay from a quantile bounded by the median; traffic_budget limits hedges and retries to a share of traffic. An ejection is counted per pool, because a backend server may be in several pools.

--- a/src/board/backend_board.cpp
+++ b/src/board/backend_board.cpp
@@ -126,11 +126,19 @@
   ++EligibilityRevision;
 }
 
-auto backend_board::setEjected(backend_handle Handle, bool Ejected) -> void {
+auto backend_board::eject(backend_handle Handle) -> void {
   auto *Row = mutableRow(Handle);
-  if (Row == nullptr || Row->Ejected == Ejected)
+  if (Row == nullptr)
+    return;
+  ++Row->Ejections;
+  ++EligibilityRevision;
+}
+
+auto backend_board::restore(backend_handle Handle) -> void {
+  auto *Row = mutableRow(Handle);
+  if (Row == nullptr || Row->Ejections == 0)
     return;
-  Row->Ejected = Ejected;
+  --Row->Ejections;
   ++EligibilityRevision;
 }
 
--- a/src/board/backend_board.h
+++ b/src/board/backend_board.h
@@ -45,12 +45,12 @@
   std::uint32_t Others = 0;       ///< Reported load that is not this entry's.
   std::uint32_t OthersLong = 0;   ///< Long work among that.
   time_point ReportedAt{};        ///< Time of the last load report.
-  bool Ejected = false;           ///< Outlier or unreachable.
+  std::uint32_t Ejections = 0;    ///< Pools that have ejected it.
   bool Gone = false;              ///< Removed from the catalogue.
 
   /// \return whether new work may be sent to the backend server.
   [[nodiscard]] auto eligible() const -> bool {
-    return !Facts.Leaving && !Ejected && !Gone;
+    return !Facts.Leaving && Ejections == 0 && !Gone;
   }
 };
 
@@ -85,8 +85,11 @@
   auto reported(backend_handle Handle, const load_report &Report,
                 time_point Now) -> void;
 
-  /// Ejects or returns a backend server.
-  auto setEjected(backend_handle Handle, bool Ejected) -> void;
+  /// Ejects a backend server on behalf of one pool.
+  auto eject(backend_handle Handle) -> void;
+
+  /// Takes back one eject().
+  auto restore(backend_handle Handle) -> void;
 
   /// \return a number that changes whenever any row's eligibility changes.
   [[nodiscard]] auto eligibilityRevision() const -> std::uint64_t {
--- a/src/controller/placement.h
+++ b/src/controller/placement.h
@@ -41,6 +41,8 @@
   std::uint32_t Backends = 0; ///< Eligible backend servers.
   std::uint32_t Slots = 0;    ///< Their slots.
   double Load = 0.0;          ///< Estimated requests running or waiting there.
+  double LongLoad = 0.0;      ///< Long work among them.
+  std::uint64_t Revision = 0; ///< Changes with each new summary.
 
   /// \return estimated requests per slot.
   [[nodiscard]] auto perSlot() const -> double {
@@ -158,7 +160,9 @@
 
   auto summarise(time_point Now) -> void {
     SummaryAt = Now;
+    const auto Revision = Summary.Revision + 1;
     Summary = {};
+    Summary.Revision = Revision;
     for (const auto *Tier : {&Local, &Remote})
       for (const auto Handle : *Tier)
         addToSummary(*Board->row(Handle));
@@ -167,7 +171,9 @@
   auto addToSummary(const backend_row &Row) -> void {
     ++Summary.Backends;
     Summary.Slots += std::max(1U, Row.Facts.Slots);
-    Summary.Load += Row.InFlight + reportWeight(Row) * Row.Others;
+    const auto Weight = reportWeight(Row);
+    Summary.Load += Row.InFlight + Weight * Row.Others;
+    Summary.LongLoad += Row.InFlightLong + Weight * Row.OthersLong;
   }
 
   [[nodiscard]] auto spread(const place_request &Request)
--- /dev/null
+++ b/src/controller/quantile_sketch.h
@@ -0,0 +1,33 @@
+/// \file Quantiles of recent durations.
+#pragma once
+
+#include "core/clock_type.h"
+
+#include <array>
+#include <cstdint>
+
+namespace acacianotch {
+
+/// Histogram with logarithmic buckets whose old samples fade.
+class quantile_sketch {
+public:
+  /// Adds one observation.
+  auto add(duration Observed) -> void;
+
+  /// \return the duration that \p Share of the recent samples do not exceed,
+  /// to within one bucket (9%); 0 without samples.
+  [[nodiscard]] auto quantile(double Share) const -> duration;
+
+  /// \return number of samples added so far.
+  [[nodiscard]] auto samples() const -> std::uint64_t { return Samples; }
+
+private:
+  static constexpr std::size_t BucketCount = 256;
+  auto fade() -> void;
+
+  std::array<float, BucketCount> Buckets{};
+  float Total = 0.0F;
+  std::uint64_t Samples = 0;
+};
+
+} // namespace acacianotch
--- a/test/controller_placement_test.cpp
+++ b/test/controller_placement_test.cpp
@@ -71,7 +71,7 @@
   Fixture.add(6, "a");
   auto Placement = Fixture.make();
   Fixture.Board.put({backend_id("a-0"), zone_id("a"), 8, true});
-  Fixture.Board.setEjected(Fixture.Members[1], true);
+  Fixture.Board.eject(Fixture.Members[1]);
   Fixture.Board.remove(backend_id("a-2"));
   load_report Leaving;
   Leaving.Leaving = true;
--- /dev/null
+++ b/test/controller_straggler_test.cpp
@@ -0,0 +1,179 @@
+/// \file Tests of outlier detection and hedging.
+#include "controller/hedging.h"
+#include "controller/outlier.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace acacianotch;
+
+namespace {
+
+constexpr duration Millisecond{1'000};
+constexpr duration Second{1'000'000};
+
+struct fixture {
+  virtual_clock Clock;
+  backend_board Board;
+  std::vector<backend_handle> Peers;
+  outlier_detector<virtual_clock> Detector{Clock, Board};
+
+  explicit fixture(int Count) {
+    for (int Index = 0; Index < Count; ++Index)
+      Peers.push_back(Board.put(
+          {backend_id("b" + std::to_string(Index)), zone_id("a"), 8, false}));
+    Detector.setPeers(Peers);
+    Clock.advance(Second);
+  }
+
+  auto serve(std::size_t Peer, duration Time, int Count = 1) -> void {
+    for (int Index = 0; Index < Count; ++Index) {
+      const auto Attempt = Detector.started(Peers[Peer]);
+      Clock.advance(Time);
+      Detector.firstToken(Attempt);
+    }
+    Detector.tick();
+  }
+
+  auto warmUp() -> void {
+    for (std::size_t Peer = 0; Peer < Peers.size(); ++Peer)
+      serve(Peer, 100 * Millisecond, 8);
+  }
+
+  auto probe(duration Time) -> bool {
+    const auto Due = Detector.probeDue();
+    if (!Due)
+      return false;
+    const auto Attempt = Detector.probeStarted(*Due);
+    Clock.advance(Time);
+    Detector.tick();
+    Detector.firstToken(Attempt);
+    return true;
+  }
+};
+
+} // namespace
+
+// Guards against a straggler that keeps getting work until its slow answers
+// arrive.
+TEST_CASE("a straggler is ejected while its attempts are still waiting") {
+  fixture Fixture(10);
+  Fixture.warmUp();
+  for (int Count = 0; Count < 8; ++Count)
+    (void)Fixture.Detector.started(Fixture.Peers[0]);
+  Fixture.Clock.advance(600 * Millisecond);
+  Fixture.Detector.tick();
+  CHECK_FALSE(Fixture.Board.eligible(Fixture.Peers[0]));
+  CHECK(Fixture.Detector.ejected() == 1U);
+}
+
+// Guards against a pool ejected as a whole because all its members are slow.
+TEST_CASE("a slow-down of all peers ejects nobody") {
+  fixture Fixture(10);
+  Fixture.warmUp();
+  for (int Round = 0; Round < 30; ++Round)
+    for (std::size_t Peer = 0; Peer < 10; ++Peer)
+      Fixture.serve(Peer, 900 * Millisecond);
+  CHECK(Fixture.Detector.ejected() == 0U);
+}
+
+// Guards against the loss of most of the capacity when many are slow.
+TEST_CASE("the share ejected as slow is capped") {
+  fixture Fixture(10);
+  Fixture.warmUp();
+  for (int Round = 0; Round < 20; ++Round)
+    for (std::size_t Peer = 0; Peer < 4; ++Peer)
+      Fixture.serve(Peer, 2 * Second);
+  CHECK(Fixture.Detector.ejected() == 3U);
+}
+
+// Guards against a backend server that is never used again, and against one
+// that returns while it is still slow.
+TEST_CASE("probes return a backend server once it is fast again") {
+  fixture Fixture(5);
+  Fixture.warmUp();
+  Fixture.serve(0, 2 * Second, 8);
+  REQUIRE_FALSE(Fixture.Board.eligible(Fixture.Peers[0]));
+  CHECK_FALSE(Fixture.probe(Millisecond));
+  Fixture.Clock.advance(5 * Second);
+  CHECK(Fixture.probe(2 * Second));
+  CHECK_FALSE(Fixture.probe(Millisecond));
+  Fixture.Clock.advance(10 * Second);
+  for (int Count = 0; Count < 3; ++Count)
+    CHECK(Fixture.probe(100 * Millisecond));
+  CHECK(Fixture.Board.eligible(Fixture.Peers[0]));
+}
+
+// Guards against work sent to an agent that is known to be gone, and against
+// ejection for failures that the requests themselves cause now and then.
+TEST_CASE("failures in a row or a lost connection eject") {
+  fixture Fixture(5);
+  Fixture.warmUp();
+  for (int Count = 0; Count < 2; ++Count)
+    Fixture.Detector.failed(Fixture.Detector.started(Fixture.Peers[0]));
+  Fixture.serve(0, 100 * Millisecond);
+  CHECK(Fixture.Board.eligible(Fixture.Peers[0]));
+  for (int Count = 0; Count < 3; ++Count)
+    Fixture.Detector.failed(Fixture.Detector.started(Fixture.Peers[0]));
+  CHECK_FALSE(Fixture.Board.eligible(Fixture.Peers[0]));
+  for (std::size_t Peer = 1; Peer < 5; ++Peer)
+    Fixture.Detector.unreachable(Fixture.Peers[Peer]);
+  CHECK(Fixture.Detector.ejected() == 5U);
+}
+
+// Guards against a second run of work that must not run twice.
+TEST_CASE("work that is not idempotent is never hedged") {
+  hedging Hedging;
+  for (int Count = 0; Count < 100; ++Count)
+    Hedging.observe(100 * Millisecond);
+  CHECK_FALSE(Hedging.delay(false).has_value());
+  CHECK_FALSE(Hedging.tryHedge(false));
+  CHECK(Hedging.delay(true).has_value());
+}
+
+// Guards against a delay learnt from the stragglers themselves, at which no
+// hedge would help.
+TEST_CASE("a tenth of slow answers does not raise the delay to theirs") {
+  hedging Hedging;
+  for (int Count = 0; Count < 1'000; ++Count)
+    Hedging.observe((Count % 10 == 0 ? 1'000 : 100) * Millisecond);
+  CHECK(*Hedging.delay(true) >= 100 * Millisecond);
+  CHECK(*Hedging.delay(true) <= 350 * Millisecond);
+}
+
+// Guards against hedges that double the load when everything is late.
+TEST_CASE("hedges stay within their budget") {
+  hedging Hedging;
+  int Hedges = 0;
+  for (int Count = 0; Count < 1'000; ++Count) {
+    Hedging.requestStarted();
+    Hedges += Hedging.tryHedge(true) ? 1 : 0;
+  }
+  CHECK(Hedges <= 70);
+}
+
+// Guards against two answers to one caller, and against a loser that runs on.
+TEST_CASE("the first attempt with a token wins and the loser is reported") {
+  attempt_race Race;
+  const backend_handle First{1, 1};
+  const backend_handle Second{2, 1};
+  CHECK(Race.add(First) == 0U);
+  CHECK(Race.add(Second) == 1U);
+  CHECK(Race.takeLosers().empty());
+  CHECK(Race.firstToken(1));
+  CHECK_FALSE(Race.firstToken(0));
+  const auto Losers = Race.takeLosers();
+  REQUIRE(Losers.size() == 1U);
+  CHECK(Losers[0].Backend == First);
+  CHECK(Race.takeLosers().empty());
+}
+
+// Guards against an error sent to the caller while another attempt still runs.
+TEST_CASE("a request fails only with its last open attempt") {
+  attempt_race Race;
+  Race.add({1, 1});
+  Race.add({2, 1});
+  CHECK_FALSE(Race.failed(0));
+  CHECK(Race.failed(1));
+}
