Add: [Controller] cascade with learnt pass rates

Change: the planner minimises expected cost subject to the target over all request cells (class, length, streaming): one candidate, or an escalation after a low rating where the caller can wait. Pass rates are learnt from sampled ratings with a short and a long memory. A rating service that is gone or implausible makes the cascade fall back to known qualities less a margin; ratings from shortly before are undone.

--- /dev/null
+++ b/src/board/cascade_board.h
@@ -0,0 +1,120 @@
+/// \file Blackboard of one cascade: what is known about a route's candidates.
+#pragma once
+
+#include "board/pass_rate.h"
+#include "core/clock_type.h"
+#include "core/enum_table.h"
+#include "core/id_type.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace acacianotch {
+
+/// One candidate version of a route, as the catalogue describes it.
+struct cascade_candidate {
+  version_ref Version; ///< Model and version.
+  double Quality{};    ///< Catalogue's quality estimate, 0..1.
+  double InputCost{};  ///< Micro-units per 1,000 input tokens.
+  double OutputCost{}; ///< Micro-units per 1,000 output tokens.
+};
+
+/// Settings of one cascade.
+struct cascade_settings {
+  double QualityTarget = 0.9; ///< Least share of passed answers, 0..1.
+  double RatingCost = 0;      ///< Micro-units per rating.
+  /// Standard deviations of the estimated quality kept above the target.
+  double SafetyDeviations = 1.5;
+  /// Deducted from known qualities while no rating can be trusted.
+  double FallbackMargin = 0.03;
+  duration PlanInterval = std::chrono::seconds(1); ///< Time between plans.
+};
+
+/// How a request runs: one candidate, or a second one after a low rating.
+struct cascade_plan {
+  std::size_t First = 0;                 ///< Candidate of the first attempt.
+  std::optional<std::size_t> Escalation; ///< Candidate after a low rating.
+  /// Whether a missing rating counts as a low one.
+  bool EscalateUnrated = false;
+
+  auto operator==(const cascade_plan &) const -> bool = default;
+};
+
+/// Two plans and the share of requests that take the second one.
+struct cascade_mix {
+  cascade_plan Main;       ///< Plan of most requests.
+  cascade_plan Upgrade;    ///< Plan of the others; never of lower quality.
+  double UpgradeShare = 0; ///< 0..1.
+};
+
+/// What ratings have shown about one candidate in one cell.
+struct candidate_record {
+  pass_rate Pass;                ///< First rating passes.
+  pass_rate Confirm;             ///< Second rating passes after a pass.
+  std::vector<pass_rate> Rescue; ///< Answer of candidate [i] passes after a
+                                 ///< low rating of this candidate.
+};
+
+/// Requests with the same features.
+struct cascade_cell {
+  bool Streaming = false;  ///< Whether callers need the first token at once.
+  double Requests = 0;     ///< Decisions made.
+  double Traffic = 0;      ///< Discounted decisions.
+  double InputTokens = 0;  ///< Mean input tokens of a request.
+  double OutputTokens = 0; ///< Mean output tokens of an answer.
+  std::vector<candidate_record> Records; ///< One per candidate.
+  cascade_mix Mix;                       ///< Plans in effect.
+};
+
+/// Whether ratings can be used.
+enum class rating_health : std::uint8_t {
+  invalid, ///< Not set.
+  trusted, ///< Ratings arrive and are plausible.
+  absent,  ///< Most ratings do not arrive.
+  wrong,   ///< Ratings arrive but cannot be true.
+};
+
+/// Names of rating health in logs and metrics.
+inline constexpr enum_table<rating_health, 4> RatingHealthNames{{{
+    {rating_health::invalid, "invalid"},
+    {rating_health::trusted, "trusted"},
+    {rating_health::absent, "absent"},
+    {rating_health::wrong, "wrong"},
+}}};
+
+/// Evidence about the rating service itself.
+struct rating_record {
+  rating_health Health = rating_health::trusted; ///< Verdict in effect.
+  double MissingShare = 0; ///< Discounted share of missing ratings.
+  double Shift = 0;        ///< Discounted passes minus expected passes.
+  double WindowWeight = 0; ///< Ratings in Shift, at most its window.
+  double Run = 0;          ///< Equal ratings in a row.
+  double RunSurprise = 0;  ///< Minus log probability of the run.
+  bool RunPassed = false;  ///< Verdict that the run repeats.
+};
+
+/// Counters for metrics.
+struct cascade_counters {
+  std::uint64_t Decisions = 0;     ///< Requests decided.
+  std::uint64_t Explorations = 0;  ///< Decisions taken to learn.
+  std::uint64_t Escalations = 0;   ///< Second attempts.
+  std::uint64_t Ratings = 0;       ///< Ratings that arrived.
+  std::uint64_t Missing = 0;       ///< Ratings that did not arrive.
+  std::uint64_t HealthChanges = 0; ///< Changes of rating health.
+};
+
+/// Shared state of one cascade.
+struct cascade_board {
+  cascade_settings Settings;
+  std::vector<cascade_candidate> Candidates; ///< Cheapest first.
+  std::vector<cascade_cell> Cells;
+  std::map<std::string, std::size_t, std::less<>> CellByName;
+  rating_record Rating;
+  cascade_counters Counters;
+};
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/controller/rating_monitor.h
@@ -0,0 +1,16 @@
+/// \file Detects a rating service that is gone or wrong.
+#pragma once
+
+#include "board/cascade_board.h"
+
+namespace acacianotch {
+
+/// Records whether an ordered rating arrived and updates the health.
+auto observeArrival(rating_record &Record, bool Arrived) -> void;
+
+/// Records the verdict of a rating and updates the health. \p Expected is the
+/// pass rate that older, trusted ratings or the catalogue predict.
+auto observeVerdict(rating_record &Record, bool Passed, double Expected)
+    -> void;
+
+} // namespace acacianotch
