--- /dev/null
+++ b/src/core/log_func.cpp
@@ -0,0 +1,174 @@
+/// \file Logging through easylogging++.
+#include "core/log_func.h"
+
+#include <easylogging++.h>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <cassert>
+#include <cstdio>
+#include <ctime>
+#include <utility>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace acacianotch {
+
+namespace {
+
+using json = nlohmann::ordered_json;
+
+constexpr auto DefaultLevel = log_level::info;
+
+constexpr auto defaultLevels() {
+  std::array<log_level, detail::LogCategoryCount> Levels{};
+  Levels.fill(DefaultLevel);
+  return Levels;
+}
+
+/// State of the logger; one thread writes logs.
+struct log_state {
+  log_sink Sink;
+  const log_fields *Fields = nullptr; ///< Fields of the line being written.
+  log_level Level = log_level::invalid;
+};
+
+auto state() -> log_state & {
+  static log_state State;
+  return State;
+}
+
+auto writeStderr(std::string_view Line) -> void {
+  auto Text = std::string(Line);
+  Text += '\n';
+  // One call per line, so that lines of several processes that share a
+  // terminal or a pipe do not mix.
+  std::fwrite(Text.data(), 1, Text.size(), stderr);
+}
+
+auto fieldsJson(log_fields Fields) -> json {
+  auto Object = json::object();
+  for (const auto &Field : Fields) {
+    auto Value = std::visit([](auto Item) { return json(Item); }, Field.Value);
+    Object[std::string(Field.Key)] = std::move(Value);
+  }
+  return Object;
+}
+
+/// Formats the line being written. Invalid UTF-8 is replaced, because callers'
+/// data may reach a log line.
+auto formatLine(std::string_view Category, std::string_view Message)
+    -> std::string {
+  const auto &State = state();
+  json Line;
+  Line["time"] = formatTime(std::chrono::system_clock::now());
+  Line["level"] = std::string(LogLevelNames.name(State.Level));
+  Line["category"] = std::string(Category);
+  Line["message"] = std::string(Message);
+  if (State.Fields != nullptr && State.Fields->size() != 0)
+    Line["fields"] = fieldsJson(*State.Fields);
+  return Line.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+/// Writes each line that easylogging++ dispatches.
+class json_callback final : public el::LogDispatchCallback {
+protected:
+  auto handle(const el::LogDispatchData *Data) -> void override {
+    const auto *Message = Data->logMessage();
+    const auto Line = formatLine(Message->logger()->id(), Message->message());
+    if (state().Sink)
+      state().Sink(Line);
+    else
+      writeStderr(Line);
+  }
+};
+
+using logger_table = std::array<el::Logger *, detail::LogCategoryCount>;
+
+auto makeLoggers() -> logger_table {
+  // The default callback writes plain text to stdout.
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<json_callback>("json");
+  logger_table Loggers{};
+  for (const auto &Row : LogCategoryNames.Rows)
+    Loggers[static_cast<std::size_t>(Row.Value)] =
+        el::Loggers::getLogger(std::string(Row.Name));
+  return Loggers;
+}
+
+auto logger(log_category Category) -> el::Logger & {
+  static const auto Loggers = makeLoggers();
+  return *Loggers[static_cast<std::size_t>(Category)];
+}
+
+auto dispatch(el::Logger &Logger, log_level Level, const std::string &Message)
+    -> void {
+  switch (Level) {
+  case log_level::trace:
+    return Logger.trace(Message);
+  case log_level::debug:
+    return Logger.debug(Message);
+  case log_level::warning:
+    return Logger.warn(Message);
+  case log_level::error:
+    return Logger.error(Message);
+  case log_level::invalid:
+  case log_level::info:
+  case log_level::off:
+    return Logger.info(Message);
+  }
+}
+
+} // namespace
+
+namespace detail {
+
+std::array<log_level, LogCategoryCount> LogLevels = defaultLevels();
+
+auto writeLog(log_category Category, log_level Level, std::string_view Message,
+              log_fields Fields) -> void {
+  assert(Category != log_category::invalid);
+  assert(Level != log_level::invalid && Level != log_level::off);
+  auto &State = state();
+  State.Fields = &Fields;
+  State.Level = Level;
+  dispatch(logger(Category), Level, std::string(Message));
+  State.Fields = nullptr;
+}
+
+} // namespace detail
+
+auto setLogLevel(log_category Category, log_level Level) -> void {
+  if (Category == log_category::invalid || Level == log_level::invalid)
+    return;
+  detail::LogLevels[static_cast<std::size_t>(Category)] = Level;
+}
+
+auto setLogLevel(log_level Level) -> void {
+  for (const auto &Row : LogCategoryNames.Rows)
+    setLogLevel(Row.Value, Level);
+}
+
+auto logLevel(log_category Category) -> log_level {
+  return detail::LogLevels[static_cast<std::size_t>(Category)];
+}
+
+auto setLogSink(log_sink Sink) -> void { state().Sink = std::move(Sink); }
+
+auto formatTime(std::chrono::system_clock::time_point When) -> std::string {
+  using namespace std::chrono;
+  const auto Millis =
+      duration_cast<milliseconds>(When.time_since_epoch()).count();
+  const auto Seconds = static_cast<std::time_t>(Millis / 1000);
+  std::tm Parts{};
+  gmtime_r(&Seconds, &Parts);
+  std::array<char, 32> Text{};
+  auto Size = std::strftime(Text.data(), Text.size(), "%FT%T", &Parts);
+  Size += static_cast<std::size_t>(
+      std::snprintf(Text.data() + Size, Text.size() - Size, ".%03dZ",
+                    static_cast<int>(Millis % 1000)));
+  return {Text.data(), Size};
+}
+
+} // namespace acacianotch
