--- /dev/null
+++ b/src/replication/log_view.cpp
@@ -0,0 +1,117 @@
+/// \file In-memory log.
+#include "replication/log_view.h"
+
+#include "replication/codec.h"
+
+#include <algorithm>
+#include <cassert>
+#include <limits>
+#include <string>
+#include <utility>
+
+namespace acacianotch {
+
+log_view::log_view(snapshot Snapshot)
+    : Base(std::move(Snapshot)), Start{Base.Index, Base.Term},
+      Memberships{{Base.Index, Base.Members}} {}
+
+auto log_view::create(snapshot Base, std::vector<log_record> Records)
+    -> result<log_view> {
+  log_view View(std::move(Base));
+  for (auto &Record : Records) {
+    const auto Last = View.last();
+    if (Record.Index != Last.Index + 1 || Record.Term < Last.Term)
+      return failure::of(errc::corrupt_data, "log record " +
+                                                 std::to_string(Record.Index) +
+                                                 " does not follow record " +
+                                                 std::to_string(Last.Index));
+    if (auto Outcome = View.append(std::move(Record)); !Outcome)
+      return Outcome.error();
+  }
+  return View;
+}
+
+auto log_view::last() const -> log_position {
+  if (Records.empty())
+    return Start;
+  return {Records.back().Index, Records.back().Term};
+}
+
+auto log_view::termAt(log_index Index) const -> std::optional<log_term> {
+  if (Index == Start.Index)
+    return Start.Term;
+  if (Index < Start.Index || Index > last().Index)
+    return std::nullopt;
+  return at(Index).Term;
+}
+
+auto log_view::at(log_index Index) const -> const log_record & {
+  assert(Index > Start.Index && Index <= last().Index);
+  return Records[Index - Start.Index - 1];
+}
+
+auto log_view::append(log_record Record) -> result<void> {
+  assert(Record.Index == last().Index + 1);
+  if (Record.Kind == record_kind::membership) {
+    auto Members = decodeMembership(Record.Payload);
+    if (!Members)
+      return Members.error();
+    Memberships.push_back({Record.Index, std::move(*Members)});
+  }
+  Records.push_back(std::move(Record));
+  return {};
+}
+
+auto log_view::truncate(log_index From) -> void {
+  assert(From > Base.Index);
+  while (!Records.empty() && Records.back().Index >= From)
+    Records.pop_back();
+  while (Memberships.back().Index >= From)
+    Memberships.pop_back();
+}
+
+auto log_view::membersAt(log_index Index) const -> const membership & {
+  const auto After = std::find_if(
+      Memberships.begin(), Memberships.end(),
+      [Index](const membership_change &Row) { return Row.Index > Index; });
+  assert(After != Memberships.begin());
+  return std::prev(After)->Members;
+}
+
+auto log_view::compact(log_index Index, std::shared_ptr<const std::string> Data,
+                       log_index Trailing) -> void {
+  assert(Index >= Base.Index && termAt(Index).has_value());
+  Base = {Index, *termAt(Index), membersAt(Index), std::move(Data)};
+  const auto Keep = Index - std::min(Index, Trailing);
+  while (!Records.empty() && Records.front().Index <= Keep) {
+    Start = {Records.front().Index, Records.front().Term};
+    Records.pop_front();
+  }
+  while (Memberships.size() > 1 && Memberships[1].Index <= Index)
+    Memberships.erase(Memberships.begin());
+}
+
+auto log_view::install(snapshot Snapshot) -> void {
+  if (termAt(Snapshot.Index) != Snapshot.Term) {
+    *this = log_view(std::move(Snapshot));
+    return;
+  }
+  const auto Index = Snapshot.Index;
+  compact(Index, std::move(Snapshot.Data), 0);
+}
+
+auto log_view::slice(log_index From, log_index To, std::size_t MaxBytes) const
+    -> std::vector<log_record> {
+  std::vector<log_record> Slice;
+  std::size_t Bytes = 0;
+  for (auto Index = From; Index <= To; ++Index) {
+    const auto &Record = at(Index);
+    Bytes += Record.Payload.size();
+    if (!Slice.empty() && Bytes > MaxBytes)
+      break;
+    Slice.push_back(Record);
+  }
+  return Slice;
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/replication/persistence.cpp
@@ -0,0 +1,84 @@
+/// \file Recovery of the durable state.
+#include "replication/persistence.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace acacianotch {
+
+namespace {
+
+/// Adds \p Record and drops the stored ones that it replaces.
+auto replay(std::vector<log_record> &Records, log_record Record)
+    -> result<void> {
+  while (!Records.empty() && Records.back().Index >= Record.Index)
+    Records.pop_back();
+  if (!Records.empty() && Records.back().Index + 1 != Record.Index)
+    return failure::of(errc::corrupt_data, "log file lacks the record before " +
+                                               std::to_string(Record.Index));
+  Records.push_back(std::move(Record));
+  return {};
+}
+
+/// Drops the records that the snapshot covers. A crash between the writes of
+/// snapshot and log leaves an older log: if it does not hold the snapshot's
+/// last position, its records may conflict with the snapshot and all go.
+auto alignToSnapshot(durable_state &Durable) -> result<void> {
+  auto &Records = Durable.Records;
+  const auto &Base = Durable.Base;
+  if (Records.empty() || Records.front().Index == Base.Index + 1)
+    return {};
+  if (Records.front().Index > Base.Index + 1)
+    return failure::of(
+        errc::corrupt_data,
+        "log file starts at record " + std::to_string(Records.front().Index) +
+            " but the snapshot ends at " + std::to_string(Base.Index));
+  const auto Last =
+      std::find_if(Records.begin(), Records.end(), [&](const log_record &Row) {
+        return Row.Index == Base.Index;
+      });
+  const auto Continues = Last != Records.end() && Last->Term == Base.Term;
+  Records.erase(Records.begin(), Continues ? Last + 1 : Records.end());
+  return {};
+}
+
+/// A vote is durable before it is sent, so a term known only from records or
+/// the snapshot carries no vote of this replica.
+auto raiseTerm(term_state &State, log_term Term) -> void {
+  if (Term > State.Term)
+    State = {Term, replica_id::none};
+}
+
+} // namespace
+
+auto recover(const std::optional<std::string> &Snapshot,
+             const std::vector<std::string> &Frames) -> result<durable_state> {
+  durable_state Durable;
+  if (Snapshot) {
+    auto Base = decodeSnapshot(*Snapshot);
+    if (!Base)
+      return Base.error();
+    Durable.Base = std::move(*Base);
+  }
+  for (const auto &Encoded : Frames) {
+    auto Frame = decodeFrame(Encoded);
+    if (!Frame)
+      return Frame.error();
+    if (auto *State = std::get_if<term_state>(&*Frame)) {
+      Durable.State = *State;
+      continue;
+    }
+    auto Outcome =
+        replay(Durable.Records, std::get<log_record>(std::move(*Frame)));
+    if (!Outcome)
+      return Outcome.error();
+  }
+  if (auto Outcome = alignToSnapshot(Durable); !Outcome)
+    return Outcome.error();
+  raiseTerm(Durable.State, Durable.Base.Term);
+  if (!Durable.Records.empty())
+    raiseTerm(Durable.State, Durable.Records.back().Term);
+  return Durable;
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/replication/raft_election.cpp
@@ -0,0 +1,173 @@
+/// \file Elections and the leader lease.
+#include "replication/raft_node.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+namespace acacianotch {
+
+auto raft_node::resetElectionTimer(time_point Now) -> void {
+  const auto Spread = Timing.ElectionMax - Timing.ElectionMin;
+  const auto Extra =
+      randomBelow(Random, static_cast<std::uint64_t>(Spread.count()) + 1);
+  ElectionDeadline = Now + Timing.ElectionMin + duration(Extra);
+}
+
+auto raft_node::becomeFollower(log_term Term, replica_id NewLeader,
+                               time_point Now) -> void {
+  const auto NewTerm = Term > State.Term;
+  if (NewTerm) {
+    State = {Term, replica_id::none};
+    Held.clear();
+    writeState();
+  }
+  // The same leader may have replaced records of its log between two terms.
+  if (NewTerm || Leader != NewLeader) {
+    Verified = 0;
+    ReportDue = false;
+    Incoming = {};
+  }
+  if (Role == raft_role::leader)
+    resetElectionTimer(Now);
+  Role = raft_role::follower;
+  Leader = NewLeader;
+  Votes.clear();
+  Peers.clear();
+}
+
+/// A pre-vote raises no term, so a replica that returns from a partition does
+/// not depose a working leader.
+auto raft_node::startPreVote(time_point Now) -> void {
+  resetElectionTimer(Now);
+  if (!Log.members().isVoter(Id))
+    return;
+  becomeFollower(State.Term, replica_id::none, Now);
+  Role = raft_role::pre_candidate;
+  requestVotes(State.Term + 1, true);
+  countVote(Id, Now);
+}
+
+auto raft_node::startElection(time_point Now) -> void {
+  resetElectionTimer(Now);
+  becomeFollower(State.Term + 1, replica_id::none, Now);
+  Role = raft_role::candidate;
+  State.Vote = Id;
+  writeState();
+  requestVotes(State.Term, false);
+  sendAfterSync(Id, vote_reply{State.Term, false, true});
+}
+
+auto raft_node::requestVotes(log_term Term, bool PreVote) -> void {
+  const vote_request Request{Term, PreVote, Log.last()};
+  for (const auto &Member : Log.members().Members) {
+    if (!Member.Voter || Member.Id == Id)
+      continue;
+    if (PreVote)
+      send(Member.Id, Request);
+    else
+      sendAfterSync(Member.Id, Request);
+  }
+}
+
+auto raft_node::countVote(replica_id From, time_point Now) -> void {
+  if (!Log.members().isVoter(From))
+    return;
+  Votes.insert(From);
+  if (Votes.size() <= Log.members().voterCount() / 2)
+    return;
+  if (Role == raft_role::pre_candidate)
+    startElection(Now);
+  else if (Role == raft_role::candidate)
+    becomeLeader(Now);
+}
+
+auto raft_node::becomeLeader(time_point Now) -> void {
+  Role = raft_role::leader;
+  Leader = Id;
+  LeaderSince = Now;
+  HeartbeatDue = Now;
+  Votes.clear();
+  // Records of earlier terms count as committed only below a record of this
+  // term; the no-op provides one at once.
+  TermStart = addRecord(record_kind::no_op, {}).Index;
+  updatePeers();
+}
+
+/// The leader's lease counts on this: a replica that answered a leader gives
+/// no vote for the least election timeout, which is longer than the lease.
+auto raft_node::heardFromLeader(time_point Now) const -> bool {
+  if (Role == raft_role::leader)
+    return leaseHeld(Now);
+  return Now - LeaderContact < Timing.ElectionMin;
+}
+
+auto raft_node::mayGrant(replica_id From, const vote_request &Body,
+                         time_point Now) const -> bool {
+  const auto Own = Log.last();
+  const auto UpToDate =
+      Body.Last.Term > Own.Term ||
+      (Body.Last.Term == Own.Term && Body.Last.Index >= Own.Index);
+  if (!UpToDate || heardFromLeader(Now))
+    return false;
+  if (Body.PreVote)
+    return Body.Term > State.Term;
+  const auto Free = State.Vote == replica_id::none || State.Vote == From;
+  return Body.Term == State.Term && Free;
+}
+
+auto raft_node::handle(replica_id From, const vote_request &Body,
+                       time_point Now) -> void {
+  if (!Body.PreVote && Body.Term > State.Term) {
+    if (heardFromLeader(Now))
+      return;
+    becomeFollower(Body.Term, replica_id::none, Now);
+  }
+  const auto Granted = mayGrant(From, Body, Now);
+  const auto Term = Granted ? Body.Term : State.Term;
+  if (Granted && !Body.PreVote) {
+    State.Vote = From;
+    writeState();
+    resetElectionTimer(Now);
+  }
+  sendAfterSync(From, vote_reply{Term, Body.PreVote, Granted});
+  if (stateDurable())
+    releaseHeld(Now);
+}
+
+auto raft_node::handle(replica_id From, const vote_reply &Body, time_point Now)
+    -> void {
+  if (!Body.Granted) {
+    if (Body.Term > State.Term)
+      becomeFollower(Body.Term, replica_id::none, Now);
+    return;
+  }
+  const auto Expected =
+      Body.PreVote ? raft_role::pre_candidate : raft_role::candidate;
+  const auto Term = Body.PreVote ? State.Term + 1 : State.Term;
+  if (Role == Expected && Body.Term == Term)
+    countVote(From, Now);
+}
+
+/// \return the latest time such that a majority of the voters has answered a
+/// message sent at it or later. This replica's own answer is always the latest.
+auto raft_node::majorityAnswered(const membership &Members) const
+    -> time_point {
+  std::vector<time_point> Times;
+  for (const auto &Member : Members.Members) {
+    if (!Member.Voter)
+      continue;
+    const auto Peer = Peers.find(Member.Id);
+    if (Member.Id == Id)
+      Times.push_back(time_point::max());
+    else
+      Times.push_back(Peer == Peers.end() ? time_point::min()
+                                          : Peer->second.AnsweredAt);
+  }
+  if (Times.empty())
+    return time_point::min();
+  std::sort(Times.begin(), Times.end(), std::greater<>());
+  return Times[Times.size() / 2];
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/storage/posix_file_system.h
@@ -0,0 +1,68 @@
+/// \file File operations of the operating system.
+#pragma once
+
+#include "storage/file_type.h"
+
+#include <string>
+#include <utility>
+
+namespace acacianotch {
+
+/// An open file descriptor, closed on destruction.
+class posix_file {
+public:
+  posix_file(int OpenDescriptor, std::string OpenPath)
+      : Descriptor(OpenDescriptor), Path(std::move(OpenPath)) {}
+  posix_file(posix_file &&Other) noexcept
+      : Descriptor(std::exchange(Other.Descriptor, -1)),
+        Path(std::move(Other.Path)) {}
+  auto operator=(posix_file &&Other) noexcept -> posix_file & {
+    std::swap(Descriptor, Other.Descriptor);
+    std::swap(Path, Other.Path);
+    return *this;
+  }
+  posix_file(const posix_file &) = delete;
+  auto operator=(const posix_file &) -> posix_file & = delete;
+  ~posix_file();
+
+  [[nodiscard]] auto descriptor() const -> int { return Descriptor; }
+  [[nodiscard]] auto path() const -> const std::string & { return Path; }
+
+private:
+  int Descriptor;
+  std::string Path;
+};
+
+/// The operating system's files.
+class posix_file_system {
+public:
+  using file = posix_file;
+
+  /// Creates \p Path, or empties it.
+  [[nodiscard]] auto create(const std::string &Path) -> result<file>;
+
+  /// \return the content of \p Path; none if it does not exist.
+  [[nodiscard]] auto read(const std::string &Path)
+      -> result<std::optional<std::string>>;
+
+  /// Adds \p Bytes at the end.
+  [[nodiscard]] auto append(file &File, std::string_view Bytes) -> result<void>;
+
+  /// Makes the content and size of \p File durable.
+  [[nodiscard]] auto sync(file &File) -> result<void>;
+
+  /// Replaces \p To by \p From.
+  [[nodiscard]] auto rename(const std::string &From, const std::string &To)
+      -> result<void>;
+
+  /// Makes creations and renames in \p Path durable.
+  [[nodiscard]] auto syncFolder(const std::string &Path) -> result<void>;
+};
+
+static_assert(file_system<posix_file_system>);
+
+/// \return `storage_failed` with the operation, the path and errno's text.
+[[nodiscard]] auto systemFailure(std::string_view Operation,
+                                 const std::string &Path) -> failure;
+
+} // namespace acacianotch
