Fix: [Build] warnings in the project's own headers

Cause: the generated code's include folder was src itself, marked as a system folder, which hid warnings in all headers and then let rpc.h disagree with its source unnoticed.

--- a/src/net/rpc.h
+++ b/src/net/rpc.h
@@ -74,8 +74,7 @@
   }
 
   /// Runs \p Callback once when the connection is lost.
-  auto
-  onDisconnect(std::function<void()> Callback) -> void;
+  auto onDisconnect(const std::function<void()> &Callback) -> void;
 
 private:
   struct state;
