Add: [Node] control client and catalogue subscription

Cause: entry and agent both need the catalogue and the command path. Change: a client that follows the leader, and a link that applies updates to the view and leaves a silent control VM.

--- /dev/null
+++ b/src/node/control_client.cpp
@@ -0,0 +1,112 @@
+/// \file Client of the control VMs.
+#include "node/control_client.h"
+
+#include "core/log_func.h"
+#include "net/kj_func.h"
+
+#include <algorithm>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr duration RetryPause = std::chrono::milliseconds(25);
+constexpr duration AttemptLimit = std::chrono::milliseconds(1000);
+
+auto readOutcome(wire::CommandOutcome::Reader Outcome) -> command_result {
+  command_result Result;
+  Result.Code = errcFromWire(Outcome.getError());
+  Result.Detail = toString(Outcome.getDetail());
+  Result.Revision = revision{Outcome.getRevision()};
+  const auto Payload = Outcome.getPayload();
+  if (Payload.size() > 0)
+    Result.Payload =
+        json::from_cbor(Payload.begin(), Payload.end(), true, false);
+  return Result;
+}
+
+} // namespace
+
+struct control_client::call {
+  std::string Bytes;
+  time_point End;
+  std::string LastError;
+};
+
+control_client::control_client(event_loop &TheLoop,
+                               const std::vector<address> &Addresses,
+                               const rpc_options &Options)
+    : Loop(TheLoop) {
+  for (const auto &Address : Addresses)
+    Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
+}
+
+auto control_client::execute(const command &Command, duration Limit)
+    -> kj::Promise<command_result> {
+  auto Call = std::make_shared<call>();
+  Call->Bytes = encodeCommand(Command);
+  Call->End = steady_clock::now() + Limit;
+  return attempt(std::move(Call));
+}
+
+auto control_client::retry(std::shared_ptr<call> Call)
+    -> kj::Promise<command_result> {
+  Current = (Current + 1) % Peers.size();
+  if (steady_clock::now() >= Call->End)
+    return command_result::of(errc::no_quorum, Call->LastError);
+  return Loop.delay(RetryPause).then([this, Call = std::move(Call)]() mutable {
+    return attempt(std::move(Call));
+  });
+}
+
+auto control_client::noteLeader(std::string_view Address) -> void {
+  for (std::size_t Index = 0; Index < Peers.size(); ++Index)
+    if (Peers[Index]->peerAddress().text() == Address)
+      Current = Index;
+}
+
+// A leader that accepts a command but cannot commit it must not hold the
+// caller for ever, so each attempt has a limit of its own.
+auto control_client::attempt(std::shared_ptr<call> Call)
+    -> kj::Promise<command_result> {
+  auto &Peer = *Peers[Current];
+  auto Client = Peer.as<wire::Control>();
+  if (!Client) {
+    Call->LastError = Client.error().text();
+    return retry(std::move(Call));
+  }
+  auto Request = Client->executeRequest();
+  Request.setCommand(toBytes(Call->Bytes));
+  const auto Rest = Call->End - steady_clock::now();
+  auto Answer = Request.send().then([&Peer](auto &&Response) {
+    Peer.confirm();
+    auto Outcome = Response.getOutcome();
+    return std::pair{readOutcome(Outcome), toString(Outcome.getLeader())};
+  });
+  auto Limit = Loop.delay(std::min<duration>(Rest, AttemptLimit))
+                   .then([]() -> std::pair<command_result, std::string> {
+                     return {command_result::of(errc::no_quorum, "no answer"),
+                             ""};
+                   });
+  return Answer.exclusiveJoin(kj::mv(Limit))
+      .then(
+          [this, Call](auto &&Pair) mutable -> kj::Promise<command_result> {
+            auto &[Result, Leader] = Pair;
+            const auto Retries = Result.Code == errc::not_leader ||
+                                 Result.Code == errc::no_quorum ||
+                                 Result.Code == errc::not_ready;
+            if (!Retries)
+              return std::move(Result);
+            Call->LastError = Result.Detail;
+            auto Next = retry(std::move(Call));
+            noteLeader(Leader);
+            return Next;
+          },
+          [this, Call](kj::Exception &&Exception) mutable
+          -> kj::Promise<command_result> {
+            Call->LastError = failureFrom(Exception).text();
+            return retry(std::move(Call));
+          });
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/node/control_client.h
@@ -0,0 +1,44 @@
+/// \file Client of the control VMs: commands go to the leader.
+#pragma once
+
+#include "catalogue/command_type.h"
+#include "net/rpc_peer.h"
+
+#include <acacianotch.capnp.h>
+
+#include <memory>
+#include <vector>
+
+namespace acacianotch {
+
+/// Sends commands to the control leader and follows leader changes. Every
+/// command may be sent more than once: change ids, claim keys, request ids and
+/// sequences make repeats harmless.
+class control_client {
+public:
+  control_client(event_loop &Loop, const std::vector<address> &Addresses,
+                 const rpc_options &Options);
+
+  /// Runs \p Command. \return its result; `no_quorum` if no leader answered
+  /// within \p Limit, after which the command may still take effect.
+  [[nodiscard]] auto execute(const command &Command, duration Limit)
+      -> kj::Promise<command_result>;
+
+  /// \return the peers in the order of the settings.
+  [[nodiscard]] auto peers() -> std::vector<std::unique_ptr<rpc_peer>> & {
+    return Peers;
+  }
+
+private:
+  struct call;
+
+  auto attempt(std::shared_ptr<call> Call) -> kj::Promise<command_result>;
+  auto retry(std::shared_ptr<call> Call) -> kj::Promise<command_result>;
+  auto noteLeader(std::string_view Address) -> void;
+
+  event_loop &Loop;
+  std::vector<std::unique_ptr<rpc_peer>> Peers;
+  std::size_t Current = 0;
+};
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/node/node_link.cpp
@@ -0,0 +1,158 @@
+/// \file The stream of catalogue updates from control to a node.
+#include "node/node_link.h"
+
+#include "core/log_func.h"
+#include "net/kj_func.h"
+
+#include <chrono>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr duration RetryPause = std::chrono::milliseconds(100);
+// Updates come every 500 ms. Two missed ones are enough to try another control
+// VM, and that still leaves time before the catalogue lease ends.
+constexpr duration SilenceLimit = std::chrono::milliseconds(1200);
+constexpr duration WatchInterval = std::chrono::milliseconds(200);
+
+auto wallClockMs() -> std::uint64_t {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now).count());
+}
+
+auto readUpdate(wire::NodeUpdate::Reader Update) -> node_update {
+  node_update Result;
+  Result.Epoch = epoch{Update.getEpoch()};
+  Result.Base = revision{Update.getBaseRevision()};
+  Result.Revision = revision{Update.getRevision()};
+  Result.Chunk = Update.getChunk();
+  Result.Chunks = Update.getChunks();
+  Result.Confirmed = Update.getConfirmed();
+  Result.Payload = toString(Update.getPayload());
+  return Result;
+}
+
+} // namespace
+
+/// Receives the updates of one subscription; one that has been replaced is
+/// ignored.
+class node_link::sink final : public wire::NodeSink::Server {
+public:
+  explicit sink(node_link &TheLink)
+      : Link(TheLink), Current(TheLink.Generation), Own(*Current) {}
+
+  auto update(UpdateContext Context) -> kj::Promise<void> override {
+    if (Own != *Current)
+      return KJ_EXCEPTION(DISCONNECTED, "the subscription was replaced");
+    Link.handle(readUpdate(Context.getParams().getUpdate()));
+    auto Ack = Context.getResults().initAck();
+    Ack.setRevision(static_cast<std::uint64_t>(Link.View.currentRevision()));
+    Ack.setEpoch(static_cast<std::uint64_t>(Link.View.currentEpoch()));
+    if (Link.FillLoad)
+      Link.FillLoad(Ack.initLoad());
+    Link.AckedAt = steady_clock::now();
+    return kj::READY_NOW;
+  }
+
+private:
+  node_link &Link;
+  std::shared_ptr<const std::uint64_t> Current;
+  std::uint64_t Own;
+};
+
+node_link::node_link(event_loop &TheLoop, control_client &TheClient,
+                     catalogue_view &TheView, node_facts TheFacts)
+    : Loop(TheLoop), Client(TheClient), View(TheView),
+      Facts(std::move(TheFacts)),
+      Retry(TheLoop.oneShot([this] { subscribe(); })),
+      Watchdog(TheLoop.repeating([this] { checkSilence(); })) {}
+
+// Sinks that control still holds must not reach a destroyed link.
+node_link::~node_link() {
+  ++*Generation;
+  Subscription = nullptr;
+}
+
+auto node_link::start() -> void {
+  Watchdog->start(WatchInterval);
+  subscribe();
+}
+
+auto node_link::onChange(std::function<void()> Callback) -> void {
+  Changed = std::move(Callback);
+}
+
+auto node_link::subscribe() -> void {
+  ++*Generation;
+  HeardAt = steady_clock::now();
+  AckedAt = HeardAt;
+  auto &Chosen = *Client.peers()[Peer];
+  auto Control = Chosen.as<wire::Control>();
+  if (!Control) {
+    subscribeAgain();
+    return;
+  }
+  auto Request = Control->subscribeRequest();
+  auto Stated = Request.initFacts();
+  Stated.setNodeId(Facts.Id.Text.c_str());
+  Stated.setRole(Facts.Role.c_str());
+  Stated.setZone(Facts.Zone.c_str());
+  Stated.setBackend(Facts.Backend.c_str());
+  Stated.setStartedAt(wallClockMs());
+  Request.setRevision(static_cast<std::uint64_t>(View.currentRevision()));
+  Request.setEpoch(static_cast<std::uint64_t>(View.currentEpoch()));
+  Request.setSink(kj::heap<sink>(*this));
+  const auto Ended = [this, Current = Generation, Own = *Generation] {
+    Loop.defer([this, Current, Own] {
+      if (*Current == Own)
+        subscribeAgain();
+    });
+  };
+  Subscription = Request.send()
+                     .then([Ended](auto &&) { Ended(); },
+                           [Ended](kj::Exception &&) { Ended(); })
+                     .eagerlyEvaluate(nullptr);
+}
+
+auto node_link::subscribeAgain() -> void {
+  ++*Generation;
+  Subscription = nullptr;
+  Peer = (Peer + 1) % Client.peers().size();
+  Retry->start(RetryPause);
+}
+
+auto node_link::handle(const node_update &Update) -> void {
+  const auto Before = View.currentRevision();
+  const auto Outcome = View.apply(Update, AckedAt);
+  if (!Outcome) {
+    logWarning(log_category::catalogue, "rejected a catalogue update",
+               {{"error", Outcome.error().text()}});
+    return;
+  }
+  if (*Outcome == update_outcome::stale_epoch)
+    return;
+  HeardAt = steady_clock::now();
+  Client.peers()[Peer]->confirm();
+  if (View.currentRevision() == Before)
+    return;
+  logDebug(log_category::catalogue, "catalogue updated",
+           {{"revision", static_cast<std::uint64_t>(View.currentRevision())}});
+  if (Changed)
+    Changed();
+}
+
+// A control VM that is frozen or cut off keeps its connection open; silence is
+// the only sign of it.
+auto node_link::checkSilence() -> void {
+  const auto Waiting = Subscription != nullptr;
+  if (Waiting && steady_clock::now() - HeardAt > SilenceLimit) {
+    logWarning(log_category::catalogue,
+               "no update from control; subscribing to another replica",
+               {{"control", Client.peers()[Peer]->peerAddress().text()}});
+    subscribeAgain();
+  }
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/node/node_link.h
@@ -0,0 +1,64 @@
+/// \file The stream of catalogue updates from control to a node.
+#pragma once
+
+#include "catalogue/catalogue_view.h"
+#include "core/id_type.h"
+#include "node/control_client.h"
+
+#include <functional>
+#include <memory>
+
+namespace acacianotch {
+
+/// What a node tells control about itself.
+struct node_facts {
+  node_id Id;
+  std::string Role;
+  std::string Zone;
+  std::string Backend; ///< Agents only.
+};
+
+/// Keeps one subscription to any control VM and applies its updates to the
+/// node's view. The owner of the client and the view outlives the link.
+class node_link {
+public:
+  node_link(event_loop &Loop, control_client &Client, catalogue_view &View,
+            node_facts Facts);
+  ~node_link();
+  node_link(const node_link &) = delete;
+  auto operator=(const node_link &) -> node_link & = delete;
+
+  /// Starts to subscribe, and subscribes again whenever a stream ends.
+  auto start() -> void;
+
+  /// Runs \p Callback after each update that changed the view.
+  auto onChange(std::function<void()> Callback) -> void;
+
+  /// \return the load that acknowledgements carry; agents set it.
+  std::function<void(wire::LoadReport::Builder)> FillLoad;
+
+private:
+  class sink;
+
+  auto subscribe() -> void;
+  auto subscribeAgain() -> void;
+  auto handle(const node_update &Update) -> void;
+  auto checkSilence() -> void;
+
+  event_loop &Loop;
+  control_client &Client;
+  catalogue_view &View;
+  node_facts Facts;
+  std::function<void()> Changed;
+  std::size_t Peer = 0;
+  /// Counts subscriptions; shared with sinks, which can outlive the link.
+  std::shared_ptr<std::uint64_t> Generation =
+      std::make_shared<std::uint64_t>(0);
+  time_point AckedAt{};         ///< When the last acknowledgement was sent.
+  time_point HeardAt{};
+  kj::Maybe<kj::Promise<void>> Subscription;
+  std::unique_ptr<loop_timer> Retry;
+  std::unique_ptr<loop_timer> Watchdog;
+};
+
+} // namespace acacianotch
