Add: [Agent] gate, queue, calls to the backend server and bounded streams

Cause: the agent is the enforcement point of the request path. Change: checks against the agent's own catalogue, queueing, one attempt with its stream to the entry, and crash reports. Measured: builds; the process tests that follow exercise it.

--- /dev/null
+++ b/src/agent/agent_service.cpp
@@ -0,0 +1,245 @@
+/// \file The agent's RPC service: checks, queue and calls.
+#include "agent/agent_service.h"
+
+#include "core/log_func.h"
+#include "net/kj_func.h"
+
+namespace acacianotch {
+
+namespace {
+
+auto gateRequest(wire::WorkRequest::Reader Request) -> gate_request {
+  gate_request Result;
+  Result.Account = account_id(toString(Request.getAccount()));
+  Result.Version = {toString(Request.getModel()),
+                    toString(Request.getVersion())};
+  Result.Service = toString(Request.getService());
+  Result.Fingerprint = fingerprint{Request.getFingerprint()};
+  Result.Isolated = Request.getIsolated();
+  return Result;
+}
+
+auto workItem(wire::WorkRequest::Reader Request, time_point Now) -> work_item {
+  work_item Item;
+  Item.Account = account_id(toString(Request.getAccount()));
+  if (Request.getAccountWeight() > 0)
+    Item.Weight = Request.getAccountWeight();
+  Item.Priority = Request.getPriority();
+  Item.Long = Request.getLongWork();
+  Item.Isolated = Request.getIsolated();
+  if (Request.getDeadlineMs() > 0)
+    Item.Deadline = Now + std::chrono::milliseconds(Request.getDeadlineMs());
+  return Item;
+}
+
+} // namespace
+
+struct agent_service::work {
+  work_ticket Ticket = work_ticket::none;
+  std::unique_ptr<attempt> Attempt;
+  kj::Own<kj::PromiseFulfiller<void>> Done;
+  fingerprint Fingerprint = fingerprint::none;
+  bool Isolated = false;
+  bool Started = false;
+};
+
+class agent_service::server final : public wire::Agent::Server {
+public:
+  explicit server(agent_service &TheService) : Service(TheService) {}
+
+  auto run(RunContext Context) -> kj::Promise<void> override {
+    Context.allowCancellation();
+    return Service.run(kj::mv(Context));
+  }
+
+  auto probe(ProbeContext Context) -> kj::Promise<void> override {
+    auto Results = Context.getResults();
+    Service.fillLoad(Results.initLoad());
+    Results.setRevision(
+        static_cast<std::uint64_t>(Service.View.currentRevision()));
+    Results.setEpoch(static_cast<std::uint64_t>(Service.View.currentEpoch()));
+    Results.setReady(Service.View.ready() && !Service.State.ShuttingDown);
+    return kj::READY_NOW;
+  }
+
+private:
+  agent_service &Service;
+};
+
+agent_service::agent_service(event_loop &TheLoop, const catalogue_view &TheView,
+                             gate_state &TheState, const address &TheBackend,
+                             const agent_queue_settings &QueueSettings,
+                             const stream_limits &TheLimits)
+    : Loop(TheLoop), View(TheView), State(TheState),
+      Backend(TheLoop, TheBackend), Limits(TheLimits),
+      Queue(Clock, QueueSettings),
+      QueueTimer(TheLoop.oneShot([this] { pump(); })),
+      Slots(QueueSettings.Slots) {}
+
+agent_service::~agent_service() = default;
+
+auto agent_service::client() -> wire::Agent::Client {
+  return kj::heap<server>(*this);
+}
+
+auto agent_service::configure(std::uint32_t NewSlots, double LongShare)
+    -> void {
+  Slots = NewSlots;
+  Queue.configure(NewSlots, LongShare);
+  pump();
+}
+
+auto agent_service::fillLoad(wire::LoadReport::Builder Load) const -> void {
+  const auto Report = Queue.report();
+  Load.setRunning(Report.Running);
+  Load.setQueued(Report.Queued);
+  Load.setLong(Report.Long);
+  Load.setSlots(Report.Slots);
+  Load.setFirstTokenUs(static_cast<std::uint32_t>(FirstToken.count()));
+  Load.setLeaving(State.Leaving || State.ShuttingDown);
+}
+
+auto agent_service::run(attempt::context Context) -> kj::Promise<void> {
+  const auto Request = Context.getParams().getRequest();
+  const auto Now = Clock.now();
+  const auto Gate = checkGate(View, State, gateRequest(Request), Now);
+  if (!Gate) {
+    reject(Context, Gate.error(), duration::zero());
+    return kj::READY_NOW;
+  }
+  const auto Admission = Queue.offer(workItem(Request, Now));
+  if (!Admission.ok()) {
+    reject(Context, Admission.error(), Admission.RetryAfter);
+    return kj::READY_NOW;
+  }
+  const auto Ticket = Queue.lastTicket();
+  auto Work = std::make_unique<work>();
+  Work->Ticket = Ticket;
+  Work->Fingerprint = fingerprint{Request.getFingerprint()};
+  Work->Isolated = Request.getIsolated();
+  Work->Attempt =
+      std::make_unique<attempt>(Loop, Backend, kj::mv(Context), Limits);
+  auto Pair = kj::newPromiseAndFulfiller<void>();
+  Work->Done = kj::mv(Pair.fulfiller);
+  Works.emplace(Ticket, std::move(Work));
+  pump();
+  return Pair.promise.attach(kj::defer([this, Ticket] { cancelled(Ticket); }));
+}
+
+auto agent_service::reject(attempt::context &Context, const failure &Failure,
+                           duration RetryAfter) -> void {
+  ++Counters.Rejected;
+  auto Outcome = Context.getResults().initOutcome();
+  Outcome.setRequestId(Context.getParams().getRequest().getRequestId());
+  Outcome.setVerdict(static_cast<std::uint8_t>(verdict::not_run));
+  Outcome.setError(static_cast<std::uint16_t>(Failure.Code));
+  Outcome.setDetail(Failure.Detail.c_str());
+  Outcome.setRetryAfterMs(
+      static_cast<std::uint32_t>(RetryAfter / std::chrono::milliseconds(1)));
+  fillLoad(Outcome.initLoad());
+}
+
+auto agent_service::pump() -> void {
+  while (const auto Ticket = Queue.next()) {
+    const auto Found = Works.find(*Ticket);
+    if (Found == Works.end())
+      Queue.cancel(*Ticket);
+    else
+      startWork(*Found->second);
+  }
+  for (const auto &Dropped : Queue.takeDropped())
+    dropWork(Dropped);
+  if (const auto Timeout = Queue.nextTimeout())
+    QueueTimer->start(std::max(*Timeout - Clock.now(), duration(1000)));
+}
+
+// The gate is asked again, because a version can be withdrawn while its
+// requests wait.
+auto agent_service::startWork(work &Work) -> void {
+  const auto Ticket = Work.Ticket;
+  const auto Gate = checkGate(View, State, gateRequest(Work.Attempt->request()),
+                              Clock.now());
+  const auto Stopping =
+      !Gate && Gate.error().Code == errc::shutting_down; // Finishes its queue.
+  if (!Gate && !Stopping) {
+    const auto &Error = Gate.error();
+    Loop.defer([this, Ticket,
+                End = attempt_end{Error.Code, Error.Detail, verdict::not_run}] {
+      endWork(Ticket, End);
+    });
+    return;
+  }
+  Work.Started = true;
+  Work.Attempt->start(
+      [this, Ticket](const attempt_end &End) { endWork(Ticket, End); });
+}
+
+auto agent_service::endWork(work_ticket Ticket, const attempt_end &End)
+    -> void {
+  const auto Found = Works.find(Ticket);
+  if (Found == Works.end())
+    return;
+  auto Work = std::move(Found->second);
+  noteEnd(*Work, End);
+  Works.erase(Found);
+  Queue.finished(Ticket, End.Code == errc::ok);
+  Work->Attempt->fillOutcome(End);
+  fillLoad(Work->Attempt->outcomeLoad());
+  Work->Done->fulfill();
+  Loop.defer([Ended = std::shared_ptr<work>(std::move(Work))] {});
+  pump();
+}
+
+// A backend server that breaks off an answer has probably crashed; everything
+// that it was running is suspected.
+auto agent_service::noteEnd(const work &Work, const attempt_end &End) -> void {
+  if (End.Code == errc::ok) {
+    ++Counters.Completed;
+    if (Work.Isolated && OnCleared)
+      OnCleared(Work.Fingerprint);
+    return;
+  }
+  if (End.Verdict == verdict::not_run) {
+    ++Counters.Rejected;
+    return;
+  }
+  ++Counters.Failed;
+  logWarning(log_category::agent, "an attempt failed",
+             {{"error", errcRow(End.Code).Name}, {"detail", End.Detail}});
+  const auto Broken =
+      End.Code == errc::backend_failed || End.Code == errc::incomplete_answer;
+  if (!Broken || !OnCrash)
+    return;
+  std::vector<fingerprint> Running;
+  for (const auto &[Ticket, Other] : Works)
+    if (Other->Started)
+      Running.push_back(Other->Fingerprint);
+  OnCrash(std::move(Running), Work.Isolated);
+}
+
+auto agent_service::dropWork(const dropped_work &Dropped) -> void {
+  const auto Found = Works.find(Dropped.Ticket);
+  if (Found == Works.end())
+    return;
+  auto Work = std::move(Found->second);
+  Works.erase(Found);
+  ++Counters.Rejected;
+  Work->Attempt->fillOutcome(
+      {Dropped.Reason.Code, "dropped from the queue", verdict::not_run});
+  fillLoad(Work->Attempt->outcomeLoad());
+  Work->Done->fulfill();
+  Loop.defer([Ended = std::shared_ptr<work>(std::move(Work))] {});
+}
+
+auto agent_service::cancelled(work_ticket Ticket) -> void {
+  const auto Found = Works.find(Ticket);
+  if (Found == Works.end())
+    return;
+  ++Counters.Cancelled;
+  auto Work = std::move(Found->second);
+  Works.erase(Found);
+  Queue.cancel(Ticket);
+  Loop.defer([this, Ended = std::shared_ptr<work>(std::move(Work))] { pump(); });
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/agent/sse_scanner.cpp
@@ -0,0 +1,72 @@
+/// \file Scanner of server-sent events in an engine's streamed answer.
+#include "agent/sse_scanner.h"
+
+#include <nlohmann/json.hpp>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr std::string_view EventEnd = "\n\n";
+constexpr std::string_view DataPrefix = "data:";
+constexpr std::string_view EndMarker = "[DONE]";
+
+auto trim(std::string_view Text) -> std::string_view {
+  while (!Text.empty() && Text.front() == ' ')
+    Text.remove_prefix(1);
+  while (!Text.empty() && (Text.back() == '\n' || Text.back() == '\r'))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+} // namespace
+
+auto sse_scanner::feed(std::string_view Data) -> std::string {
+  Rest += Data;
+  std::string Forward;
+  std::size_t Begin = 0;
+  while (true) {
+    const auto End = Rest.find(EventEnd, Begin);
+    if (End == std::string::npos)
+      break;
+    const auto Next = End + EventEnd.size();
+    const auto Event = std::string_view(Rest).substr(Begin, Next - Begin);
+    if (scanEvent(Event))
+      Forward += Event;
+    Begin = Next;
+  }
+  Rest.erase(0, Begin);
+  return Forward;
+}
+
+/// \return whether the event is forwarded.
+auto sse_scanner::scanEvent(std::string_view Event) -> bool {
+  if (Event.substr(0, DataPrefix.size()) != DataPrefix)
+    return true;
+  const auto Content = trim(Event.substr(DataPrefix.size()));
+  Done = Content == EndMarker;
+  if (Done)
+    return true;
+  ++ContentEvents;
+  // Only the last events carry usage; parsing all of them would cost more than
+  // the rest of the path.
+  if (Content.find("\"usage\"") == std::string_view::npos)
+    return true;
+  return readUsage(Content);
+}
+
+auto sse_scanner::readUsage(std::string_view Json) -> bool {
+  const auto Event = nlohmann::json::parse(Json, nullptr, false);
+  if (!Event.is_object() || !Event.contains("usage") ||
+      !Event["usage"].is_object())
+    return true;
+  const auto &Usage = Event["usage"];
+  UsageSeen = true;
+  PromptTokens = Usage.value("prompt_tokens", std::uint64_t{0});
+  CompletionTokens = Usage.value("completion_tokens", std::uint64_t{0});
+  const auto OnlyUsage =
+      Event.contains("choices") && Event["choices"].empty();
+  return !(HidesUsage && OnlyUsage);
+}
+
+} // namespace acacianotch
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -12,6 +12,7 @@
   slots @2 :UInt32;       # Requests that may run at once.
   firstTokenUs @3 :UInt32; # Smoothed time to first token, microseconds.
   leaving @4 :Bool;       # No new work.
+  long @5 :UInt32;        # Long work among running and queued.
 }
 
 struct WorkRequest {
@@ -36,6 +37,8 @@
   path @17 :Text;
   contentType @18 :Text;
   body @19 :Data;
+  hideUsage @20 :Bool;        # Drop the usage event of a streamed answer.
+  accountWeight @21 :Float32; # Share of the account in fair sharing.
 }
 
 struct WorkOutcome {
@@ -51,6 +54,8 @@
   completionTokens @8 :UInt64;
   load @9 :LoadReport;
   retryAfterMs @10 :UInt32;   # 0 if unknown.
+  firstTokenUs @11 :UInt64;   # From dispatch to the first byte; 0 if none.
+  body @12 :Data;             # Answer to a streamed request that is no stream.
 }
 
 interface ResponseSink {
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -92,7 +92,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c94fa5479b34e8f8, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(c94fa5479b34e8f8, 6, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -529,6 +529,8 @@
 
   inline bool getLeaving() const;
 
+  inline  ::uint32_t getLong() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -572,6 +574,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline  ::uint32_t getLong();
+  inline void setLong( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -665,6 +670,10 @@
   inline bool hasBody() const;
   inline  ::capnp::Data::Reader getBody() const;
 
+  inline bool getHideUsage() const;
+
+  inline float getAccountWeight() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -793,6 +802,12 @@
   inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownBody();
 
+  inline bool getHideUsage();
+  inline void setHideUsage(bool value);
+
+  inline float getAccountWeight();
+  inline void setAccountWeight(float value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -862,6 +877,11 @@
 
   inline  ::uint32_t getRetryAfterMs() const;
 
+  inline  ::uint64_t getFirstTokenUs() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -939,6 +959,16 @@
   inline  ::uint32_t getRetryAfterMs();
   inline void setRetryAfterMs( ::uint32_t value);
 
+  inline  ::uint64_t getFirstTokenUs();
+  inline void setFirstTokenUs( ::uint64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3119,6 +3149,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t LoadReport::Reader::getLong() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t LoadReport::Builder::getLong() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void LoadReport::Builder::setLong( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3599,6 +3643,34 @@
       ::capnp::bounded<9>() * ::capnp::POINTERS));
 }
 
+inline bool WorkRequest::Reader::getHideUsage() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<44>() * ::capnp::ELEMENTS);
+}
+
+inline bool WorkRequest::Builder::getHideUsage() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<44>() * ::capnp::ELEMENTS);
+}
+inline void WorkRequest::Builder::setHideUsage(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<44>() * ::capnp::ELEMENTS, value);
+}
+
+inline float WorkRequest::Reader::getAccountWeight() const {
+  return _reader.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline float WorkRequest::Builder::getAccountWeight() {
+  return _builder.getDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void WorkRequest::Builder::setAccountWeight(float value) {
+  _builder.setDataField<float>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool WorkOutcome::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3838,6 +3910,54 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t WorkOutcome::Reader::getFirstTokenUs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t WorkOutcome::Builder::getFirstTokenUs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void WorkOutcome::Builder::setFirstTokenUs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool WorkOutcome::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool WorkOutcome::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader WorkOutcome::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder WorkOutcome::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void WorkOutcome::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder WorkOutcome::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void WorkOutcome::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> WorkOutcome::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 #if !CAPNP_LITE
 inline ResponseSink::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
