--- /dev/null
+++ b/src/entry/dispatch.cpp
@@ -0,0 +1,338 @@
+/// \file Runs one request on backend servers.
+#include "entry/dispatch.h"
+
+#include "core/log_func.h"
+#include "net/kj_func.h"
+
+#include <algorithm>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr std::uint32_t MaxAttempts = 4;
+constexpr std::size_t MaxWholeAnswerBytes = 16ULL * 1024 * 1024;
+
+auto readLoad(wire::LoadReport::Reader Load) -> load_report {
+  return {Load.getRunning(), Load.getQueued(), Load.getLong(), Load.getSlots(),
+          Load.getLeaving()};
+}
+
+} // namespace
+
+/// State of one attempt.
+struct dispatch::attempt_state {
+  std::uint32_t Number = 0;
+  backend_handle Backend;
+  observed_attempt Observed;
+  bool Open = true;
+  bool FirstSeen = false;
+  bool Crossed = false;
+  std::uint64_t Offset = 0;
+  std::string Body;
+  kj::Maybe<kj::Promise<void>> Call;
+};
+
+/// Receives the answer of one attempt.
+class dispatch::sink final : public wire::ResponseSink::Server {
+public:
+  sink(dispatch &TheOwner, attempt_state &TheAttempt)
+      : Owner(TheOwner), Attempt(TheAttempt), Alive(TheOwner.Alive) {}
+
+  auto write(WriteContext Context) -> kj::Promise<void> override {
+    if (!*Alive || !Attempt.Open)
+      return KJ_EXCEPTION(DISCONNECTED, "the attempt has ended");
+    const auto Params = Context.getParams();
+    const auto Id = Params.getRequestId();
+    if (Id != Owner.Request.Id.Text.c_str()) {
+      Attempt.Crossed = true;
+      return KJ_EXCEPTION(FAILED, "the data belongs to another request");
+    }
+    const auto Data = Params.getData();
+    return Owner.receive(
+        Attempt, Params.getOffset(),
+        {reinterpret_cast<const char *>(Data.begin()), Data.size()});
+  }
+
+private:
+  dispatch &Owner;
+  attempt_state &Attempt;
+  std::shared_ptr<const bool> Alive;
+};
+
+dispatch::dispatch(dispatch_context TheContext, pool &ThePool,
+                   dispatch_request TheRequest, dispatch_events TheEvents)
+    : Context(TheContext), Pool(ThePool), Request(std::move(TheRequest)),
+      Events(std::move(TheEvents)),
+      HedgeTimer(TheContext.Loop.oneShot([this] { hedgeIfLate(); })) {}
+
+dispatch::~dispatch() {
+  *Alive = false;
+  for (auto &Attempt : Attempts)
+    if (Attempt->Open) {
+      Pool.Outlier.abandoned(Attempt->Observed);
+      closeAttempt(*Attempt);
+    }
+}
+
+auto dispatch::start() -> void {
+  StartedAt = steady_clock::now();
+  Pool.Hedging.requestStarted();
+  Pool.Retries.firstAttempt();
+  if (!startAttempt(false)) {
+    finish({failure::of(errc::no_backend)});
+    return;
+  }
+  startHedgeTimer();
+}
+
+auto dispatch::startAttempt(bool Hedge) -> bool {
+  const auto Picked =
+      Pool.Placement.pick({Request.AffinityKey, Tried, Request.Long});
+  if (!Picked)
+    return false;
+  const auto *Address = Context.Pools.agentAddress(*Picked);
+  if (Address == nullptr)
+    return false;
+  auto State = std::make_unique<attempt_state>();
+  State->Number = Race.add(*Picked);
+  State->Backend = *Picked;
+  State->Observed = Pool.Outlier.started(*Picked);
+  Context.Pools.backends().started(*Picked, Request.Long);
+  Tried.push_back(*Picked);
+  Hedges += Hedge ? 1 : 0;
+  auto &Attempt = *State;
+  Attempts.push_back(std::move(State));
+  Attempt.Call =
+      Context.Agents.ready(*Address)
+          .then(
+              [this, &Attempt](wire::Agent::Client Agent) {
+                return sendTo(Attempt, kj::mv(Agent));
+              },
+              [this, &Attempt](kj::Exception &&Exception) -> kj::Promise<void> {
+                Pool.Outlier.unreachable(Attempt.Backend);
+                auto Failure = failureFrom(Exception);
+                Failure.Verdict = verdict::not_run;
+                handleFailure(Attempt, std::move(Failure), duration::zero());
+                return kj::READY_NOW;
+              })
+          .eagerlyEvaluate(nullptr);
+  return true;
+}
+
+auto dispatch::sendTo(attempt_state &Attempt, wire::Agent::Client Agent)
+    -> kj::Promise<void> {
+  auto Call = Agent.runRequest();
+  fillRequest(Call.initRequest(), Attempt.Number);
+  Call.setSink(kj::heap<sink>(*this, Attempt));
+  return Call.send().then(
+      [this, &Attempt](auto &&Response) {
+        handleOutcome(Attempt, Response.getOutcome());
+      },
+      [this, &Attempt](kj::Exception &&Exception) {
+        handleFailure(Attempt, failureFrom(Exception), duration::zero());
+      });
+}
+
+auto dispatch::fillRequest(wire::WorkRequest::Builder Work,
+                           std::uint32_t Number) -> void {
+  Work.setRequestId(Request.Id.Text.c_str());
+  Work.setAttempt(Number);
+  Work.setAccount(Request.Account.Text.c_str());
+  Work.setAccountWeight(static_cast<float>(Request.AccountWeight));
+  Work.setModel(Request.Version.Model.c_str());
+  Work.setVersion(Request.Version.Version.c_str());
+  Work.setService(Request.Service.c_str());
+  Work.setRequestClass(Request.Class.c_str());
+  Work.setPriority(Request.Priority);
+  Work.setLongWork(Request.Long);
+  Work.setIdempotent(Request.Idempotent);
+  Work.setStreamed(Request.Streamed);
+  Work.setHideUsage(Request.HideUsage);
+  Work.setIsolated(Request.Isolated);
+  if (Request.Deadline != time_point::max()) {
+    const auto Rest = Request.Deadline - steady_clock::now();
+    const auto RestMs = std::max<std::int64_t>(
+        Rest / std::chrono::milliseconds(1), std::int64_t{1});
+    Work.setDeadlineMs(static_cast<std::uint32_t>(RestMs));
+  }
+  Work.setCatalogueRevision(
+      static_cast<std::uint64_t>(Context.View.currentRevision()));
+  Work.setEpoch(static_cast<std::uint64_t>(Context.View.currentEpoch()));
+  Work.setFingerprint(Request.Fingerprint);
+  Work.setMethod(Request.Method.c_str());
+  Work.setPath(Request.Path.c_str());
+  Work.setContentType(Request.ContentType.c_str());
+  Work.setBody(toBytes(Request.Body));
+}
+
+auto dispatch::receive(attempt_state &Attempt, std::uint64_t Offset,
+                       std::string_view Data) -> kj::Promise<void> {
+  if (Offset != Attempt.Offset) {
+    Attempt.Crossed = true;
+    return KJ_EXCEPTION(FAILED, "the data does not follow what came before");
+  }
+  Attempt.Offset += Data.size();
+  noteFirstToken(Attempt);
+  if (!Race.firstToken(Attempt.Number))
+    return KJ_EXCEPTION(DISCONNECTED, "another attempt was faster");
+  cancelLosers();
+  if (!Request.Streamed) {
+    if (Attempt.Body.size() + Data.size() > MaxWholeAnswerBytes)
+      return KJ_EXCEPTION(FAILED, "the answer is too long");
+    Attempt.Body += Data;
+    return kj::READY_NOW;
+  }
+  Delivered = true;
+  auto Pair = kj::newPromiseAndFulfiller<void>();
+  auto Fulfiller = std::make_shared<kj::Own<kj::PromiseFulfiller<void>>>(
+      kj::mv(Pair.fulfiller));
+  Events.OnData(Data, [Fulfiller] { (*Fulfiller)->fulfill(); });
+  return kj::mv(Pair.promise);
+}
+
+auto dispatch::noteFirstToken(attempt_state &Attempt) -> void {
+  if (Attempt.FirstSeen)
+    return;
+  Attempt.FirstSeen = true;
+  Pool.Outlier.firstToken(Attempt.Observed);
+  if (FirstToken == duration::zero()) {
+    FirstToken = steady_clock::now() - StartedAt;
+    Pool.Hedging.observe(FirstToken);
+  }
+}
+
+auto dispatch::closeAttempt(attempt_state &Attempt) -> void {
+  if (!Attempt.Open)
+    return;
+  Attempt.Open = false;
+  Context.Pools.backends().finished(Attempt.Backend, Request.Long,
+                                    std::nullopt, steady_clock::now());
+}
+
+auto dispatch::handleOutcome(attempt_state &Attempt,
+                             wire::WorkOutcome::Reader Outcome) -> void {
+  if (!Attempt.Open)
+    return;
+  Context.Pools.backends().reported(Attempt.Backend, readLoad(Outcome.getLoad()),
+                                    steady_clock::now());
+  const auto Code = errcFromWire(Outcome.getError());
+  if (Code != errc::ok) {
+    const auto RetryAfter =
+        std::chrono::milliseconds(Outcome.getRetryAfterMs());
+    handleFailure(Attempt,
+                  {Code, toString(Outcome.getDetail()),
+                   static_cast<verdict>(Outcome.getVerdict())},
+                  RetryAfter);
+    return;
+  }
+  const auto Whole = Outcome.getRequestId() == Request.Id.Text.c_str() &&
+                     Outcome.getBytes() == Attempt.Offset && !Attempt.Crossed;
+  if (!Whole) {
+    handleFailure(Attempt, failure::of(errc::crossed_answer), duration::zero());
+    return;
+  }
+  noteFirstToken(Attempt);
+  if (!Race.firstToken(Attempt.Number)) {
+    closeAttempt(Attempt);
+    return;
+  }
+  closeAttempt(Attempt);
+  cancelLosers();
+  dispatch_end End;
+  End.HttpStatus = Outcome.getHttpStatus();
+  End.ContentType = toString(Outcome.getContentType());
+  End.Body = std::move(Attempt.Body);
+  if (Outcome.getBody().size() > 0)
+    End.Body = toString(Outcome.getBody());
+  End.PromptTokens = Outcome.getPromptTokens();
+  End.CompletionTokens = Outcome.getCompletionTokens();
+  if (const auto *Row = Context.Pools.backends().row(Attempt.Backend))
+    End.Backend = Row->Facts.Id.Text;
+  finish(std::move(End));
+}
+
+auto dispatch::handleFailure(attempt_state &Attempt, failure Failure,
+                             duration RetryAfter) -> void {
+  if (!Attempt.Open)
+    return;
+  if (Attempt.Crossed)
+    Failure = failure::of(errc::crossed_answer);
+  closeAttempt(Attempt);
+  if (Failure.Verdict == verdict::not_run) {
+    Pool.Outlier.abandoned(Attempt.Observed);
+  } else {
+    Pool.Outlier.failed(Attempt.Observed);
+    MayHaveRun = true;
+  }
+  logInfo(log_category::entry, "an attempt failed",
+          {{"request", Request.Id.Text},
+           {"attempt", Attempt.Number},
+           {"error", errcRow(Failure.Code).Name},
+           {"verdict", VerdictNames.name(Failure.Verdict)},
+           {"detail", Failure.Detail}});
+  if (!Race.failed(Attempt.Number))
+    return;
+  if (mayRetry(Failure) && startAttempt(false))
+    return;
+  // The request's verdict covers all of its attempts.
+  if (MayHaveRun && Failure.Verdict == verdict::not_run)
+    Failure.Verdict = verdict::may_have_run;
+  dispatch_end End;
+  End.Error = std::move(Failure);
+  End.RetryAfter = RetryAfter;
+  finish(std::move(End));
+}
+
+// Errors that every other agent would give as well are not retried.
+auto dispatch::mayRetry(const failure &Failure) -> bool {
+  const auto Permanent = Failure.Code == errc::quarantined ||
+                         Failure.Code == errc::not_allowed ||
+                         Failure.Code == errc::version_withdrawn;
+  if (Permanent || Delivered || Attempts.size() >= MaxAttempts)
+    return false;
+  const auto Safe = Request.Idempotent || !MayHaveRun;
+  return Safe && Pool.Retries.tryTake();
+}
+
+auto dispatch::startHedgeTimer() -> void {
+  if (const auto Delay = Pool.Hedging.delay(Request.Idempotent))
+    HedgeTimer->start(*Delay);
+}
+
+auto dispatch::hedgeIfLate() -> void {
+  if (Ended || FirstToken != duration::zero() || Request.Isolated)
+    return;
+  if (Pool.Hedging.tryHedge(Request.Idempotent))
+    static_cast<void>(startAttempt(true));
+}
+
+// The cancelled call's promise must not be dropped inside itself.
+auto dispatch::cancelLosers() -> void {
+  for (const auto &Loser : Race.takeLosers()) {
+    auto &Attempt = *Attempts[Loser.Number];
+    Pool.Outlier.abandoned(Attempt.Observed);
+    closeAttempt(Attempt);
+    Context.Loop.defer([Alive = Alive, &Attempt] {
+      if (*Alive)
+        Attempt.Call = nullptr;
+    });
+  }
+}
+
+auto dispatch::finish(dispatch_end End) -> void {
+  if (Ended)
+    return;
+  Ended = true;
+  HedgeTimer->stop();
+  End.FirstToken = FirstToken;
+  End.Attempts = static_cast<std::uint32_t>(Attempts.size());
+  End.Hedges = Hedges;
+  auto Shared = std::make_shared<dispatch_end>(std::move(End));
+  Context.Loop.defer([this, Alive = Alive, Shared] {
+    if (*Alive)
+      Events.OnEnd(std::move(*Shared));
+  });
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/entry/dispatch.h
@@ -0,0 +1,123 @@
+/// \file Runs one request on backend servers: attempts, retries and hedges.
+#pragma once
+
+#include "controller/hedging.h"
+#include "core/result.h"
+#include "entry/agent_directory.h"
+#include "entry/pool_set.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace acacianotch {
+
+/// What all requests of one entry use.
+struct dispatch_context {
+  event_loop &Loop;
+  pool_set &Pools;
+  agent_directory &Agents;
+  const catalogue_view &View;
+};
+
+/// One request as it is sent to agents.
+struct dispatch_request {
+  request_id Id;
+  account_id Account;
+  double AccountWeight = 1;
+  version_ref Version; ///< Empty model for a plain service.
+  std::string Service;
+  std::string Class;
+  std::uint8_t Priority = 0;
+  bool Long = false;
+  bool Idempotent = true;
+  bool Streamed = false;
+  bool HideUsage = false;
+  bool Isolated = false;
+  time_point Deadline = time_point::max();
+  std::uint64_t Fingerprint = 0;
+  std::optional<std::uint64_t> AffinityKey;
+  std::string Method = "POST";
+  std::string Path;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// How a request ended on the backend servers.
+struct dispatch_end {
+  std::optional<failure> Error; ///< Empty if a whole answer was delivered.
+  duration RetryAfter{};        ///< Advice with a rejection.
+  int HttpStatus = 0;
+  std::string ContentType;
+  std::string Body; ///< Whole answer; empty for a streamed one.
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t CompletionTokens = 0;
+  duration FirstToken{}; ///< Since the dispatch; 0 if none.
+  std::uint32_t Attempts = 0;
+  std::uint32_t Hedges = 0;
+  std::string Backend; ///< Name of the backend server that answered.
+};
+
+/// Told about a dispatch. OnData is used for streamed answers only; it calls
+/// its argument when the caller has taken the data.
+struct dispatch_events {
+  std::function<void(std::string_view, std::function<void()>)> OnData;
+  std::function<void(dispatch_end)> OnEnd;
+};
+
+/// One request under way. Destroying it cancels all attempts.
+class dispatch {
+public:
+  dispatch(dispatch_context Context, pool &Pool, dispatch_request Request,
+           dispatch_events Events);
+  ~dispatch();
+  dispatch(const dispatch &) = delete;
+  auto operator=(const dispatch &) -> dispatch & = delete;
+
+  /// Sends the first attempt.
+  auto start() -> void;
+
+private:
+  class sink;
+  struct attempt_state;
+
+  auto startAttempt(bool Hedge) -> bool;
+  auto sendTo(attempt_state &Attempt, wire::Agent::Client Agent)
+      -> kj::Promise<void>;
+  auto fillRequest(wire::WorkRequest::Builder Work, std::uint32_t Number)
+      -> void;
+  auto receive(attempt_state &Attempt, std::uint64_t Offset,
+               std::string_view Data) -> kj::Promise<void>;
+  auto noteFirstToken(attempt_state &Attempt) -> void;
+  auto handleOutcome(attempt_state &Attempt, wire::WorkOutcome::Reader Outcome)
+      -> void;
+  auto handleFailure(attempt_state &Attempt, failure Failure,
+                     duration RetryAfter) -> void;
+  auto mayRetry(const failure &Failure) -> bool;
+  auto startHedgeTimer() -> void;
+  auto hedgeIfLate() -> void;
+  auto cancelLosers() -> void;
+  auto closeAttempt(attempt_state &Attempt) -> void;
+  auto finish(dispatch_end End) -> void;
+
+  dispatch_context Context;
+  pool &Pool;
+  dispatch_request Request;
+  dispatch_events Events;
+  attempt_race Race;
+  std::vector<std::unique_ptr<attempt_state>> Attempts;
+  std::vector<backend_handle> Tried;
+  std::unique_ptr<loop_timer> HedgeTimer;
+  time_point StartedAt{};
+  duration FirstToken{};
+  std::uint32_t Hedges = 0;
+  bool Delivered = false; ///< The caller has received a part of the answer.
+  bool MayHaveRun = false;
+  bool Ended = false;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace acacianotch
