Add: [Entry] HTTP interface, version choice, claims, sessions and usage

Cause: the entry's part of the request path. Change: OpenAI-style chat and models, plain services, errors with verdicts, durable claims for idempotency keys, signed session tokens, usage batches.

--- /dev/null
+++ b/src/entry/caller_auth.h
@@ -0,0 +1,19 @@
+/// \file Authentication of callers.
+#pragma once
+
+#include "catalogue/catalogue_view.h"
+#include "core/result.h"
+#include "net/http_server.h"
+
+namespace acacianotch {
+
+/// \return SHA-256 of \p Text in lower-case hex.
+[[nodiscard]] auto sha256Hex(std::string_view Text) -> std::string;
+
+/// \return the account entry of the exchange's bearer key, or
+/// `unauthenticated`.
+[[nodiscard]] auto authenticate(const catalogue_view &View,
+                                const http_exchange &Exchange)
+    -> result<const model_entry *>;
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/entry/request_task.h
@@ -0,0 +1,73 @@
+/// \file One caller's request from admission to its answer.
+#pragma once
+
+#include "entry/chat_request.h"
+#include "entry/dispatch.h"
+#include "entry/entry_service.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace acacianotch {
+
+/// Handles one request. The owner destroys it when it says that it is done.
+class request_task {
+public:
+  request_task(entry_context &Context, std::shared_ptr<http_exchange> Exchange,
+               const model_entry &Account, std::function<void()> OnDone);
+  ~request_task();
+  request_task(const request_task &) = delete;
+  auto operator=(const request_task &) -> request_task & = delete;
+
+  /// Checks, admits and dispatches the request.
+  auto start() -> void;
+
+private:
+  auto prepareChat() -> result<void>;
+  auto prepareService() -> result<void>;
+  auto chooseVersion() -> result<void>;
+  auto applyClass(const std::string &Name) -> result<void>;
+  auto checkSuspicion() -> result<void>;
+  auto admit() -> bool;
+  auto proceed() -> void;
+  auto claim() -> void;
+  auto handleClaim(const command_result &Result) -> void;
+  auto replyStored(const json &Response) -> void;
+  auto run() -> void;
+  auto deliver(std::string_view Data, std::function<void()> OnTaken) -> void;
+  auto finish(dispatch_end End) -> void;
+  auto settle(const dispatch_end &End) -> void;
+  auto recordUsage(const dispatch_end &End) -> void;
+  auto replyWhole(const dispatch_end &End) -> void;
+  auto replyFailure(const failure &Failure, duration RetryAfter) -> void;
+  auto replyHeaders() -> http_headers;
+  auto callerLeft() -> void;
+  auto release(duration Response) -> void;
+  auto done() -> void;
+
+  entry_context &Context;
+  std::shared_ptr<http_exchange> Exchange;
+  account_id Account;
+  account_body AccountBody;
+  std::function<void()> OnDone;
+
+  chat_request Chat;
+  dispatch_request Request;
+  pool *Pool = nullptr;
+  std::unique_ptr<dispatch> Dispatch;
+  std::optional<session_claims> Session;
+  std::string Key; ///< Idempotency key; empty for none.
+  std::string Digest;
+  bool Admitted = false;
+  bool Claimed = false;
+  bool Streaming = false; ///< The head of a streamed answer was sent.
+  bool Left = false;      ///< The caller has left.
+  bool Done = false;
+  time_point StartedAt{};
+  kj::Maybe<kj::Promise<void>> ClaimCall;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace acacianotch
--- a/src/node/control_client.cpp
+++ b/src/node/leader_client.cpp
@@ -1,5 +1,5 @@
 /// \file Client of the control VMs.
-#include "node/control_client.h"
+#include "node/leader_client.h"
 
 #include "core/log_func.h"
 #include "net/kj_func.h"
@@ -27,13 +27,13 @@
 
 } // namespace
 
-struct control_client::call {
+struct leader_client::call {
   std::string Bytes;
   time_point End;
   std::string LastError;
 };
 
-control_client::control_client(event_loop &TheLoop,
+leader_client::leader_client(event_loop &TheLoop,
                                const std::vector<address> &Addresses,
                                const rpc_options &Options)
     : Loop(TheLoop) {
@@ -41,7 +41,7 @@
     Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
 }
 
-auto control_client::execute(const command &Command, duration Limit)
+auto leader_client::execute(const command &Command, duration Limit)
     -> kj::Promise<command_result> {
   auto Call = std::make_shared<call>();
   Call->Bytes = encodeCommand(Command);
@@ -49,7 +49,7 @@
   return attempt(std::move(Call));
 }
 
-auto control_client::retry(std::shared_ptr<call> Call)
+auto leader_client::retry(std::shared_ptr<call> Call)
     -> kj::Promise<command_result> {
   Current = (Current + 1) % Peers.size();
   if (steady_clock::now() >= Call->End)
@@ -59,7 +59,7 @@
   });
 }
 
-auto control_client::noteLeader(std::string_view Address) -> void {
+auto leader_client::noteLeader(std::string_view Address) -> void {
   for (std::size_t Index = 0; Index < Peers.size(); ++Index)
     if (Peers[Index]->peerAddress().text() == Address)
       Current = Index;
@@ -67,7 +67,7 @@
 
 // A leader that accepts a command but cannot commit it must not hold the
 // caller for ever, so each attempt has a limit of its own.
-auto control_client::attempt(std::shared_ptr<call> Call)
+auto leader_client::attempt(std::shared_ptr<call> Call)
     -> kj::Promise<command_result> {
   auto &Peer = *Peers[Current];
   auto Client = Peer.as<wire::Control>();
--- a/src/node/control_client.h
+++ b/src/node/leader_client.h
@@ -14,9 +14,9 @@
 /// Sends commands to the control leader and follows leader changes. Every
 /// command may be sent more than once: change ids, claim keys, request ids and
 /// sequences make repeats harmless.
-class control_client {
+class leader_client {
 public:
-  control_client(event_loop &Loop, const std::vector<address> &Addresses,
+  leader_client(event_loop &Loop, const std::vector<address> &Addresses,
                  const rpc_options &Options);
 
   /// Runs \p Command. \return its result; `no_quorum` if no leader answered
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -62,7 +62,7 @@
   std::uint64_t Own;
 };
 
-node_link::node_link(event_loop &TheLoop, control_client &TheClient,
+node_link::node_link(event_loop &TheLoop, leader_client &TheClient,
                      catalogue_view &TheView, node_facts TheFacts)
     : Loop(TheLoop), Client(TheClient), View(TheView),
       Facts(std::move(TheFacts)),
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -3,7 +3,7 @@
 
 #include "catalogue/catalogue_view.h"
 #include "core/id_type.h"
-#include "node/control_client.h"
+#include "node/leader_client.h"
 
 #include <functional>
 #include <memory>
@@ -22,7 +22,7 @@
 /// node's view. The owner of the client and the view outlives the link.
 class node_link {
 public:
-  node_link(event_loop &Loop, control_client &Client, catalogue_view &View,
+  node_link(event_loop &Loop, leader_client &Client, catalogue_view &View,
             node_facts Facts);
   ~node_link();
   node_link(const node_link &) = delete;
@@ -46,7 +46,7 @@
   auto checkSilence() -> void;
 
   event_loop &Loop;
-  control_client &Client;
+  leader_client &Client;
   catalogue_view &View;
   node_facts Facts;
   std::function<void()> Changed;
