Fix: [Replication] replace an outdated log file after recovery

Records appended next to them made the following recovery refuse the log, or drop synced records. Ruled out: appending a marker, which a torn tail could lose. Change: recovery marks the log file as outdated and the node's first batch replaces it. The simulated disk can fail between the two writes. Unit tests of replication and storage are added.

--- a/src/replication/persistence.cpp
+++ b/src/replication/persistence.cpp
@@ -22,7 +22,8 @@
 
 /// Drops the records that the snapshot covers. A crash between the writes of
 /// snapshot and log leaves an older log: if it does not hold the snapshot's
-/// last position, its records may conflict with the snapshot and all go.
+/// last position, its records may conflict with the snapshot and all go. The
+/// file still holds them, so the node has to replace it.
 auto alignToSnapshot(durable_state &Durable) -> result<void> {
   auto &Records = Durable.Records;
   const auto &Base = Durable.Base;
@@ -33,6 +34,7 @@
         errc::corrupt_data,
         "log file starts at record " + std::to_string(Records.front().Index) +
             " but the snapshot ends at " + std::to_string(Base.Index));
+  Durable.Outdated = true;
   const auto Last =
       std::find_if(Records.begin(), Records.end(), [&](const log_record &Row) {
         return Row.Index == Base.Index;
--- a/src/replication/raft_node.cpp
+++ b/src/replication/raft_node.cpp
@@ -20,7 +20,10 @@
       log_view::create(std::move(Durable.Base), std::move(Durable.Records));
   if (!View)
     return View.error();
-  return raft_node(Options, Durable.State, std::move(*View));
+  raft_node Node(Options, Durable.State, std::move(*View));
+  if (Durable.Outdated)
+    Node.writeBase();
+  return Node;
 }
 
 // A replica that restarts has forgotten when it last answered a leader, whose
--- a/src/replication/record_type.h
+++ b/src/replication/record_type.h
@@ -104,6 +104,8 @@
   term_state State;                ///< Term and vote.
   snapshot Base;                   ///< Latest snapshot; index 0 if none.
   std::vector<log_record> Records; ///< Records after the snapshot.
+  bool Outdated = false; ///< The log file is older than the snapshot and must
+                         ///< be replaced before anything is appended.
 };
 
 } // namespace acacianotch
--- a/test/memory_file_system.h
+++ b/test/memory_file_system.h
@@ -30,9 +30,12 @@
       std::numeric_limits<std::uint64_t>::max();
   std::uint64_t FreeBytes = ///< Appends beyond it write a part and fail.
       std::numeric_limits<std::uint64_t>::max();
-  bool FailSync = false; ///< Each sync fails.
+  bool FailSync = false;  ///< Each sync fails.
+  std::string FailCreate; ///< All fail once this file is created.
 
   auto create(const std::string &Path) -> result<file> {
+    if (Path == FailCreate)
+      OperationsLeft = 0;
     if (!spend())
       return refuse(Path);
     return Present[Path] = std::make_shared<memory_inode>();
@@ -101,6 +104,7 @@
     OperationsLeft = std::numeric_limits<std::uint64_t>::max();
     FreeBytes = std::numeric_limits<std::uint64_t>::max();
     FailSync = false;
+    FailCreate.clear();
   }
 
   /// Loses everything.
--- a/test/replication_campaign_test.cpp
+++ b/test/replication_campaign_test.cpp
@@ -210,7 +210,7 @@
     auto &Machine = *Machines[Index];
     if (!Machine.Node)
       return;
-    switch (random(4)) {
+    switch (random(5)) {
     case 0:
       Machine.Files.FailSync = true;
       break;
@@ -220,6 +220,9 @@
     case 2:
       Machine.Files.OperationsLeft = random(20);
       break;
+    case 3: // Between the writes of snapshot and log.
+      Machine.Files.FailCreate = Folder + "/log.new";
+      break;
     default:
       Machine.SyncDelay = randomTime(0, random(3) == 0 ? 400 : 20);
       return;
--- /dev/null
+++ b/test/replication_test.cpp
@@ -0,0 +1,505 @@
+/// \file Tests of the consensus core, its codec and its recovery.
+#include "core/random_type.h"
+#include "replication/codec.h"
+#include "replication/raft_node.h"
+
+#include <algorithm>
+#include <chrono>
+#include <doctest/doctest.h>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+using namespace std::chrono_literals;
+
+namespace acacianotch::test {
+
+namespace {
+
+auto group(std::uint64_t Voters) -> membership {
+  membership Members;
+  for (; Members.NextId <= Voters; ++Members.NextId)
+    Members.Members.push_back({replica_id{Members.NextId}, true, "vm"});
+  return Members;
+}
+
+auto command(log_index Index, log_term Term) -> log_record {
+  return {Index, Term, record_kind::command, "c" + std::to_string(Index)};
+}
+
+/// Replicas on a network that delivers at once, with disks that sync at once
+/// unless told otherwise.
+class lockstep {
+public:
+  explicit lockstep(std::uint64_t Voters) {
+    for (std::uint64_t Id = 1; Id <= Voters; ++Id)
+      add(Id, {{}, {0, 0, group(Voters), empty()}, {}});
+  }
+
+  auto add(std::uint64_t Id, durable_state State) -> void {
+    raft_options Options{replica_id{Id}, Now, Id, {}, {}};
+    Options.Limits.Trailing = 0;
+    Options.Limits.ChunkBytes = 4;
+    auto Node = raft_node::create(Options, std::move(State));
+    REQUIRE(Node.ok());
+    Nodes.insert_or_assign(Id, std::move(*Node));
+  }
+
+  auto at(std::uint64_t Id) -> raft_node & { return Nodes.at(Id); }
+
+  /// Delivers messages until there are none.
+  auto settle() -> void {
+    for (auto Busy = true; Busy;) {
+      Busy = false;
+      for (auto &[Id, Node] : Nodes)
+        Busy = step(Id, Node) || Busy;
+    }
+  }
+
+  auto run(duration Length) -> void {
+    for (const auto End = Now + Length; Now < End; Now += 10ms) {
+      for (auto &[Id, Node] : Nodes)
+        if (!Frozen[Id])
+          Node.tick(Now);
+      settle();
+    }
+  }
+
+  /// Runs until one of the replicas holds the lease. \return its id.
+  auto elect() -> std::uint64_t {
+    for (auto Round = 0; Round < 500; ++Round) {
+      run(10ms);
+      for (const auto &[Id, Node] : Nodes)
+        if (!Frozen[Id] && Node.confirmedIndex(Now).ok())
+          return Id;
+    }
+    FAIL("no leader");
+    return 0;
+  }
+
+  auto step(std::uint64_t Id, raft_node &Node) -> bool {
+    if (Frozen[Id])
+      return false;
+    auto Effects = Node.takeEffects(Now);
+    if (Effects.Restore)
+      Restored[Id] = *Effects.Restore;
+    for (auto &Record : Effects.Committed)
+      Committed[Id].push_back(std::move(Record));
+    if (Effects.Write.Sequence != 0 && !Stalled[Id])
+      Node.synced(Effects.Write.Sequence, Now);
+    for (const auto &Envelope : Effects.Messages) {
+      const auto To = static_cast<std::uint64_t>(Envelope.To);
+      const auto Found = Nodes.find(To);
+      if (Found != Nodes.end() && !Frozen[To] && !Cut[{Id, To}])
+        Found->second.receive(Envelope, Now);
+    }
+    return !Effects.Messages.empty() || Effects.Write.Sequence != 0;
+  }
+
+  auto isolate(std::uint64_t Id, bool On) -> void {
+    for (const auto &[Other, Node] : Nodes)
+      Cut[{Id, Other}] = Cut[{Other, Id}] = On;
+  }
+
+  static auto empty() -> std::shared_ptr<const std::string> {
+    return std::make_shared<const std::string>();
+  }
+
+  time_point Now{1s};
+  std::map<std::uint64_t, raft_node> Nodes;
+  std::map<std::uint64_t, bool> Frozen;
+  std::map<std::uint64_t, bool> Stalled; ///< Syncs never complete.
+  std::map<std::pair<std::uint64_t, std::uint64_t>, bool> Cut;
+  std::map<std::uint64_t, std::vector<log_record>> Committed;
+  std::map<std::uint64_t, snapshot> Restored;
+};
+
+auto examples() -> std::vector<message> {
+  return {vote_request{3, true, {9, 2}},
+          vote_reply{3, true, false},
+          append_request{4, {1, 1}, 1, 77, {command(2, 1), command(3, 4)}},
+          append_reply{4, true, 3, 0, 77},
+          snapshot_chunk{4, {9, 3}, group(3), 8, 2, "abc", 78},
+          snapshot_reply{4, 9, 5, 78}};
+}
+
+auto envelopeOf(message Body) -> envelope {
+  return {replica_id{1}, replica_id{2}, std::move(Body)};
+}
+
+} // namespace
+
+// Guards against a field that is lost or swapped on the wire.
+TEST_CASE("messages and frames survive the codec") {
+  for (const auto &Body : examples()) {
+    const auto Decoded = decodeEnvelope(encodeEnvelope(envelopeOf(Body)));
+    REQUIRE(Decoded.ok());
+    CHECK(*Decoded == envelopeOf(Body));
+  }
+  const auto Frame = decodeFrame(encodeFrame(term_state{5, replica_id{2}}));
+  REQUIRE(Frame.ok());
+  CHECK(std::get<term_state>(*Frame) == term_state{5, replica_id{2}});
+  const auto Members = decodeMembership(encodeMembership(group(3)));
+  REQUIRE(Members.ok());
+  CHECK(*Members == group(3));
+}
+
+// Guards against a crash, an exception or unbounded memory on bytes that no
+// correct peer sends: truncated, changed and random messages, deep nesting and
+// lengths that exceed the input.
+TEST_CASE("the decoder rejects garbage") {
+  seeded_random Random(1);
+  std::size_t Rejected = 0;
+  for (const auto &Body : examples()) {
+    const auto Whole = encodeEnvelope(envelopeOf(Body));
+    for (std::size_t Size = 0; Size < Whole.size(); ++Size)
+      CHECK_FALSE(decodeEnvelope(Whole.substr(0, Size)).ok());
+    CHECK_FALSE(decodeEnvelope(Whole + "x").ok());
+    for (auto Round = 0; Round < 20000; ++Round) {
+      auto Changed = Whole;
+      for (auto Left = randomBelow(Random, 3) + 1; Left > 0; --Left)
+        Changed[randomBelow(Random, Whole.size())] =
+            static_cast<char>(Random());
+      Rejected += decodeEnvelope(Changed).ok() ? 0 : 1;
+      (void)decodeFrame(Changed);
+      (void)decodeSnapshot(Changed);
+      (void)decodeMembership(Changed);
+    }
+  }
+  CHECK(Rejected > 0);
+  CHECK_FALSE(decodeEnvelope(std::string(1U << 20U, '\x81')).ok());
+  CHECK_FALSE(decodeEnvelope(std::string(1U << 20U, '\xa1')).ok());
+  CHECK_FALSE(decodeEnvelope("\x9b\x7f\xff\xff\xff\xff\xff\xff\xff").ok());
+  CHECK_FALSE(decodeEnvelope("\x81\x5b\x7f\xff\xff\xff\xff\xff\xff\xff").ok());
+}
+
+// Guards against a decoded message whose records have gaps or claim a term
+// above their leader's.
+TEST_CASE("the decoder rejects inconsistent records") {
+  const auto Decode = [](std::vector<log_record> Records) {
+    return decodeEnvelope(encodeEnvelope(
+        envelopeOf(append_request{4, {1, 1}, 1, 0, std::move(Records)})));
+  };
+  CHECK(Decode({command(2, 2)}).ok());
+  CHECK_FALSE(Decode({command(3, 2)}).ok());
+  CHECK_FALSE(Decode({command(2, 2), command(3, 1)}).ok());
+  CHECK_FALSE(Decode({command(2, 5)}).ok());
+}
+
+// Guards against recovery that keeps replaced records or loses a vote.
+TEST_CASE("recovery replays replaced records and the latest vote") {
+  const auto Durable = recover(
+      std::nullopt,
+      {encodeFrame(term_state{1, replica_id{1}}), encodeFrame(command(1, 1)),
+       encodeFrame(command(2, 1)), encodeFrame(term_state{2, replica_id{3}}),
+       encodeFrame(command(2, 2))});
+  REQUIRE(Durable.ok());
+  CHECK(Durable->State == term_state{2, replica_id{3}});
+  CHECK(Durable->Records ==
+        std::vector<log_record>{command(1, 1), command(2, 2)});
+  CHECK_FALSE(recover(std::nullopt, {encodeFrame(command(2, 1))}).ok());
+  CHECK_FALSE(recover(std::nullopt,
+                      {encodeFrame(command(1, 1)), encodeFrame(command(3, 1))})
+                  .ok());
+  CHECK_FALSE(recover(std::nullopt, {"garbage"}).ok());
+  CHECK_FALSE(recover("garbage", {}).ok());
+}
+
+// Guards against a crash between snapshot and log that leaves records which
+// the snapshot's history has replaced.
+TEST_CASE("recovery aligns an older log with the snapshot") {
+  const auto Base = encodeSnapshot({2, 3, group(3), lockstep::empty()});
+  const auto Kept =
+      recover(Base, {encodeFrame(command(1, 1)), encodeFrame(command(2, 3)),
+                     encodeFrame(command(3, 3))});
+  REQUIRE(Kept.ok());
+  CHECK(Kept->Records == std::vector<log_record>{command(3, 3)});
+  CHECK(Kept->State == term_state{3, replica_id::none});
+  CHECK(Kept->Outdated);
+  const auto Dropped =
+      recover(Base, {encodeFrame(command(1, 1)), encodeFrame(command(2, 1)),
+                     encodeFrame(command(3, 1))});
+  REQUIRE(Dropped.ok());
+  CHECK(Dropped->Records.empty());
+  CHECK(Dropped->Outdated);
+  CHECK_FALSE(recover(Base, {encodeFrame(command(3, 3))})->Outdated);
+}
+
+// Guards against records appended to a log file that still holds records which
+// the snapshot replaced: the next recovery would drop or refuse them.
+TEST_CASE("a node replaces an outdated log file first") {
+  const auto Base = encodeSnapshot({2, 3, group(3), lockstep::empty()});
+  auto Durable = recover(Base, {encodeFrame(command(1, 1))});
+  REQUIRE(Durable.ok());
+  raft_options Options;
+  Options.Id = replica_id{1};
+  auto Node = raft_node::create(Options, std::move(*Durable));
+  REQUIRE(Node.ok());
+  const auto Write = Node->takeEffects(Options.Start).Write;
+  REQUIRE(Write.Base.has_value());
+  CHECK(Write.Base->Index == 2);
+  CHECK(Write.State.has_value());
+  CHECK(Write.Records.empty());
+}
+
+// Guards against a replica that takes part although its identity is lost.
+TEST_CASE("a replica without an identity does not start") {
+  const auto Node = raft_node::create({}, {});
+  REQUIRE_FALSE(Node.ok());
+  CHECK(Node.error().Code == errc::bad_settings);
+}
+
+// Guards against an acknowledgement before a majority has synced.
+TEST_CASE("a record commits only when a majority has synced it") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  for (std::uint64_t Id = 1; Id <= 3; ++Id)
+    Group.Stalled[Id] = Id != Leader;
+  const auto Before = Group.at(Leader).commitIndex();
+  REQUIRE(Group.at(Leader).propose("change", Group.Now).ok());
+  Group.run(500ms);
+  CHECK(Group.at(Leader).commitIndex() == Before);
+  CHECK(Group.at(Leader).leaseHeld(Group.Now));
+}
+
+// Guards against a leader that counts its own record before its disk has it.
+TEST_CASE("a leader counts its own record only when synced") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  const auto Other = Leader % 3 + 1;
+  Group.Stalled[Leader] = true;
+  Group.isolate(Other, true);
+  const auto Before = Group.at(Leader).commitIndex();
+  REQUIRE(Group.at(Leader).propose("change", Group.Now).ok());
+  Group.run(200ms);
+  CHECK(Group.at(Leader).commitIndex() == Before);
+  Group.isolate(Other, false);
+  Group.run(200ms);
+  CHECK(Group.at(Leader).commitIndex() == Before + 1);
+}
+
+// Guards against a frozen or partitioned leader that still acknowledges.
+TEST_CASE("a leader without answers loses its lease and its role") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  Group.isolate(Leader, true);
+  CHECK(Group.at(Leader).leaseHeld(Group.Now));
+  const auto Cut = Group.Now;
+  Group.run(200ms);
+  CHECK_FALSE(Group.at(Leader).leaseHeld(Group.Now));
+  CHECK_FALSE(Group.at(Leader).confirmedIndex(Group.Now).ok());
+  const auto Refused = Group.at(Leader).propose("change", Group.Now);
+  REQUIRE_FALSE(Refused.ok());
+  CHECK(Refused.error().Verdict == verdict::not_run);
+  Group.run(Cut + 700ms - Group.Now);
+  CHECK(Group.at(Leader).role() != raft_role::leader);
+}
+
+// Guards against an answer that renews the lease from the time it arrives,
+// although the replica gave its promise earlier.
+TEST_CASE("the lease counts from the send time of the heartbeat") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  const auto Sent = Group.Now;
+  auto &Node = Group.at(Leader);
+  Group.isolate(Leader, true);
+  Group.run(150ms);
+  const auto Wire = static_cast<std::uint64_t>(Sent.time_since_epoch().count());
+  const append_reply Late{Node.term(), true, 0, 0, Wire};
+  Node.receive({replica_id{Leader % 3 + 1}, replica_id{Leader}, Late},
+               Group.Now);
+  CHECK(Node.leaseHeld(Sent + 199ms));
+  CHECK_FALSE(Node.leaseHeld(Sent + 200ms));
+}
+
+// Guards against a replica that forgets, by a restart, the promise on which
+// the leader's lease rests.
+TEST_CASE("a restarted replica gives no vote within the election timeout") {
+  lockstep Group(3);
+  auto &Node = Group.at(1);
+  const vote_request Request{1, false, {0, 0}};
+  Node.receive({replica_id{2}, replica_id{1}, Request}, Group.Now + 299ms);
+  CHECK(Node.term() == 0);
+  Node.receive({replica_id{2}, replica_id{1}, Request}, Group.Now + 300ms);
+  CHECK(Node.term() == 1);
+}
+
+// Guards against a vote that is sent before it is durable, and could be given
+// twice after a crash.
+TEST_CASE("a vote is sent only after its sync") {
+  lockstep Group(3);
+  auto &Node = Group.at(1);
+  const auto Later = Group.Now + 400ms;
+  const vote_request Request{1, false, {0, 0}};
+  Node.receive({replica_id{2}, replica_id{1}, Request}, Later);
+  const auto Effects = Node.takeEffects(Later);
+  CHECK(Effects.Messages.empty());
+  REQUIRE(Effects.Write.State.has_value());
+  CHECK(*Effects.Write.State == term_state{1, replica_id{2}});
+  Node.synced(Effects.Write.Sequence, Later);
+  const auto Sent = Node.takeEffects(Later).Messages;
+  REQUIRE(Sent.size() == 1);
+  CHECK(std::get<vote_reply>(Sent[0].Body) == vote_reply{1, false, true});
+  Node.receive({replica_id{3}, replica_id{1}, Request}, Later);
+  const auto Second = Node.takeEffects(Later).Messages;
+  REQUIRE(Second.size() == 1);
+  CHECK_FALSE(std::get<vote_reply>(Second[0].Body).Granted);
+}
+
+// Guards against a replica that returns from a partition and deposes a leader
+// that works.
+TEST_CASE("a returning replica does not raise the term") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  const auto Other = Leader % 3 + 1;
+  const auto Term = Group.at(Leader).term();
+  Group.isolate(Other, true);
+  Group.run(3s);
+  Group.isolate(Other, false);
+  Group.run(1s);
+  CHECK(Group.at(Leader).role() == raft_role::leader);
+  CHECK(Group.at(Leader).term() == Term);
+}
+
+// Guards against a commit that counts replicas of an earlier term's record: a
+// replica without it can still be elected and replace it.
+TEST_CASE("a record of an earlier term commits only under a later one") {
+  lockstep Group(3);
+  durable_state State{{2, replica_id::none}, {0, 0, group(3), {}}, {}};
+  State.Base.Data = lockstep::empty();
+  State.Records = {command(1, 1), command(2, 2)};
+  Group.add(1, State);
+  auto &Node = Group.at(1);
+  const auto From = [&](message Body) {
+    Node.receive({replica_id{2}, replica_id{1}, std::move(Body)}, Group.Now);
+    const auto Sequence = Node.takeEffects(Group.Now).Write.Sequence;
+    Node.synced(Sequence, Group.Now);
+  };
+  Group.Now += 700ms;
+  Node.tick(Group.Now);
+  From(vote_reply{3, true, true});
+  From(vote_reply{3, false, true});
+  REQUIRE(Node.role() == raft_role::leader);
+  From(append_reply{3, true, 2, 0, 0});
+  CHECK(Node.commitIndex() == 0);
+  CHECK_FALSE(Node.confirmedIndex(Group.Now).ok());
+  From(append_reply{3, true, 3, 0, 0});
+  CHECK(Node.commitIndex() == 3);
+}
+
+// Guards against the acknowledgement of records that a failed disk lost.
+TEST_CASE("a storage error ends all acknowledgements") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  Group.at(Leader).storageFailed(Group.Now);
+  CHECK_FALSE(Group.at(Leader).leaseHeld(Group.Now));
+  CHECK(Group.at(Leader).propose("x", Group.Now).error().Code ==
+        errc::storage_failed);
+  const auto Next = Group.elect();
+  CHECK(Next != Leader);
+  CHECK(Group.at(Leader).takeEffects(Group.Now).Messages.empty());
+  CHECK(Group.at(Leader).nextDeadline() == time_point::max());
+}
+
+// Guards against a replica that stays behind when the leader has already
+// dropped the records it needs, and against pieces that are put together
+// wrongly.
+TEST_CASE("a replica far behind gets the snapshot in pieces") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  const auto Other = Leader % 3 + 1;
+  Group.isolate(Other, true);
+  for (auto Count = 0; Count < 20; ++Count)
+    REQUIRE(Group.at(Leader).propose("change", Group.Now).ok());
+  Group.run(100ms);
+  const auto Index = Group.at(Leader).commitIndex();
+  REQUIRE(Group.at(Leader).compact(Index, "a state of 24 bytes here").ok());
+  CHECK_FALSE(Group.at(Leader).compact(Index, "again").ok());
+  CHECK_FALSE(Group.at(Leader).compact(Index + 5, "future").ok());
+  Group.isolate(Other, false);
+  Group.run(300ms);
+  CHECK(*Group.Restored[Other].Data == "a state of 24 bytes here");
+  REQUIRE(Group.at(Leader).propose("after", Group.Now).ok());
+  Group.run(100ms);
+  REQUIRE_FALSE(Group.Committed[Other].empty());
+  CHECK(Group.Committed[Other].back().Payload == "after");
+  CHECK(Group.Committed[Other].back().Index == Index + 1);
+}
+
+// Guards against two changes at a time, reused ids, the promotion of a learner
+// that lacks records, and the loss of the last majority.
+TEST_CASE("membership changes one replica at a time") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  auto &Node = Group.at(Leader);
+  const auto Lost = replica_id{Leader % 3 + 1};
+  const auto Learner = replica_id{4};
+  CHECK_FALSE(Node.addLearner(Lost, "vm", Group.Now).ok());
+  REQUIRE(Node.addLearner(Learner, "vm", Group.Now).ok());
+  CHECK(Node.remove(Lost, Group.Now).error().Code == errc::not_ready);
+  Group.run(100ms);
+  CHECK(Node.promote(Learner, Group.Now).error().Code == errc::not_ready);
+  Group.add(4, {});
+  Group.run(200ms);
+  CHECK(Group.at(4).commitIndex() == Node.commitIndex());
+  CHECK_FALSE(Group.at(4).members().isVoter(Learner));
+  REQUIRE(Node.promote(Learner, Group.Now).ok());
+  Group.run(100ms);
+  REQUIRE(Node.remove(Lost, Group.Now).ok());
+  Group.run(100ms);
+  CHECK(Node.membersCommitted());
+  CHECK(Node.members().voterCount() == 3);
+  CHECK(Node.addLearner(Lost, "vm", Group.Now).error().Code ==
+        errc::bad_request);
+  Group.isolate(4, true);
+  Group.run(300ms);
+  const auto Third = 6 - Leader - static_cast<std::uint64_t>(Lost);
+  CHECK(Node.remove(replica_id{Third}, Group.Now).error().Code ==
+        errc::not_ready);
+}
+
+// Guards against a removed leader that goes on leading, and a removed replica
+// that disturbs the others.
+TEST_CASE("a leader that removes itself steps down") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  REQUIRE(Group.at(Leader).remove(replica_id{Leader}, Group.Now).ok());
+  Group.run(100ms);
+  CHECK(Group.at(Leader).role() == raft_role::follower);
+  const auto Next = Group.elect();
+  CHECK(Next != Leader);
+  const auto Term = Group.at(Next).term();
+  Group.run(2s);
+  CHECK(Group.at(Next).term() == Term);
+}
+
+// Guards against stray, crossed and impossible messages.
+TEST_CASE("unexpected messages are ignored") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  auto &Node = Group.at(Leader);
+  const auto Term = Node.term();
+  const auto Commit = Node.commitIndex();
+  const auto Give = [&](std::uint64_t From, std::uint64_t To, message Body) {
+    Node.receive({replica_id{From}, replica_id{To}, std::move(Body)},
+                 Group.Now);
+  };
+  const auto Peer = Leader % 3 + 1;
+  Give(Peer, Leader, append_reply{Term, true, 999, 0, 0});
+  Give(9, Leader, append_reply{Term, true, Commit, 0, 0});
+  Give(Peer, 9, append_reply{Term + 9, true, 0, 0, 0});
+  Give(Leader, Leader, append_reply{Term + 9, true, 0, 0, 0});
+  Give(Peer, Leader, append_request{Term, {0, 0}, 0, 0, {command(1, Term)}});
+  Give(Peer, Leader, append_request{Term, {0, 7}, 0, 0, {}});
+  Give(Peer, Leader, snapshot_reply{Term, 5, 99, 0});
+  Give(Peer, Leader, vote_request{Term + 1, false, {999, Term}});
+  CHECK(Node.role() == raft_role::leader);
+  CHECK(Node.term() == Term);
+  CHECK(Node.commitIndex() == Commit);
+  Group.run(100ms);
+  CHECK(Node.leaseHeld(Group.Now));
+}
+
+} // namespace acacianotch::test
