Add: [Daemon] command line of acacianotchd

Cause: the daemon needs a documented command line before the roles exist. Faults are printed in the order of the file.

--- /dev/null
+++ b/src/daemon/main.cpp
@@ -0,0 +1,114 @@
+/// \file Command line of acacianotchd.
+#include "core/file_func.h"
+#include "core/log_func.h"
+#include "daemon/exit_type.h"
+#include "daemon/role.h"
+#include "table/settings.h"
+
+#include <CLI/CLI.hpp>
+
+#include <iostream>
+#include <string>
+
+namespace acacianotch {
+namespace {
+
+constexpr auto ExitText =
+    "Exit codes: 0 ok, 1 run-time failure, 2 wrong command line, 3 invalid "
+    "settings, 4 address or data folder in use";
+
+/// What the command line asks for.
+struct daemon_options {
+  std::string SettingsFile;
+  bool Check = false;
+  bool PrintReference = false;
+};
+
+auto applyLogLevels(const settings &Settings) -> void {
+  for (const auto &Row : LogCategoryNames.Rows)
+    setLogLevel(Row.Value, Settings.Log.level(Row.Value));
+}
+
+/// Loads the settings and checks the files that they name.
+auto loadChecked(const std::string &File) -> result<settings> {
+  auto Settings = loadSettings(File);
+  if (!Settings)
+    return Settings;
+  const auto Secret = readSecretFile(Settings->Node.SecretFile);
+  if (!Secret)
+    return Secret.error();
+  return Settings;
+}
+
+auto logStart(const settings &Settings) -> void {
+  logInfo(log_category::settings, "starting",
+          {{"version", ACACIANOTCH_VERSION},
+           {"role", ProcessRoleNames.name(Settings.Role)},
+           {"node", Settings.Node.Id},
+           {"zone", Settings.Node.Zone}});
+}
+
+auto run(const settings &Settings) -> daemon_exit {
+  applyLogLevels(Settings);
+  logStart(Settings);
+  const auto Done = runRole(Settings);
+  if (Done) {
+    logInfo(log_category::settings, "stopped");
+    return daemon_exit::ok;
+  }
+  logError(log_category::settings, "the role failed",
+           {{"code", errcRow(Done.error().Code).Name},
+            {"detail", Done.error().Detail}});
+  return exitFor(Done.error().Code);
+}
+
+auto execute(const daemon_options &Options) -> daemon_exit {
+  if (Options.PrintReference) {
+    std::cout << settingsReference();
+    return daemon_exit::ok;
+  }
+  const auto Settings = loadChecked(Options.SettingsFile);
+  if (!Settings) {
+    std::cerr << Settings.error().Detail << '\n';
+    return daemon_exit::bad_settings;
+  }
+  if (!Options.Check)
+    return run(*Settings);
+  std::cout << Options.SettingsFile << ": ok\n";
+  return daemon_exit::ok;
+}
+
+auto parseAndExecute(int Count, char **Words) -> daemon_exit {
+  daemon_options Options;
+  CLI::App App{"Runs one process of acacianotch: an entry, an agent or a "
+               "control replica.",
+               "acacianotchd"};
+  App.footer(settingsHelp() + "\n" + ExitText);
+  App.set_version_flag("--version", "acacianotchd " ACACIANOTCH_VERSION);
+  auto *File =
+      App.add_option("--settings", Options.SettingsFile, "settings file (TOML)")
+          ->type_name("FILE");
+  App.add_flag("--check", Options.Check, "check the settings file and exit")
+      ->needs(File);
+  auto *Print =
+      App.add_flag("--print-settings-reference", Options.PrintReference,
+                   "print the reference of all settings and exit");
+  Print->excludes(File);
+  try {
+    App.parse(Count, Words);
+  } catch (const CLI::ParseError &Error) {
+    const auto IsHelp = App.exit(Error) == 0;
+    return IsHelp ? daemon_exit::ok : daemon_exit::usage;
+  }
+  if (File->count() != 0 || Print->count() != 0)
+    return execute(Options);
+  App.exit(CLI::RequiredError("--settings"));
+  return daemon_exit::usage;
+}
+
+} // namespace
+} // namespace acacianotch
+
+auto main(int Count, char **Words) -> int {
+  return static_cast<int>(acacianotch::parseAndExecute(Count, Words));
+}
--- a/src/table/settings_parse.cpp
+++ b/src/table/settings_parse.cpp
@@ -4,6 +4,7 @@
 #include "table/setting_value.h"
 #include "table/settings.h"
 
+#include <algorithm>
 #include <map>
 
 namespace acacianotch {
@@ -29,9 +30,10 @@
     readTable(Parsed.table(), "");
     checkRequired();
     checkOrders();
-    if (!Faults.empty())
-      return {std::nullopt, std::move(Faults)};
-    return {std::move(Settings), {}};
+    if (Faults.empty())
+      return {std::move(Settings), {}};
+    sortFaults();
+    return {std::nullopt, std::move(Faults)};
   }
 
 private:
@@ -118,6 +120,18 @@
     return detail::toJson(*findSettingRow(Key), Settings).get<std::int64_t>();
   }
 
+  /// Puts faults into the order of the file; missing keys come last.
+  auto sortFaults() -> void {
+    const auto Place = [](const settings_fault &Fault) {
+      return Fault.Line == 0 ? ~std::uint32_t{0} : Fault.Line;
+    };
+    std::stable_sort(
+        Faults.begin(), Faults.end(),
+        [&](const settings_fault &Left, const settings_fault &Right) {
+          return Place(Left) < Place(Right);
+        });
+  }
+
   auto addSyntaxFault(const toml::parse_error &Error) -> void {
     add(Error.source().begin.line, "",
         oneLine(Error.description(), 2 * KeyLimit), "TOML 1.0");
