Add: [Core] metric families and reference pages of metrics and errors

Cause: the roles need named metrics, and the operators' page must list metrics and refusals without being written by hand.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,8 +1,10 @@
 /// \file Command line of acacianotchd.
 #include "core/file_func.h"
 #include "core/log_func.h"
+#include "core/metrics.h"
 #include "daemon/exit_type.h"
 #include "daemon/role.h"
+#include "table/error_reference.h"
 #include "table/settings.h"
 
 #include <CLI/CLI.hpp>
@@ -21,7 +23,13 @@
 struct daemon_options {
   std::string SettingsFile;
   bool Check = false;
-  bool PrintReference = false;
+  bool PrintSettings = false;
+  bool PrintMetrics = false;
+  bool PrintErrors = false;
+
+  [[nodiscard]] auto prints() const -> bool {
+    return PrintSettings || PrintMetrics || PrintErrors;
+  }
 };
 
 auto applyLogLevels(const settings &Settings) -> void {
@@ -62,11 +70,19 @@
   return exitFor(Done.error().Code);
 }
 
-auto execute(const daemon_options &Options) -> daemon_exit {
-  if (Options.PrintReference) {
+auto printReferences(const daemon_options &Options) -> daemon_exit {
+  if (Options.PrintSettings)
     std::cout << settingsReference();
-    return daemon_exit::ok;
-  }
+  if (Options.PrintMetrics)
+    std::cout << metricsReference();
+  if (Options.PrintErrors)
+    std::cout << errorReference();
+  return daemon_exit::ok;
+}
+
+auto execute(const daemon_options &Options) -> daemon_exit {
+  if (Options.prints())
+    return printReferences(Options);
   const auto Settings = loadChecked(Options.SettingsFile);
   if (!Settings) {
     std::cerr << Settings.error().Detail << '\n';
@@ -90,17 +106,22 @@
           ->type_name("FILE");
   App.add_flag("--check", Options.Check, "check the settings file and exit")
       ->needs(File);
-  auto *Print =
-      App.add_flag("--print-settings-reference", Options.PrintReference,
-                   "print the reference of all settings and exit");
-  Print->excludes(File);
+  App.add_flag("--print-settings-reference", Options.PrintSettings,
+               "print the reference of all settings and exit")
+      ->excludes(File);
+  App.add_flag("--print-metrics-reference", Options.PrintMetrics,
+               "print the reference of all metrics and exit")
+      ->excludes(File);
+  App.add_flag("--print-error-reference", Options.PrintErrors,
+               "print the reference of all errors and exit")
+      ->excludes(File);
   try {
     App.parse(Count, Words);
   } catch (const CLI::ParseError &Error) {
     const auto IsHelp = App.exit(Error) == 0;
     return IsHelp ? daemon_exit::ok : daemon_exit::usage;
   }
-  if (File->count() != 0 || Print->count() != 0)
+  if (File->count() != 0 || Options.prints())
     return execute(Options);
   App.exit(CLI::RequiredError("--settings"));
   return daemon_exit::usage;
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -1,5 +1,6 @@
 /// \file Tests of the settings table, the parser and the printed pages.
 #include "core/random_type.h"
+#include "table/error_reference.h"
 #include "table/settings.h"
 
 #include <doctest/doctest.h>
@@ -197,6 +198,17 @@
   CHECK(Dump["http.listen"].is_null());
 }
 
+// Guards against a new error code without advice for operators.
+TEST_CASE("every error has advice in the reference") {
+  const auto Last = static_cast<std::uint16_t>(errc::internal);
+  for (std::uint16_t Value = 1; Value <= Last; ++Value) {
+    const auto Code = static_cast<errc>(Value);
+    CHECK_FALSE(errorAdvice(Code).empty());
+    CHECK(contains(errorReference(),
+                   "| `" + std::string(errcRow(Code).Name) + "` |"));
+  }
+}
+
 // Guards against a crash on a file that cannot be read or is not TOML.
 TEST_CASE("unreadable and malformed files are failures") {
   CHECK(loadSettings("/nonexistent.toml").error().Code == errc::bad_settings);
