Change: [Controller] cascade: price trials and ratings by what they save

A trial that split the cost by stretches of 5,000 requests showed two reasons: trials of the most expensive candidates in the long cells, and a wide safety margin while few ratings had arrived.

Change: a trial is made only if its plan could be better within two standard deviations, and from 2% of the cell's cost. Unrated candidates follow the offset that the rated ones show against the catalogue. An answer is rated until one more rating no longer repays its cost.

--- a/src/board/cascade_board.h
+++ b/src/board/cascade_board.h
@@ -31,6 +31,8 @@
   double SafetyDeviations = 1.5;
   /// Deducted from known qualities while no rating can be trusted.
   double FallbackMargin = 0.03;
+  /// Share of the cost that may be spent on trials of other plans.
+  double ExplorationShare = 0.02;
   duration PlanInterval = std::chrono::seconds(1); ///< Time between plans.
 };
 
@@ -68,6 +70,13 @@
   double OutputTokens = 0; ///< Mean output tokens of an answer.
   std::vector<candidate_record> Records; ///< One per candidate.
   cascade_mix Mix;                       ///< Plans in effect.
+  double ExpectedCost = 0; ///< Micro-units per request of the main plan.
+  std::optional<cascade_plan> Exploration; ///< Plan worth a trial.
+  /// Expected loss of one trial in micro-units, with quality at its price.
+  double ExplorationLoss = 0;
+  double ExplorationBudget = 0; ///< Micro-units available for trials.
+  /// Ratings worth having of an answer whose verdict has variance 1.
+  double RatingGoal = 0;
 };
 
 /// Whether ratings can be used.
--- a/src/controller/cascade.h
+++ b/src/controller/cascade.h
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <optional>
 #include <utility>
 
@@ -64,10 +65,11 @@
     const auto Index = cellFor(Board, Features);
     observeRequest(Board.Cells[Index], Features);
     planIfDue();
-    const auto &Cell = Board.Cells[Index];
+    auto &Cell = Board.Cells[Index];
     const auto Plan = choosePlan(Cell);
     cascade_decision Decision{Index, Plan, std::nullopt, Board.Rating.Health};
-    if (Plan.Escalation || sampled(firstShare(Cell, Plan.First)))
+    if (Plan.Escalation ||
+        sampled(ratedShare(Cell, Cell.Records[Plan.First].Pass, 1)))
       Decision.Rating =
           rating_order{rating_kind::first, Index, Plan.First, Plan.First};
     return Decision;
@@ -109,15 +111,14 @@
 private:
   static constexpr double TokenStep = 0.01;
   static constexpr double TrafficDecay = 0.98; // per plan interval
-  // Ratings until the sampled share starts to fall, and its lower limit.
-  static constexpr double FullRatings = 60;
+  // Share of answers rated beyond the goal, to notice changes.
   static constexpr double LeastRated = 0.02;
   // Share of requests rated while no rating is trusted, to notice recovery.
   static constexpr double ProbeShare = 0.05;
-  // Requests per cell spent on learning grow with the logarithm of traffic.
-  static constexpr double ExploreScale = 20;
-  static constexpr double LeastExplored = 0.004;
-  static constexpr double MostExplored = 0.1;
+  // Limits the effect of trials on the quality and cost that were planned.
+  static constexpr double MostExplored = 0.05;
+  // Per plan interval; outdates ratings of plans that are not in use.
+  static constexpr double RecordDecay = 0.9995;
 
   cascade(const clock &ClockSource, random &RandomSource)
       : Clock(&ClockSource), Random(&RandomSource) {}
@@ -138,8 +139,11 @@
     if (Current)
       return;
     replan(Board);
-    for (auto &Cell : Board.Cells)
+    for (auto &Cell : Board.Cells) {
       Cell.Traffic *= TrafficDecay;
+      for (auto &Record : Cell.Records)
+        Record.Pass.age(RecordDecay);
+    }
     PlannedAt = Now;
     PlannedCells = Board.Cells.size();
     PlannedHealth = Board.Rating.Health;
@@ -149,42 +153,30 @@
     return Share > 0 && randomUnit(*Random) < Share;
   }
 
-  [[nodiscard]] auto choosePlan(const cascade_cell &Cell) -> cascade_plan {
-    const auto Share =
-        std::clamp(ExploreScale / Cell.Requests, LeastExplored, MostExplored);
+  [[nodiscard]] auto choosePlan(cascade_cell &Cell) -> cascade_plan {
+    Cell.ExplorationBudget +=
+        Board.Settings.ExplorationShare * Cell.ExpectedCost;
     const bool Trusted = Board.Rating.Health == rating_health::trusted;
-    if (Trusted && Board.Candidates.size() > 1 && sampled(Share)) {
+    const bool Explores = Trusted && Cell.Exploration &&
+                          Cell.ExplorationBudget >= Cell.ExplorationLoss;
+    if (Explores && sampled(MostExplored)) {
+      Cell.ExplorationBudget -= Cell.ExplorationLoss;
       ++Board.Counters.Explorations;
-      return explorationPlan(Cell);
+      return *Cell.Exploration;
     }
     return sampled(Cell.Mix.UpgradeShare) ? Cell.Mix.Upgrade : Cell.Mix.Main;
   }
 
-  /// The least rated candidate. A caller that can wait is protected by an
-  /// escalation.
-  [[nodiscard]] auto explorationPlan(const cascade_cell &Cell) const
-      -> cascade_plan {
-    const auto Least =
-        std::min_element(Cell.Records.begin(), Cell.Records.end(),
-                         [](const auto &A, const auto &B) {
-                           return A.Pass.ratings() < B.Pass.ratings();
-                         });
-    const auto First = static_cast<std::size_t>(Least - Cell.Records.begin());
-    const auto Last = Board.Candidates.size() - 1;
-    if (Cell.Streaming || First == Last)
-      return {First, std::nullopt, false};
-    return {First, Last, true};
-  }
-
-  [[nodiscard]] auto ratedShare(const pass_rate &Rate) const -> double {
+  /// \p Effect is the change of the cell's quality per change of \p Rate.
+  [[nodiscard]] auto ratedShare(const cascade_cell &Cell, const pass_rate &Rate,
+                                double Effect) const -> double {
     if (Board.Rating.Health != rating_health::trusted)
       return ProbeShare;
-    return std::clamp(FullRatings / (Rate.ratings() + 1), LeastRated, 1.0);
-  }
-
-  [[nodiscard]] auto firstShare(const cascade_cell &Cell,
-                                std::size_t First) const -> double {
-    return ratedShare(Cell.Records[First].Pass);
+    // A rate near 0 or 1 is known better than its ratings alone show.
+    const double Rated = std::clamp(Rate.mean(), 0.05, 0.95);
+    const double Goal =
+        Cell.RatingGoal * Effect * std::sqrt(Rated * (1 - Rated));
+    return Rate.weight() < Goal ? 1 : LeastRated;
   }
 
   [[nodiscard]] auto escalates(const cascade_plan &Plan,
@@ -209,7 +201,11 @@
       Order.Kind = rating_kind::rescue;
       Order.Rated = *Decision.Plan.Escalation;
     }
-    if (!sampled(ratedShare(recordFor(Board, Order))))
+    const auto &Cell = Board.Cells[Decision.Cell];
+    const double Pass = Cell.Records[First].Pass.mean();
+    const bool Confirms = Order.Kind == rating_kind::confirm;
+    if (!sampled(ratedShare(Cell, recordFor(Board, Order),
+                            Confirms ? Pass : 1 - Pass)))
       return std::nullopt;
     return Order;
   }
--- a/src/controller/cascade_planner.cpp
+++ b/src/controller/cascade_planner.cpp
@@ -1,9 +1,12 @@
 /// \file Lowest-cost plans for a quality target.
 #include "controller/cascade_planner.h"
 
+#include "controller/cascade_estimate.h"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
 
 namespace acacianotch {
 
@@ -72,19 +75,21 @@
   std::vector<std::size_t> At;
   std::size_t Mixed = 0;
   double MixedShare = 0;
+  double Slope = 0;
 };
 
 auto climb(const std::vector<option_list> &Hulls,
            std::span<const cell_options> Cells, double Target)
     -> hull_position {
   const double Total = totalWeight(Cells);
-  hull_position Position{std::vector<std::size_t>(Hulls.size()), 0, 0};
+  hull_position Position{std::vector<std::size_t>(Hulls.size()), 0, 0, 0};
   double Quality = 0;
   for (std::size_t Cell = 0; Cell < Hulls.size(); ++Cell)
     Quality += Cells[Cell].Weight / Total * Hulls[Cell].front().Quality;
   for (const auto &Step : upgradeSteps(Hulls, Cells, Total)) {
     if (Quality >= Target || Step.Quality <= 0)
       break;
+    Position.Slope = Step.Cost / Step.Quality;
     if (Quality + Step.Quality > Target) {
       Position.Mixed = Step.Cell;
       Position.MixedShare = (Target - Quality) / Step.Quality;
@@ -119,6 +124,7 @@
                 (((1 - Upgraded) * Main.Variance) + (Upgraded * Next.Variance));
   }
   Choice.Deviation = std::sqrt(Variance);
+  Choice.Slope = Position.Slope;
   return Choice;
 }
 
@@ -146,51 +152,50 @@
 }
 
 auto singleOption(const cascade_board &Board, const cascade_cell &Cell,
+                  const std::vector<candidate_estimate> &Estimates,
                   std::size_t Index) -> plan_option {
-  const auto &Pass = Cell.Records[Index].Pass;
+  const auto &Pass = Estimates[Index].Pass;
   return {{Index, std::nullopt, false},
           candidateCost(Board, Cell, Index),
-          Pass.mean(),
-          Pass.variance()};
+          Pass.Mean,
+          Pass.Variance};
 }
 
 /// The least of what the catalogue and trusted ratings say about a candidate.
 auto fallbackOption(const cascade_board &Board, const cascade_cell &Cell,
+                    const std::vector<candidate_estimate> &Estimates,
                     std::size_t Index) -> plan_option {
-  // Fewer ratings say less than the catalogue does.
-  constexpr double EnoughRatings = 50;
-  auto Option = singleOption(Board, Cell, Index);
+  auto Option = singleOption(Board, Cell, Estimates, Index);
   const double Known = Board.Candidates[Index].Quality;
-  const bool Learnt = Cell.Records[Index].Pass.ratings() >= EnoughRatings;
-  Option.Quality = (Learnt ? std::min(Known, Option.Quality) : Known) -
-                   Board.Settings.FallbackMargin;
+  Option.Quality =
+      std::min(Known, Option.Quality) - Board.Settings.FallbackMargin;
   Option.Variance = 0;
   return Option;
 }
 
 auto escalationOption(const cascade_board &Board, const cascade_cell &Cell,
+                      const std::vector<candidate_estimate> &Estimates,
                       const cascade_plan &Plan) -> plan_option {
-  const auto &First = Cell.Records[Plan.First];
+  const auto &[Pass, Confirm, Rescues] = Estimates[Plan.First];
   const auto Second = *Plan.Escalation;
+  const auto &Rescue = Rescues[Second];
   const double Missing = Board.Rating.MissingShare;
   const double Rated = 1 - Missing;
-  const double Pass = First.Pass.mean();
-  const double Confirm = First.Confirm.mean();
-  const double Rescue = First.Rescue[Second].mean();
   const double Unrated =
-      Plan.EscalateUnrated ? Cell.Records[Second].Pass.mean() : Pass;
+      Plan.EscalateUnrated ? Estimates[Second].Pass.Mean : Pass.Mean;
   const double Escalated =
-      (Rated * (1 - Pass)) + (Plan.EscalateUnrated ? Missing : 0);
+      (Rated * (1 - Pass.Mean)) + (Plan.EscalateUnrated ? Missing : 0);
   plan_option Option{Plan, 0, 0, 0};
   Option.Cost = candidateCost(Board, Cell, Plan.First) +
                 Board.Settings.RatingCost +
                 (Escalated * candidateCost(Board, Cell, Second));
-  Option.Quality = (Rated * ((Pass * Confirm) + ((1 - Pass) * Rescue))) +
-                   (Missing * Unrated);
+  Option.Quality =
+      (Rated * ((Pass.Mean * Confirm.Mean) + ((1 - Pass.Mean) * Rescue.Mean))) +
+      (Missing * Unrated);
   const auto Square = [](double Value) { return Value * Value; };
-  Option.Variance = (Square(Confirm - Rescue) * First.Pass.variance()) +
-                    (Square(Pass) * First.Confirm.variance()) +
-                    (Square(1 - Pass) * First.Rescue[Second].variance());
+  Option.Variance = (Square(Confirm.Mean - Rescue.Mean) * Pass.Variance) +
+                    (Square(Pass.Mean) * Confirm.Variance) +
+                    (Square(1 - Pass.Mean) * Rescue.Variance);
   return Option;
 }
 
@@ -216,21 +221,86 @@
 auto planOptions(const cascade_board &Board, const cascade_cell &Cell)
     -> cell_options {
   cell_options Result{Cell.Traffic, {}};
+  const auto Estimates = estimateCell(Board, Cell);
   const auto Count = Board.Candidates.size();
   const bool Trusted = Board.Rating.Health == rating_health::trusted;
   for (std::size_t First = 0; First < Count; ++First)
-    Result.Options.push_back(Trusted ? singleOption(Board, Cell, First)
-                                     : fallbackOption(Board, Cell, First));
+    Result.Options.push_back(
+        Trusted ? singleOption(Board, Cell, Estimates, First)
+                : fallbackOption(Board, Cell, Estimates, First));
   if (!Trusted || Cell.Streaming)
     return Result;
   for (std::size_t First = 0; First < Count; ++First)
     for (std::size_t Second = First + 1; Second < Count; ++Second)
       for (const bool EscalateUnrated : {false, true})
-        Result.Options.push_back(
-            escalationOption(Board, Cell, {First, Second, EscalateUnrated}));
+        Result.Options.push_back(escalationOption(
+            Board, Cell, Estimates, {First, Second, EscalateUnrated}));
   return Result;
 }
 
+namespace {
+
+/// Sets how many ratings repay their cost. One rating more in a cell with
+/// share W of the traffic, variance V per rating and N ratings lowers the
+/// deviation D of the estimated quality by W^2 V / (2 N^2 D). The safety margin
+/// falls with it, and with the margin the cost of all requests until the
+/// rating is outdated.
+auto setRatingGoals(cascade_board &Board, const plan_choice &Choice) -> void {
+  constexpr double Horizon = 20'000; // requests
+  constexpr double LeastGoal = 60;   // ratings
+  constexpr double MostGoal = 5'000; // ratings
+  const auto &Settings = Board.Settings;
+  double Traffic = 0;
+  for (const auto &Cell : Board.Cells)
+    Traffic += Cell.Traffic;
+  const double Gain = Horizon * Choice.Slope * Settings.SafetyDeviations;
+  const double Price = 2 * std::max(Choice.Deviation, 1e-4) *
+                       std::max(Settings.RatingCost, 1e-3);
+  const double Goal = std::sqrt(Gain / Price);
+  for (auto &Cell : Board.Cells)
+    Cell.RatingGoal =
+        std::clamp(Cell.Traffic / Traffic * Goal, LeastGoal, MostGoal);
+}
+
+/// \return the cost of \p Option with its quality priced at \p Slope.
+auto pricedCost(const plan_option &Option, double Slope) -> double {
+  return Option.Cost - (Slope * Option.Quality);
+}
+
+auto sameAttempts(const cascade_plan &A, const cascade_plan &B) -> bool {
+  return A.First == B.First && A.Escalation == B.Escalation;
+}
+
+/// Selects the plan that is worth a trial: one that costs more by its
+/// estimates, but less if its quality is better by twice its deviation.
+auto setExploration(cascade_cell &Cell, const cell_options &Options,
+                    double Slope) -> void {
+  constexpr double Optimism = 2; // standard deviations
+  double InUse = std::numeric_limits<double>::max();
+  for (const auto &Option : Options.Options) {
+    InUse = std::min(InUse, pricedCost(Option, Slope));
+    if (Option.Plan == Cell.Mix.Main)
+      Cell.ExpectedCost = Option.Cost;
+  }
+  double Best = InUse;
+  Cell.Exploration.reset();
+  for (const auto &Option : Options.Options) {
+    const double Priced = pricedCost(Option, Slope);
+    const double Hoped =
+        Priced - (Optimism * Slope * std::sqrt(Option.Variance));
+    if (sameAttempts(Option.Plan, Cell.Mix.Main) ||
+        sameAttempts(Option.Plan, Cell.Mix.Upgrade))
+      continue;
+    if (Hoped >= Best)
+      continue;
+    Best = Hoped;
+    Cell.Exploration = Option.Plan;
+    Cell.ExplorationLoss = Priced - InUse;
+  }
+}
+
+} // namespace
+
 auto replan(cascade_board &Board) -> void {
   if (Board.Cells.empty())
     return;
@@ -240,8 +310,12 @@
   const auto &Settings = Board.Settings;
   const auto Choice = choosePlansSafely(Options, Settings.QualityTarget,
                                         Settings.SafetyDeviations);
-  for (std::size_t Index = 0; Index < Board.Cells.size(); ++Index)
-    Board.Cells[Index].Mix = Choice.Mixes[Index];
+  for (std::size_t Index = 0; Index < Board.Cells.size(); ++Index) {
+    auto &Cell = Board.Cells[Index];
+    Cell.Mix = Choice.Mixes[Index];
+    setExploration(Cell, Options[Index], Choice.Slope);
+  }
+  setRatingGoals(Board, Choice);
 }
 
 } // namespace acacianotch
--- a/src/controller/cascade_planner.h
+++ b/src/controller/cascade_planner.h
@@ -28,6 +28,7 @@
   double Cost = 0;                ///< Expected micro-units per request.
   double Quality = 0;             ///< Expected share of passed answers.
   double Deviation = 0;           ///< Standard deviation of Quality.
+  double Slope = 0; ///< Extra cost per extra quality; 0 if none is for sale.
 };
 
 /// Minimises expected cost subject to an expected quality of at least
@@ -47,7 +48,8 @@
 [[nodiscard]] auto planOptions(const cascade_board &Board,
                                const cascade_cell &Cell) -> cell_options;
 
-/// Writes the mix of every cell of \p Board.
+/// Writes the mix of every cell of \p Board, and the number of ratings that
+/// repay their cost.
 auto replan(cascade_board &Board) -> void;
 
 } // namespace acacianotch
--- a/src/controller/cascade_records.cpp
+++ b/src/controller/cascade_records.cpp
@@ -14,25 +14,11 @@
 constexpr std::size_t MaxCandidates = 16;
 constexpr std::size_t CopyInterval = 300; // ratings
 constexpr double EnoughRatings = 50;      // to replace the catalogue's estimate
-// Ratings that the catalogue's estimate is worth. It describes a version over
-// all requests, so it says little about one cell.
-constexpr double PassPriorWeight = 20;
-constexpr double OtherPriorWeight = 5;
-constexpr double ConfirmPrior = 0.95;
-// An answer that follows a low rating belongs to a harder request than usual.
-constexpr double RescueDiscount = 0.85;
-
 auto freshRecords(const cascade_board &Board) -> std::vector<candidate_record> {
-  std::vector<candidate_record> Records;
-  for (const auto &Candidate : Board.Candidates) {
-    candidate_record Record;
-    Record.Pass = pass_rate(Candidate.Quality, PassPriorWeight);
-    Record.Confirm = pass_rate(ConfirmPrior, OtherPriorWeight);
-    for (const auto &Other : Board.Candidates)
-      Record.Rescue.emplace_back(RescueDiscount * Other.Quality,
-                                 OtherPriorWeight);
-    Records.push_back(std::move(Record));
-  }
+  const auto Count = Board.Candidates.size();
+  std::vector<candidate_record> Records(Count);
+  for (auto &Record : Records)
+    Record.Rescue.resize(Count);
   return Records;
 }
 
@@ -52,6 +38,15 @@
   return failure::of(errc::bad_settings, std::move(Why));
 }
 
+/// A change of difficulty moves all candidates, but only the one in use shows
+/// it. What is known of the others counts little until they are rated again.
+auto forgetOthers(cascade_cell &Cell, std::size_t Changed) -> void {
+  constexpr double Kept = 10; // ratings
+  for (std::size_t Index = 0; Index < Cell.Records.size(); ++Index)
+    if (Index != Changed)
+      Cell.Records[Index].Pass.forget(Kept);
+}
+
 } // namespace
 
 auto checkCascade(const cascade_settings &Settings,
@@ -160,7 +155,9 @@
     History.restore(Board);
   if (!Arrived || After != rating_health::trusted)
     return;
-  recordFor(Board, Order).add(Passed);
+  const bool Changed = recordFor(Board, Order).add(Passed);
+  if (Changed && Order.Kind == rating_kind::first)
+    forgetOthers(Board.Cells[Order.Cell], Order.First);
   History.ratingAdded(Board);
 }
 
