Change: [Controller] cascade: fit pass rates over cells, detect drift

After a rise of difficulty, quality stayed below the target, since no single cell showed a change.

Change: a candidate's error against the catalogue is fitted over all cells. A cumulative sum test over all first ratings restarts learning. The safety margin is one standard deviation and ratings count for 100,000 requests ahead.

--- a/bench/cascade_trial.h
+++ b/bench/cascade_trial.h
@@ -163,6 +163,10 @@
       runPhase(Cascade, Phase,
                static_cast<std::size_t>(Phase.Share *
                                         static_cast<double>(Requests)));
+    while (!Queue.empty()) {
+      Clock.set(Queue.begin()->first);
+      deliverDue(Cascade, Scenario.Phases.back());
+    }
     for (const auto &Phase : Score.Phases) {
       Score.Learnt.Requests += Phase.Requests;
       Score.Learnt.Cost += Phase.Cost;
@@ -240,12 +244,12 @@
     const auto Reply =
         rate(Scenario.Rating, Phase.Mode, Pending.Request.Good[Rated], Service);
     Pending.Outcome = Reply.Outcome;
-    Queue.emplace(Clock.now() + Reply.Delay, std::move(Pending));
+    Queue.emplace(Clock.now() + Reply.Delay, Pending);
   }
 
   auto deliverDue(learnt_cascade &Cascade, const trial_phase &Phase) -> void {
     while (!Queue.empty() && Queue.begin()->first <= Clock.now()) {
-      const auto Pending = std::move(Queue.begin()->second);
+      const auto Pending = Queue.begin()->second;
       Queue.erase(Queue.begin());
       finish(Cascade, Phase, Pending);
     }
--- a/src/board/cascade_board.h
+++ b/src/board/cascade_board.h
@@ -28,7 +28,7 @@
   double QualityTarget = 0.9; ///< Least share of passed answers, 0..1.
   double RatingCost = 0;      ///< Micro-units per rating.
   /// Standard deviations of the estimated quality kept above the target.
-  double SafetyDeviations = 1.5;
+  double SafetyDeviations = 1;
   /// Deducted from known qualities while no rating can be trusted.
   double FallbackMargin = 0.03;
   /// Share of the cost that may be spent on trials of other plans.
@@ -104,6 +104,8 @@
   double Run = 0;          ///< Equal ratings in a row.
   double RunSurprise = 0;  ///< Minus log probability of the run.
   bool RunPassed = false;  ///< Verdict that the run repeats.
+  double Rise = 0;         ///< Cumulative sum of passes above the estimates.
+  double Fall = 0;         ///< Cumulative sum of passes below the estimates.
 };
 
 /// Counters for metrics.
--- a/src/controller/cascade.h
+++ b/src/controller/cascade.h
@@ -112,7 +112,7 @@
   static constexpr double TokenStep = 0.01;
   static constexpr double TrafficDecay = 0.98; // per plan interval
   // Share of answers rated beyond the goal, to notice changes.
-  static constexpr double LeastRated = 0.02;
+  static constexpr double LeastRated = 0.1;
   // Share of requests rated while no rating is trusted, to notice recovery.
   static constexpr double ProbeShare = 0.05;
   // Limits the effect of trials on the quality and cost that were planned.
--- a/src/controller/cascade_estimate.cpp
+++ b/src/controller/cascade_estimate.cpp
@@ -11,8 +11,11 @@
 // Ratings that an expectation is worth against a candidate's own ratings.
 constexpr double PassPriorWeight = 40;
 constexpr double OtherPriorWeight = 10;
-// Ratings that the catalogue's estimate is worth against the cell's offset.
-constexpr double OffsetPriorWeight = 10;
+// Precision of the assumption that an error or a cell's ease is 0: about 50 and
+// 10 ratings at a pass rate of 0.88.
+constexpr double ErrorPrecision = 5;
+constexpr double EasePrecision = 1;
+constexpr int FitRounds = 5;
 constexpr double ConfirmPrior = 0.95;
 // An answer that follows a low rating belongs to a harder request than usual.
 constexpr double RescueLogit = -0.7;
@@ -35,42 +38,73 @@
   return {Mean, Smooth * (1 - Smooth) / (Weight + 1)};
 }
 
-/// How much easier the cell is than the catalogue's estimates say, as a logit.
-auto cellOffset(const cascade_board &Board, const cascade_cell &Cell)
-    -> double {
+/// Weighted mean of residuals, drawn towards 0.
+struct residual_mean {
   double Sum = 0;
-  double Total = 0;
-  for (std::size_t Index = 0; Index < Cell.Records.size(); ++Index) {
-    const auto &Pass = Cell.Records[Index].Pass;
-    const double Known = logit(Board.Candidates[Index].Quality);
+  double Precision = 0;
+
+  auto add(const pass_rate &Pass, double Predicted) -> void {
     // The variance of a logit is 1 / (n p (1 - p)).
     const double Rate = std::clamp(Pass.mean(), 0.02, 0.98);
     const double Weight = Pass.weight() * Rate * (1 - Rate);
-    Sum += Weight * (logit(Pass.mean()) - Known);
-    Total += Weight;
+    Sum += Weight * (logit(Rate) - Predicted);
+    Precision += Weight;
+  }
+  [[nodiscard]] auto value(double PriorPrecision) const -> double {
+    return Sum / (Precision + PriorPrecision);
+  }
+};
+
+auto fitCells(const cascade_board &Board, quality_model &Model) -> void {
+  for (std::size_t Cell = 0; Cell < Board.Cells.size(); ++Cell) {
+    residual_mean Ease;
+    for (std::size_t Index = 0; Index < Model.Candidates.size(); ++Index)
+      Ease.add(Board.Cells[Cell].Records[Index].Pass, Model.Candidates[Index]);
+    Model.Cells[Cell] = Ease.value(EasePrecision);
+  }
+}
+
+auto fitCandidates(const cascade_board &Board, quality_model &Model) -> void {
+  for (std::size_t Index = 0; Index < Model.Candidates.size(); ++Index) {
+    const double Known = logit(Board.Candidates[Index].Quality);
+    residual_mean Error;
+    for (std::size_t Cell = 0; Cell < Board.Cells.size(); ++Cell)
+      Error.add(Board.Cells[Cell].Records[Index].Pass,
+                Known + Model.Cells[Cell]);
+    Model.Candidates[Index] = Known + Error.value(ErrorPrecision);
   }
-  return Sum / (Total + (OffsetPriorWeight * 0.1));
 }
 
 } // namespace
 
-auto estimateCell(const cascade_board &Board, const cascade_cell &Cell)
+auto fitQuality(const cascade_board &Board) -> quality_model {
+  quality_model Model;
+  Model.Cells.resize(Board.Cells.size());
+  for (const auto &Candidate : Board.Candidates)
+    Model.Candidates.push_back(logit(Candidate.Quality));
+  for (int Round = 0; Round < FitRounds; ++Round) {
+    fitCells(Board, Model);
+    fitCandidates(Board, Model);
+  }
+  return Model;
+}
+
+auto estimateCell(const cascade_board &Board, std::size_t Index,
+                  const quality_model &Model)
     -> std::vector<candidate_estimate> {
-  const double Offset = cellOffset(Board, Cell);
   const auto Count = Board.Candidates.size();
-  std::vector<double> Expected;
-  for (const auto &Candidate : Board.Candidates)
-    Expected.push_back(logit(Candidate.Quality) + Offset);
   std::vector<candidate_estimate> Estimates(Count);
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    const auto &Record = Cell.Records[Index];
-    auto &Estimate = Estimates[Index];
-    Estimate.Pass =
-        blend(Record.Pass, fromLogit(Expected[Index]), PassPriorWeight);
+  const auto Expected = [&](std::size_t Candidate, double Change) {
+    return fromLogit(Model.Candidates[Candidate] + Model.Cells[Index] + Change);
+  };
+  for (std::size_t First = 0; First < Count; ++First) {
+    const auto &Record = Board.Cells[Index].Records[First];
+    auto &Estimate = Estimates[First];
+    Estimate.Pass = blend(Record.Pass, Expected(First, 0), PassPriorWeight);
     Estimate.Confirm = blend(Record.Confirm, ConfirmPrior, OtherPriorWeight);
-    for (std::size_t Other = 0; Other < Count; ++Other)
-      Estimate.Rescue.push_back(blend(Record.Rescue[Other],
-                                      fromLogit(Expected[Other] + RescueLogit),
+    for (std::size_t Second = 0; Second < Count; ++Second)
+      Estimate.Rescue.push_back(blend(Record.Rescue[Second],
+                                      Expected(Second, RescueLogit),
                                       OtherPriorWeight));
   }
   return Estimates;
--- a/src/controller/cascade_estimate.h
+++ b/src/controller/cascade_estimate.h
@@ -20,11 +20,20 @@
   std::vector<rate_estimate> Rescue; ///< See candidate_record.
 };
 
-/// \return one estimate per candidate of \p Cell. Candidates with few ratings
-/// follow the others: a cell is as much harder or easier for them as it is for
-/// those with many.
-[[nodiscard]] auto estimateCell(const cascade_board &Board,
-                                const cascade_cell &Cell)
+/// Pass rates as logits: the catalogue's estimate, plus the candidate's error
+/// against it, plus how much easier the cell is than others.
+struct quality_model {
+  std::vector<double> Candidates; ///< Catalogue's logit and error.
+  std::vector<double> Cells;      ///< Ease of each cell.
+};
+
+/// Fits the model to all ratings of \p Board.
+[[nodiscard]] auto fitQuality(const cascade_board &Board) -> quality_model;
+
+/// \return one estimate per candidate of cell \p Index. Candidates with few
+/// ratings in the cell follow \p Model.
+[[nodiscard]] auto estimateCell(const cascade_board &Board, std::size_t Index,
+                                const quality_model &Model)
     -> std::vector<candidate_estimate>;
 
 } // namespace acacianotch
--- a/src/controller/cascade_planner.cpp
+++ b/src/controller/cascade_planner.cpp
@@ -1,8 +1,6 @@
 /// \file Lowest-cost plans for a quality target.
 #include "controller/cascade_planner.h"
 
-#include "controller/cascade_estimate.h"
-
 #include <algorithm>
 #include <cassert>
 #include <cmath>
@@ -218,10 +216,11 @@
   return Choice;
 }
 
-auto planOptions(const cascade_board &Board, const cascade_cell &Cell)
-    -> cell_options {
+auto planOptions(const cascade_board &Board, std::size_t Index,
+                 const quality_model &Model) -> cell_options {
+  const auto &Cell = Board.Cells[Index];
   cell_options Result{Cell.Traffic, {}};
-  const auto Estimates = estimateCell(Board, Cell);
+  const auto Estimates = estimateCell(Board, Index, Model);
   const auto Count = Board.Candidates.size();
   const bool Trusted = Board.Rating.Health == rating_health::trusted;
   for (std::size_t First = 0; First < Count; ++First)
@@ -246,9 +245,9 @@
 /// falls with it, and with the margin the cost of all requests until the
 /// rating is outdated.
 auto setRatingGoals(cascade_board &Board, const plan_choice &Choice) -> void {
-  constexpr double Horizon = 20'000; // requests
-  constexpr double LeastGoal = 60;   // ratings
-  constexpr double MostGoal = 5'000; // ratings
+  constexpr double Horizon = 100'000; // requests
+  constexpr double LeastGoal = 60;    // ratings
+  constexpr double MostGoal = 8'000;  // ratings
   const auto &Settings = Board.Settings;
   double Traffic = 0;
   for (const auto &Cell : Board.Cells)
@@ -305,8 +304,9 @@
   if (Board.Cells.empty())
     return;
   std::vector<cell_options> Options;
-  for (const auto &Cell : Board.Cells)
-    Options.push_back(planOptions(Board, Cell));
+  const auto Model = fitQuality(Board);
+  for (std::size_t Index = 0; Index < Board.Cells.size(); ++Index)
+    Options.push_back(planOptions(Board, Index, Model));
   const auto &Settings = Board.Settings;
   const auto Choice = choosePlansSafely(Options, Settings.QualityTarget,
                                         Settings.SafetyDeviations);
--- a/src/controller/cascade_planner.h
+++ b/src/controller/cascade_planner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "board/cascade_board.h"
+#include "controller/cascade_estimate.h"
 
 #include <span>
 #include <vector>
@@ -43,10 +44,10 @@
                                      double Target, double Deviations)
     -> plan_choice;
 
-/// \return the options of \p Cell under the state of \p Board: all plans while
-/// ratings are trusted, single candidates with a safety margin otherwise.
-[[nodiscard]] auto planOptions(const cascade_board &Board,
-                               const cascade_cell &Cell) -> cell_options;
+/// \return the options of cell \p Index under the state of \p Board: all plans
+/// while ratings are trusted, single candidates with a safety margin otherwise.
+[[nodiscard]] auto planOptions(const cascade_board &Board, std::size_t Index,
+                               const quality_model &Model) -> cell_options;
 
 /// Writes the mix of every cell of \p Board, and the number of ratings that
 /// repay their cost.
--- a/src/controller/cascade_records.cpp
+++ b/src/controller/cascade_records.cpp
@@ -38,13 +38,45 @@
   return failure::of(errc::bad_settings, std::move(Why));
 }
 
-/// A change of difficulty moves all candidates, but only the one in use shows
-/// it. What is known of the others counts little until they are rated again.
+/// A change of difficulty moves all candidates of the cell, but only the one in
+/// use shows it. What is known of the others counts little until they are
+/// rated again.
 auto forgetOthers(cascade_cell &Cell, std::size_t Changed) -> void {
   constexpr double Kept = 10; // ratings
-  for (std::size_t Index = 0; Index < Cell.Records.size(); ++Index)
+  for (std::size_t Index = 0; Index < Cell.Records.size(); ++Index) {
+    auto &Record = Cell.Records[Index];
     if (Index != Changed)
-      Cell.Records[Index].Pass.forget(Kept);
+      Record.Pass.forget(Kept);
+    for (auto &Rescue : Record.Rescue)
+      Rescue.forget(Kept);
+  }
+}
+
+/// After a change that shows only over all cells, each cell is learnt again.
+auto forgetAll(cascade_board &Board) -> void {
+  constexpr double Kept = 40; // ratings
+  for (auto &Cell : Board.Cells)
+    for (auto &Record : Cell.Records) {
+      Record.Pass.forget(Kept);
+      for (auto &Rescue : Record.Rescue)
+        Rescue.forget(Kept);
+    }
+}
+
+/// Adds a trusted rating to its record.
+auto addVerdict(cascade_board &Board, const rating_order &Order, bool Passed)
+    -> void {
+  // Ratings until an estimate is good enough to reveal a change.
+  constexpr double Settled = 300;
+  auto &Rate = recordFor(Board, Order);
+  const bool First = Order.Kind == rating_kind::first;
+  const bool Drifted = First && Rate.weight() >= Settled &&
+                       observeDrift(Board.Rating, Passed, Rate.mean());
+  const bool Changed = Rate.add(Passed);
+  if (Drifted)
+    forgetAll(Board);
+  else if (Changed && First)
+    forgetOthers(Board.Cells[Order.Cell], Order.First);
 }
 
 } // namespace
@@ -155,9 +187,7 @@
     History.restore(Board);
   if (!Arrived || After != rating_health::trusted)
     return;
-  const bool Changed = recordFor(Board, Order).add(Passed);
-  if (Changed && Order.Kind == rating_kind::first)
-    forgetOthers(Board.Cells[Order.Cell], Order.First);
+  addVerdict(Board, Order, Passed);
   History.ratingAdded(Board);
 }
 
--- a/src/controller/rating_monitor.cpp
+++ b/src/controller/rating_monitor.cpp
@@ -8,10 +8,10 @@
 
 namespace {
 
-constexpr double MissingWindow = 50; // ratings
-constexpr double AbsentShare = 0.5;  // of ratings missing
-constexpr double PresentShare = 0.2; // of ratings missing
-constexpr double ShiftWindow = 60;   // ratings
+constexpr double MissingWindow = 100; // ratings
+constexpr double AbsentShare = 0.6;   // of ratings missing
+constexpr double PresentShare = 0.45; // of ratings missing
+constexpr double ShiftWindow = 60;    // ratings
 // A drift of difficulty does not move the mean of all models this far within
 // one window; inverted or constant ratings do.
 constexpr double WrongShift = 0.35;
@@ -93,4 +93,19 @@
   updateHealth(Record);
 }
 
+auto observeDrift(rating_record &Record, bool Passed, double Estimate) -> bool {
+  // Two-sided cumulative sum test. At a variance of 0.1 per rating, a false
+  // alarm comes about once in a million ratings.
+  constexpr double Slack = 0.015;
+  constexpr double Limit = 45;
+  const double Residual = (Passed ? 1 : 0) - Estimate;
+  Record.Rise = std::max(0.0, Record.Rise + Residual - Slack);
+  Record.Fall = std::max(0.0, Record.Fall - Residual - Slack);
+  if (Record.Rise < Limit && Record.Fall < Limit)
+    return false;
+  Record.Rise = 0;
+  Record.Fall = 0;
+  return true;
+}
+
 } // namespace acacianotch
--- a/src/controller/rating_monitor.h
+++ b/src/controller/rating_monitor.h
@@ -13,4 +13,9 @@
 auto observeVerdict(rating_record &Record, bool Passed, double Expected)
     -> void;
 
+/// Records the verdict of a rating against the estimate in use.
+/// \return whether the estimates no longer hold over all requests.
+[[nodiscard]] auto observeDrift(rating_record &Record, bool Passed,
+                                double Estimate) -> bool;
+
 } // namespace acacianotch
