--- a/src/controller/cascade_planner.h
+++ b/src/controller/cascade_planner.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "board/cascade_board.h"
+#include "controller/cascade_estimate.h"
 
 #include <span>
 #include <vector>
@@ -28,6 +29,7 @@
   double Cost = 0;                ///< Expected micro-units per request.
   double Quality = 0;             ///< Expected share of passed answers.
   double Deviation = 0;           ///< Standard deviation of Quality.
+  double Slope = 0; ///< Extra cost per extra quality; 0 if none is for sale.
 };
 
 /// Minimises expected cost subject to an expected quality of at least
@@ -42,12 +44,13 @@
                                      double Target, double Deviations)
     -> plan_choice;
 
-/// \return the options of \p Cell under the state of \p Board: all plans while
-/// ratings are trusted, single candidates with a safety margin otherwise.
-[[nodiscard]] auto planOptions(const cascade_board &Board,
-                               const cascade_cell &Cell) -> cell_options;
+/// \return the options of cell \p Index under the state of \p Board: all plans
+/// while ratings are trusted, single candidates with a safety margin otherwise.
+[[nodiscard]] auto planOptions(const cascade_board &Board, std::size_t Index,
+                               const quality_model &Model) -> cell_options;
 
-/// Writes the mix of every cell of \p Board.
+/// Writes the mix of every cell of \p Board, and the number of ratings that
+/// repay their cost.
 auto replan(cascade_board &Board) -> void;
 
 } // namespace acacianotch
