Add: [Control] host of the consensus replica with its disk and peers

Cause: the consensus core has no I/O. Change: one drive per turn of the loop groups inputs into one sync; a data folder without identity is refused with the way to repair it.

--- /dev/null
+++ b/src/control/replica_host.cpp
@@ -0,0 +1,276 @@
+/// \file Runs one consensus replica with its disk and its peers.
+#include "control/replica_host.h"
+
+#include "core/log_func.h"
+#include "net/kj_func.h"
+#include "replication/codec.h"
+#include "storage/checked_file.h"
+#include "storage/identity_file.h"
+
+namespace acacianotch {
+
+namespace {
+
+constexpr const char *SnapshotName = "snapshot";
+constexpr const char *LogName = "log";
+
+auto readDurable(posix_file_system &Files, const std::string &Folder,
+                 const std::vector<std::string> &Frames)
+    -> result<durable_state> {
+  auto Snapshot = readChecked(Files, Folder, SnapshotName, SnapshotKind);
+  if (!Snapshot)
+    return Snapshot.error();
+  return recover(*Snapshot, Frames);
+}
+
+auto requireIdentity(posix_file_system &Files, const std::string &Folder)
+    -> result<identity> {
+  const auto Identity = readIdentity(Files, Folder);
+  if (!Identity)
+    return Identity.error();
+  if (!Identity->has_value())
+    return failure::of(errc::bad_settings,
+                       Folder +
+                           " holds no replica: initialise a new group, or join "
+                           "under a new replica id if its disk was lost");
+  return **Identity;
+}
+
+} // namespace
+
+auto initialiseReplica(const std::string &DataFolder, std::uint64_t Group,
+                       replica_id Id, const membership &Members)
+    -> result<void> {
+  auto Folder = data_folder::open(DataFolder);
+  if (!Folder)
+    return Folder.error();
+  posix_file_system Files;
+  auto Present = readIdentity(Files, DataFolder);
+  if (!Present)
+    return Present.error();
+  if (Present->has_value())
+    return failure::of(errc::bad_settings,
+                       DataFolder + " already belongs to a replica");
+  snapshot First;
+  First.Members = Members;
+  if (auto Written = writeChecked(Files, DataFolder, SnapshotName, SnapshotKind,
+                                  encodeSnapshot(First));
+      !Written)
+    return Written;
+  return createIdentity(Files, DataFolder,
+                        {Group, static_cast<std::uint64_t>(Id)});
+}
+
+auto replica_host::open(event_loop &Loop, const replica_host_options &Options,
+                        replica_callbacks Callbacks)
+    -> result<std::unique_ptr<replica_host>> {
+  auto Folder = data_folder::open(Options.DataFolder);
+  if (!Folder)
+    return Folder.error();
+  auto Files = std::make_unique<files>();
+  const auto Identity = requireIdentity(*Files, Options.DataFolder);
+  if (!Identity)
+    return Identity.error();
+  auto Log = log_file<files>::open(*Files, Options.DataFolder, LogName);
+  if (!Log)
+    return Log.error();
+  if (Log->TornBytes > 0)
+    logWarning(log_category::storage, "cut off an unsynced tail of the log",
+               {{"bytes", Log->TornBytes}});
+  auto Durable = readDurable(*Files, Options.DataFolder, Log->Frames);
+  if (!Durable)
+    return Durable.error();
+  raft_options Raft;
+  Raft.Id = replica_id{Identity->Replica};
+  Raft.Start = steady_clock::now();
+  Raft.Seed = Options.Seed;
+  Raft.Timing = Options.Timing;
+  auto Node = raft_node::create(Raft, std::move(*Durable));
+  if (!Node)
+    return Node.error();
+  return std::unique_ptr<replica_host>(new replica_host(
+      Loop, Options, std::move(Callbacks), std::move(*Folder), std::move(Files),
+      std::move(Log->Log), std::move(*Node), Identity->Group));
+}
+
+replica_host::replica_host(event_loop &TheLoop, replica_host_options TheOptions,
+                           replica_callbacks TheCallbacks,
+                           data_folder TheFolder,
+                           std::unique_ptr<files> TheFiles,
+                           log_file<files> TheLog, raft_node TheNode,
+                           std::uint64_t TheGroup)
+    : Loop(TheLoop), Options(std::move(TheOptions)),
+      Callbacks(std::move(TheCallbacks)), Folder(std::move(TheFolder)),
+      Files(std::move(TheFiles)), Log(std::move(TheLog)),
+      Node(std::move(TheNode)), Group(TheGroup),
+      TickTimer(TheLoop.oneShot([this] {
+        Node.tick(steady_clock::now());
+        drive();
+      })) {}
+
+replica_host::~replica_host() = default;
+
+auto replica_host::start() -> void { scheduleDrive(); }
+
+auto replica_host::receive(std::string_view Message) -> void {
+  const auto Envelope = decodeEnvelope(Message);
+  if (!Envelope) {
+    logWarning(log_category::replication, "ignored a malformed message",
+               {{"error", Envelope.error().text()}});
+    return;
+  }
+  Node.receive(*Envelope, steady_clock::now());
+  scheduleDrive();
+}
+
+auto replica_host::propose(std::string Command) -> result<log_position> {
+  auto Position = Node.propose(std::move(Command), steady_clock::now());
+  scheduleDrive();
+  return Position;
+}
+
+auto replica_host::addLearner(replica_id Id, std::string Address)
+    -> result<log_position> {
+  auto Position =
+      Node.addLearner(Id, std::move(Address), steady_clock::now());
+  scheduleDrive();
+  return Position;
+}
+
+auto replica_host::promote(replica_id Id) -> result<log_position> {
+  auto Position = Node.promote(Id, steady_clock::now());
+  scheduleDrive();
+  return Position;
+}
+
+auto replica_host::remove(replica_id Id) -> result<log_position> {
+  auto Position = Node.remove(Id, steady_clock::now());
+  scheduleDrive();
+  return Position;
+}
+
+auto replica_host::leaderAddress() const -> std::string {
+  const auto *Leader = Node.members().find(Node.leader());
+  return Leader == nullptr ? "" : Leader->Address;
+}
+
+// Inputs that arrive in one turn of the loop share one drive and so one sync.
+auto replica_host::scheduleDrive() -> void {
+  if (std::exchange(DriveScheduled, true))
+    return;
+  Loop.defer([this] { drive(); });
+}
+
+auto replica_host::drive() -> void {
+  DriveScheduled = false;
+  while (true) {
+    auto Effects = Node.takeEffects(steady_clock::now());
+    const auto Idle = Effects.Messages.empty() && !Effects.Restore &&
+                      Effects.Committed.empty() && Effects.Write.Sequence == 0;
+    if (Idle)
+      break;
+    carryOut(Effects);
+  }
+  compactIfDue();
+  noteRole();
+  scheduleTick();
+}
+
+auto replica_host::carryOut(raft_effects &Effects) -> void {
+  for (const auto &Envelope : Effects.Messages)
+    send(Envelope);
+  if (Effects.Restore) {
+    const auto Restored = Callbacks.Restore(*Effects.Restore);
+    if (!Restored) {
+      logError(log_category::replication, "cannot load a snapshot",
+               {{"error", Restored.error().text()}});
+      Node.storageFailed(steady_clock::now());
+      return;
+    }
+    Applied = Effects.Restore->Index;
+    Compacted = Applied;
+  }
+  for (const auto &Record : Effects.Committed) {
+    Callbacks.Apply(Record);
+    Applied = Record.Index;
+  }
+  if (Effects.Write.Sequence != 0)
+    store(Effects.Write);
+}
+
+auto replica_host::store(const write_batch &Batch) -> void {
+  const auto WriteSnapshot = [this](std::string_view Bytes) {
+    return writeChecked(*Files, Options.DataFolder, SnapshotName, SnapshotKind,
+                        Bytes);
+  };
+  auto Stored = persist(Batch, Log, WriteSnapshot);
+  if (Stored)
+    Stored = Log.sync();
+  if (Stored) {
+    Node.synced(Batch.Sequence, steady_clock::now());
+    return;
+  }
+  logError(log_category::storage,
+           "the disk failed; this replica takes no part until it is restarted",
+           {{"error", Stored.error().text()}});
+  Node.storageFailed(steady_clock::now());
+}
+
+auto replica_host::peerFor(replica_id Id) -> rpc_peer * {
+  const auto *Member = Node.members().find(Id);
+  if (Member == nullptr)
+    return nullptr;
+  auto &Peer = Peers[Member->Address];
+  if (Peer != nullptr)
+    return Peer.get();
+  const auto Address = parseAddress(Member->Address);
+  if (!Address)
+    return nullptr;
+  Peer = std::make_unique<rpc_peer>(Loop, *Address, Options.Rpc);
+  return Peer.get();
+}
+
+auto replica_host::send(const envelope &Envelope) -> void {
+  auto *Peer = peerFor(Envelope.To);
+  if (Peer == nullptr)
+    return;
+  auto Client = Peer->as<wire::Control>();
+  if (!Client)
+    return;
+  auto Request = Client->replicateRequest();
+  const auto Encoded = encodeEnvelope(Envelope);
+  Request.setMessage(toBytes(Encoded));
+  Request.send()
+      .then([](auto &&) {})
+      .detach([](kj::Exception &&) {}); // A lost message is sent again.
+}
+
+auto replica_host::compactIfDue() -> void {
+  if (Applied < Compacted + Options.SnapshotEvery)
+    return;
+  const auto Done = Node.compact(Applied, Callbacks.Snapshot());
+  Compacted = Applied;
+  if (!Done)
+    logWarning(log_category::replication, "cannot compact the log",
+               {{"error", Done.error().text()}});
+  else
+    scheduleDrive();
+}
+
+auto replica_host::noteRole() -> void {
+  if (Node.role() == LastRole && Node.term() == LastTerm)
+    return;
+  LastRole = Node.role();
+  LastTerm = Node.term();
+  logInfo(log_category::replication, "role or term changed",
+          {{"leader", LastRole == raft_role::leader}, {"term", LastTerm}});
+  Callbacks.RoleChanged();
+}
+
+auto replica_host::scheduleTick() -> void {
+  constexpr duration Least = std::chrono::milliseconds(1);
+  TickTimer->start(
+      std::max(Node.nextDeadline() - steady_clock::now(), Least));
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/control/replica_host.h
@@ -0,0 +1,116 @@
+/// \file Runs one consensus replica with its disk and its peers.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/rpc_peer.h"
+#include "replication/raft_node.h"
+#include "storage/data_folder.h"
+#include "storage/log_file.h"
+#include "storage/posix_file_system.h"
+
+#include <acacianotch.capnp.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace acacianotch {
+
+/// Settings of a replica.
+struct replica_host_options {
+  std::string DataFolder;
+  raft_timing Timing;
+  std::uint64_t SnapshotEvery = 10'000; ///< Log records between snapshots.
+  std::uint64_t Seed = 0;
+  rpc_options Rpc;
+};
+
+/// What the state machine must do for the replica.
+struct replica_callbacks {
+  std::function<result<void>(const snapshot &)> Restore;
+  std::function<void(const log_record &)> Apply;
+  std::function<std::string()> Snapshot; ///< State after the last Apply.
+  std::function<void()> RoleChanged;
+};
+
+/// Writes the identity and the first membership into an empty data folder.
+/// Only for a new group: a replica that lost its disk must join under a new id.
+[[nodiscard]] auto initialiseReplica(const std::string &DataFolder,
+                                     std::uint64_t Group, replica_id Id,
+                                     const membership &Members)
+    -> result<void>;
+
+/// Drives a raft_node: messages over RPC, records to the log file, committed
+/// records to the state machine.
+class replica_host {
+public:
+  /// Opens the data folder. \return `bad_settings` if it has no identity,
+  /// `address_in_use` if another process uses it, `corrupt_data` if damaged.
+  [[nodiscard]] static auto open(event_loop &Loop,
+                                 const replica_host_options &Options,
+                                 replica_callbacks Callbacks)
+      -> result<std::unique_ptr<replica_host>>;
+
+  ~replica_host();
+  replica_host(const replica_host &) = delete;
+  auto operator=(const replica_host &) -> replica_host & = delete;
+
+  /// Restores the state and starts the timers.
+  auto start() -> void;
+
+  /// Handles one encoded message from a peer; garbage is ignored.
+  auto receive(std::string_view Message) -> void;
+
+  /// Proposes a command. \return its position; `not_leader` and others if it
+  /// was not added to the log.
+  [[nodiscard]] auto propose(std::string Command) -> result<log_position>;
+
+  /// Changes the membership through the log.
+  [[nodiscard]] auto addLearner(replica_id Id, std::string Address)
+      -> result<log_position>;
+  [[nodiscard]] auto promote(replica_id Id) -> result<log_position>;
+  [[nodiscard]] auto remove(replica_id Id) -> result<log_position>;
+
+  [[nodiscard]] auto node() const -> const raft_node & { return Node; }
+
+  /// \return the RPC address of the leader, if known.
+  [[nodiscard]] auto leaderAddress() const -> std::string;
+
+private:
+  using files = posix_file_system;
+
+  replica_host(event_loop &Loop, replica_host_options Options,
+               replica_callbacks Callbacks, data_folder Folder,
+               std::unique_ptr<files> Files, log_file<files> Log,
+               raft_node Node, std::uint64_t Group);
+
+  auto scheduleDrive() -> void;
+  auto drive() -> void;
+  auto carryOut(raft_effects &Effects) -> void;
+  auto store(const write_batch &Batch) -> void;
+  auto send(const envelope &Envelope) -> void;
+  auto peerFor(replica_id Id) -> rpc_peer *;
+  auto compactIfDue() -> void;
+  auto scheduleTick() -> void;
+  auto noteRole() -> void;
+
+  event_loop &Loop;
+  replica_host_options Options;
+  replica_callbacks Callbacks;
+  data_folder Folder;
+  std::unique_ptr<files> Files;
+  log_file<files> Log;
+  raft_node Node;
+  std::uint64_t Group;
+  std::map<std::string, std::unique_ptr<rpc_peer>> Peers;
+  std::unique_ptr<loop_timer> TickTimer;
+  bool DriveScheduled = false;
+  raft_role LastRole = raft_role::follower;
+  log_term LastTerm = 0;
+  log_index Applied = 0;
+  log_index Compacted = 0;
+};
+
+} // namespace acacianotch
