--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -198,8 +198,8 @@
 struct command {
   std::string ChangeId; ///< Required for operator commands; see needsChangeId.
   std::string Issuer;   ///< Operator or node.
-  std::uint64_t IssuedMs = 0; ///< Issuer's wall clock at the first try; 0 if
-                              ///< not stated.
+  std::uint64_t IssuedMs = 0; ///< Issuer's wall clock at the first try;
+                              ///< required where the change id is.
   std::uint64_t TimeMs = 0;   ///< Leader's wall clock, milliseconds since 1970.
   command_body Body;
 };
--- a/src/catalogue/rollout.cpp
+++ b/src/catalogue/rollout.cpp
@@ -1,6 +1,8 @@
 /// \file Rules of a stored rollout.
 #include "catalogue/rollout_type.h"
 
+#include "catalogue/entry_type.h"
+
 namespace acacianotch {
 
 auto rollout::share() const -> double {
@@ -12,6 +14,9 @@
 }
 
 auto validateRollout(const rollout &Rollout) -> result<void> {
+  if (!validName(Rollout.Model) || !validName(Rollout.From) ||
+      !validName(Rollout.To))
+    return failure::of(errc::bad_request, "a name has invalid characters");
   if (Rollout.From == Rollout.To)
     return failure::of(errc::bad_request, "both versions are the same");
   if (Rollout.Stage >= Rollout.Stages.size())
