--- a/src/core/file.cpp
+++ b/src/core/file.cpp
@@ -15,13 +15,6 @@
   return failure::of(errc::bad_settings, File.string() + ": " + Why);
 }
 
-auto othersMayRead(const std::filesystem::path &File) -> bool {
-  using std::filesystem::perms;
-  std::error_code Error;
-  const auto Mode = std::filesystem::status(File, Error).permissions();
-  return (Mode & perms::others_read) != perms::none;
-}
-
 } // namespace
 
 auto readSmallFile(const std::filesystem::path &File) -> result<std::string> {
@@ -43,12 +36,17 @@
   auto Text = readSmallFile(File);
   if (!Text)
     return Text.error();
-  if (othersMayRead(File))
-    return cannot(File, "is readable by all users; remove that permission");
   auto Line = Text->substr(0, Text->find_first_of("\r\n"));
   if (Line.size() < MinSecretSize)
     return cannot(File, "the first line is shorter than 16 characters");
   return secret(std::move(Line));
 }
 
+auto othersMayRead(const std::filesystem::path &File) -> bool {
+  using std::filesystem::perms;
+  std::error_code Error;
+  const auto Mode = std::filesystem::status(File, Error).permissions();
+  return (Mode & perms::others_read) != perms::none;
+}
+
 } // namespace acacianotch
--- a/src/core/file_func.h
+++ b/src/core/file_func.h
@@ -19,9 +19,11 @@
     -> result<std::string>;
 
 /// Reads a secret from the first line of \p File. \return bad_settings if the
-/// file cannot be read, the line is shorter than 16 characters, or other users
-/// may read the file.
+/// file cannot be read or the line is shorter than 16 characters.
 [[nodiscard]] auto readSecretFile(const std::filesystem::path &File)
     -> result<secret>;
 
+/// \return whether users other than owner and group may read \p File.
+[[nodiscard]] auto othersMayRead(const std::filesystem::path &File) -> bool;
+
 } // namespace acacianotch
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -59,6 +59,9 @@
 auto run(const settings &Settings) -> daemon_exit {
   applyLogLevels(Settings);
   logStart(Settings);
+  if (othersMayRead(Settings.Node.SecretFile))
+    logWarning(log_category::settings, "all users may read the secret file",
+               {{"file", Settings.Node.SecretFile.string()}});
   const auto Done = runRole(Settings);
   if (Done) {
     logInfo(log_category::settings, "stopped");
