--- /dev/null
+++ b/src/control/control_service.cpp
@@ -0,0 +1,230 @@
+/// \file The control role: replicated commands and their spread.
+#include "control/control_service.h"
+
+#include "core/log_func.h"
+#include "net/kj_func.h"
+
+namespace acacianotch {
+
+auto control_service::open(event_loop &Loop,
+                           const replica_host_options &Options)
+    -> result<std::unique_ptr<control_service>> {
+  std::unique_ptr<control_service> Service(new control_service(Loop));
+  auto Host = replica_host::open(Loop, Options, Service->callbacks());
+  if (!Host)
+    return Host.error();
+  Service->Host = std::move(Host).value();
+  Service->Nodes = std::make_unique<subscriptions>(
+      Loop, Service->State,
+      [Raw = Service.get()] { return Raw->confirmedEpoch(); });
+  return Service;
+}
+
+control_service::~control_service() = default;
+
+auto control_service::start() -> void { Host->start(); }
+
+auto control_service::callbacks() -> replica_callbacks {
+  replica_callbacks Callbacks;
+  Callbacks.Restore = [this](const snapshot &Snapshot) -> result<void> {
+    if (Snapshot.Data->empty()) {
+      State = {};
+      State.skip(Snapshot.Index);
+      return {};
+    }
+    auto Decoded = catalogue_state::decodeSnapshot(*Snapshot.Data);
+    if (!Decoded)
+      return Decoded.error();
+    State = std::move(*Decoded);
+    return {};
+  };
+  Callbacks.Apply = [this](const log_record &Record) { apply(Record); };
+  Callbacks.Snapshot = [this] { return State.encodeSnapshot(); };
+  Callbacks.RoleChanged = [this] { roleChanged(); };
+  return Callbacks;
+}
+
+auto control_service::refuse(errc Code) const -> command_result {
+  return command_result::of(Code, Host->leaderAddress());
+}
+
+// Time in the state machine comes from commands, so it must not go back when
+// another replica with a slower clock becomes leader.
+auto control_service::nextTimeMs() -> std::uint64_t {
+  const auto Now = std::chrono::system_clock::now().time_since_epoch();
+  const auto NowMs =
+      static_cast<std::uint64_t>(Now / std::chrono::milliseconds(1));
+  LastTimeMs = std::max({LastTimeMs, State.data().LogTimeMs, NowMs});
+  return LastTimeMs;
+}
+
+auto control_service::confirmedEpoch() const -> std::optional<epoch> {
+  const auto Now = steady_clock::now();
+  const auto &Node = Host->node();
+  const auto Index = Node.confirmedIndex(Now);
+  if (!Index || State.index() < *Index || !Node.leaseHeld(Now))
+    return std::nullopt;
+  return Node.fencingEpoch();
+}
+
+auto control_service::execute(std::string_view Bytes)
+    -> kj::Promise<command_result> {
+  auto Command = decodeCommand(Bytes);
+  if (!Command)
+    return command_result::of(Command.error().Code, Command.error().Detail);
+  if (Host->node().role() != raft_role::leader) {
+    ++Counters.Refused;
+    return refuse(errc::not_leader);
+  }
+  Command->TimeMs = nextTimeMs();
+  auto Checked = State.test(*Command);
+  if (!Checked.ok()) {
+    ++Counters.Refused;
+    // A refusal tells what the state is, so it needs the lease as well.
+    return confirmedEpoch() ? std::move(Checked) : refuse(errc::no_quorum);
+  }
+  const auto Position = Host->propose(encodeCommand(*Command));
+  if (!Position) {
+    ++Counters.Refused;
+    return command_result::of(Position.error().Code, Position.error().Detail);
+  }
+  ++Counters.Proposed;
+  auto Pair = kj::newPromiseAndFulfiller<command_result>();
+  Proposals[Position->Index] = {Position->Term, kj::mv(Pair.fulfiller)};
+  return kj::mv(Pair.promise);
+}
+
+auto control_service::apply(const log_record &Record) -> void {
+  if (Record.Kind != record_kind::command) {
+    State.skip(Record.Index);
+    return;
+  }
+  ++Counters.Committed;
+  const auto Before = State.currentRevision();
+  auto Command = decodeCommand(Record.Payload);
+  if (!Command) {
+    // Every replica reads the same bytes, so all of them skip the record.
+    logError(log_category::control, "skipped an unreadable command",
+             {{"index", Record.Index}, {"error", Command.error().text()}});
+    State.skip(Record.Index);
+    answer(Record, command_result::of(Command.error().Code));
+    return;
+  }
+  answer(Record, State.apply(*Command, Record.Index));
+  if (State.currentRevision() != Before)
+    Loop.defer([this] { Nodes->push(); });
+}
+
+// The lease is checked after the work: a leader that was frozen in between may
+// have been replaced.
+auto control_service::answer(const log_record &Record, command_result Result)
+    -> void {
+  const auto Found = Proposals.find(Record.Index);
+  if (Found == Proposals.end())
+    return;
+  auto Proposal = std::move(Found->second);
+  Proposals.erase(Found);
+  const auto Own = Proposal.Term == Record.Term &&
+                   Host->node().leaseHeld(steady_clock::now());
+  Proposal.Done->fulfill(Own ? std::move(Result) : refuse(errc::no_quorum));
+}
+
+auto control_service::roleChanged() -> void {
+  if (Host->node().role() == raft_role::leader) {
+    Nodes->push();
+    return;
+  }
+  for (auto &[Index, Proposal] : Proposals)
+    Proposal.Done->fulfill(refuse(errc::no_quorum));
+  Proposals.clear();
+  Nodes->endAll();
+}
+
+auto control_service::changeMembers(std::string_view Action, replica_id Id,
+                                    std::string Address) -> result<void> {
+  auto Position = [&]() -> result<log_position> {
+    if (Action == "add_replica")
+      return Host->addLearner(Id, std::move(Address));
+    if (Action == "promote_replica")
+      return Host->promote(Id);
+    if (Action == "remove_replica")
+      return Host->remove(Id);
+    return failure::of(errc::bad_request, "unknown membership change");
+  }();
+  if (!Position)
+    return Position.error();
+  return {};
+}
+
+namespace {
+
+/// Adapts the service to the wire.
+class control_server final : public wire::Control::Server {
+public:
+  explicit control_server(control_service &TheService) : Service(TheService) {}
+
+  auto subscribe(SubscribeContext Context) -> kj::Promise<void> override {
+    const auto Params = Context.getParams();
+    if (!Service.confirmedEpoch())
+      return KJ_EXCEPTION(OVERLOADED, "this replica is not the leader");
+    const auto Facts = Params.getFacts();
+    node_row Row;
+    Row.Id = toString(Facts.getNodeId());
+    Row.Role = toString(Facts.getRole());
+    Row.Zone = toString(Facts.getZone());
+    Row.Backend = toString(Facts.getBackend());
+    Row.StartedMs = Facts.getStartedAt();
+    Context.allowCancellation();
+    return Service.nodeSubscriptions().add(
+        std::move(Row), revision{Params.getRevision()}, Params.getSink());
+  }
+
+  auto execute(ExecuteContext Context) -> kj::Promise<void> override {
+    const auto Bytes = Context.getParams().getCommand();
+    return Service
+        .execute({reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()})
+        .then([this, Context](command_result Result) mutable {
+          auto Outcome = Context.getResults().initOutcome();
+          Outcome.setError(static_cast<std::uint16_t>(Result.Code));
+          Outcome.setDetail(Result.Detail.c_str());
+          Outcome.setRevision(static_cast<std::uint64_t>(Result.Revision));
+          Outcome.setLeader(Service.replica().leaderAddress().c_str());
+          const auto Payload = json::to_cbor(Result.Payload);
+          Outcome.setPayload({Payload.data(), Payload.size()});
+        });
+  }
+
+  auto replicate(ReplicateContext Context) -> kj::Promise<void> override {
+    const auto Bytes = Context.getParams().getMessage();
+    Service.replica().receive(
+        {reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()});
+    return kj::READY_NOW;
+  }
+
+  auto query(QueryContext Context) -> kj::Promise<void> override {
+    const auto Params = Context.getParams();
+    const auto Arguments =
+        json::parse(toString(Params.getArguments()), nullptr, false);
+    const auto Answer = Service.query(toString(Params.getWhat()), Arguments);
+    auto Results = Context.getResults();
+    if (!Answer) {
+      Results.setError(static_cast<std::uint16_t>(Answer.error().Code));
+      Results.setJson(Answer.error().Detail.c_str());
+      return kj::READY_NOW;
+    }
+    Results.setJson(
+        Answer->dump(-1, ' ', false, json::error_handler_t::replace).c_str());
+    return kj::READY_NOW;
+  }
+
+private:
+  control_service &Service;
+};
+
+} // namespace
+
+auto controlInterface(control_service &Service) -> wire::Control::Client {
+  return kj::heap<control_server>(Service);
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/control/control_service.h
@@ -0,0 +1,90 @@
+/// \file The control role: replicated commands and their spread.
+#pragma once
+
+#include "catalogue/catalogue_state.h"
+#include "control/replica_host.h"
+#include "control/subscriptions.h"
+
+#include <acacianotch.capnp.h>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace acacianotch {
+
+/// Counters of one control replica since its start.
+struct control_counters {
+  std::uint64_t Proposed = 0;
+  std::uint64_t Committed = 0;
+  std::uint64_t Refused = 0;
+};
+
+/// Joins replica, state machine and subscriptions.
+class control_service {
+public:
+  /// Opens the data folder and restores the state; errors of
+  /// replica_host::open.
+  [[nodiscard]] static auto open(event_loop &Loop,
+                                 const replica_host_options &Options)
+      -> result<std::unique_ptr<control_service>>;
+
+  ~control_service();
+  control_service(const control_service &) = delete;
+  auto operator=(const control_service &) -> control_service & = delete;
+
+  /// Starts to take part in the group.
+  auto start() -> void;
+
+  /// Makes a replica of the group, as `add_replica`, `promote_replica` and
+  /// `remove_replica` of the client do.
+  [[nodiscard]] auto changeMembers(std::string_view Action, replica_id Id,
+                                   std::string Address) -> result<void>;
+
+  /// Handles one encoded command.
+  [[nodiscard]] auto execute(std::string_view Bytes)
+      -> kj::Promise<command_result>;
+
+  /// \return whether this replica is the leader and its state is current.
+  [[nodiscard]] auto confirmedEpoch() const -> std::optional<epoch>;
+
+  /// \return the answer to a query of the client.
+  [[nodiscard]] auto query(std::string_view What, const json &Arguments)
+      -> result<json>;
+
+  [[nodiscard]] auto replica() -> replica_host & { return *Host; }
+  [[nodiscard]] auto nodeSubscriptions() -> subscriptions & { return *Nodes; }
+  [[nodiscard]] auto state() const -> const catalogue_state & { return State; }
+  [[nodiscard]] auto counters() const -> const control_counters & {
+    return Counters;
+  }
+
+private:
+  struct proposal {
+    log_term Term = 0;
+    kj::Own<kj::PromiseFulfiller<command_result>> Done;
+  };
+
+  explicit control_service(event_loop &Loop) : Loop(Loop) {}
+
+  auto callbacks() -> replica_callbacks;
+  auto apply(const log_record &Record) -> void;
+  auto answer(const log_record &Record, command_result Result) -> void;
+  auto roleChanged() -> void;
+  auto nextTimeMs() -> std::uint64_t;
+  [[nodiscard]] auto refuse(errc Code) const -> command_result;
+
+  event_loop &Loop;
+  catalogue_state State;
+  std::unique_ptr<replica_host> Host;
+  std::unique_ptr<subscriptions> Nodes;
+  std::map<log_index, proposal> Proposals;
+  std::uint64_t LastTimeMs = 0;
+  control_counters Counters;
+};
+
+/// \return the RPC interface of a control replica.
+[[nodiscard]] auto controlInterface(control_service &Service)
+    -> wire::Control::Client;
+
+} // namespace acacianotch
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -109,7 +109,12 @@
   payload @4 :Data;          # CBOR: command-specific result.
 }
 
-interface Control {
+interface Admin {
+  # Served by every process on its admin address.
+  query @0 (what :Text, arguments :Text) -> (error :UInt16, json :Text);
+}
+
+interface Control extends(Admin) {
   subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> ();
   # Returns when the subscription ends.
   execute @1 (command :Data) -> (outcome :CommandOutcome);
@@ -117,8 +122,3 @@
   replicate @2 (sender :Text, message :Data) -> ();
   # One consensus message; delivery is not confirmed.
 }
-
-interface Admin {
-  # Served by every process on its admin address.
-  query @0 (what :Text, arguments :Text) -> (error :UInt16, json :Text);
-}
--- a/src/net/wire/acacianotch.capnp.c++
+++ b/src/net/wire/acacianotch.capnp.c++
@@ -1742,7 +1742,168 @@
   0, 5, i_8bc50ca4e93a9d70, nullptr, nullptr, { &s_8bc50ca4e93a9d70, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<51> b_fd00c6892a8e2253 = {
+static const ::capnp::_::AlignedData<28> b_9efa2435df9a1c8c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    140,  28, 154, 223,  53,  36, 250, 158,
+     18,   0,   0,   0,   3,   0,   0,   0,
+     72,   9, 226, 197, 163, 247, 209, 182,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 194,   0,   0,   0,
+     29,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     25,   0,   0,   0,  71,   0,   0,   0,
+     65,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  65, 100, 109, 105, 110,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+      4,   0,   0,   0,   3,   0,   5,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     51,  90,   4, 109,  36, 174, 242, 131,
+     45, 159,  10, 140, 175, 177,  46, 210,
+     17,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      5,   0,   0,   0,   7,   0,   0,   0,
+    113, 117, 101, 114, 121,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
+      0,   0,   0,   0,   1,   0,   1,   0, }
+};
+::capnp::word const* const bp_9efa2435df9a1c8c = b_9efa2435df9a1c8c.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9efa2435df9a1c8c[] = {
+  &s_83f2ae246d045a33,
+  &s_d22eb1af8c0a9f2d,
+};
+static const uint16_t m_9efa2435df9a1c8c[] = {0};
+const ::capnp::_::RawSchema s_9efa2435df9a1c8c = {
+  0x9efa2435df9a1c8c, b_9efa2435df9a1c8c.words, 28, d_9efa2435df9a1c8c, m_9efa2435df9a1c8c,
+  2, 1, nullptr, nullptr, nullptr, { &s_9efa2435df9a1c8c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<49> b_83f2ae246d045a33 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     51,  90,   4, 109,  36, 174, 242, 131,
+     24,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  42,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  65, 100, 109, 105, 110,  46,
+    113, 117, 101, 114, 121,  36,  80,  97,
+    114,  97, 109, 115,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  82,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     44,   0,   0,   0,   3,   0,   1,   0,
+     56,   0,   0,   0,   2,   0,   1,   0,
+    119, 104,  97, 116,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97, 114, 103, 117, 109, 101, 110, 116,
+    115,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_83f2ae246d045a33 = b_83f2ae246d045a33.words;
+#if !CAPNP_LITE
+static const uint16_t m_83f2ae246d045a33[] = {1, 0};
+static const uint16_t i_83f2ae246d045a33[] = {0, 1};
+const ::capnp::_::RawSchema s_83f2ae246d045a33 = {
+  0x83f2ae246d045a33, b_83f2ae246d045a33.words, 49, nullptr, m_83f2ae246d045a33,
+  0, 2, i_83f2ae246d045a33, nullptr, nullptr, { &s_83f2ae246d045a33, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<48> b_d22eb1af8c0a9f2d = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     45, 159,  10, 140, 175, 177,  46, 210,
+     24,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 119,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  65, 100, 109, 105, 110,  46,
+    113, 117, 101, 114, 121,  36,  82, 101,
+    115, 117, 108, 116, 115,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     41,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     36,   0,   0,   0,   3,   0,   1,   0,
+     48,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     45,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     40,   0,   0,   0,   3,   0,   1,   0,
+     52,   0,   0,   0,   2,   0,   1,   0,
+    101, 114, 114, 111, 114,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    106, 115, 111, 110,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_d22eb1af8c0a9f2d = b_d22eb1af8c0a9f2d.words;
+#if !CAPNP_LITE
+static const uint16_t m_d22eb1af8c0a9f2d[] = {0, 1};
+static const uint16_t i_d22eb1af8c0a9f2d[] = {0, 1};
+const ::capnp::_::RawSchema s_d22eb1af8c0a9f2d = {
+  0xd22eb1af8c0a9f2d, b_d22eb1af8c0a9f2d.words, 48, nullptr, m_d22eb1af8c0a9f2d,
+  0, 2, i_d22eb1af8c0a9f2d, nullptr, nullptr, { &s_d22eb1af8c0a9f2d, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<53> b_fd00c6892a8e2253 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      83,  34, 142,  42, 137, 198,   0, 253,
      18,   0,   0,   0,   3,   0,   0,   0,
@@ -1753,7 +1914,7 @@
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      29,   0,   0,   0, 199,   0,   0,   0,
-    157,   0,   0,   0,   7,   0,   0,   0,
+    157,   0,   0,   0,  23,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      97,  99,  97,  99, 105,  97, 110, 111,
     116,  99, 104,  46,  99,  97, 112, 110,
@@ -1793,12 +1954,15 @@
     114, 101, 112, 108, 105,  99,  97, 116,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
-      0,   0,   0,   0,   1,   0,   1,   0, }
+      4,   0,   0,   0,   1,   0,   1,   0,
+    140,  28, 154, 223,  53,  36, 250, 158,
+      0,   0,   0,   0,   0,   0,   0,   0, }
 };
 ::capnp::word const* const bp_fd00c6892a8e2253 = b_fd00c6892a8e2253.words;
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_fd00c6892a8e2253[] = {
   &s_975a5a99e8a7de28,
+  &s_9efa2435df9a1c8c,
   &s_9f3599d8f4003a90,
   &s_a83751b8a5dbe6a1,
   &s_db70ab980d97f648,
@@ -1807,8 +1971,8 @@
 };
 static const uint16_t m_fd00c6892a8e2253[] = {1, 2, 0};
 const ::capnp::_::RawSchema s_fd00c6892a8e2253 = {
-  0xfd00c6892a8e2253, b_fd00c6892a8e2253.words, 51, d_fd00c6892a8e2253, m_fd00c6892a8e2253,
-  6, 3, nullptr, nullptr, nullptr, { &s_fd00c6892a8e2253, nullptr, nullptr, 0, 0, nullptr }
+  0xfd00c6892a8e2253, b_fd00c6892a8e2253.words, 53, d_fd00c6892a8e2253, m_fd00c6892a8e2253,
+  7, 3, nullptr, nullptr, nullptr, { &s_fd00c6892a8e2253, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<80> b_db70ab980d97f648 = {
@@ -2113,167 +2277,6 @@
   0, 0, nullptr, nullptr, nullptr, { &s_dfa9aab70e3a1bc0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<28> b_9efa2435df9a1c8c = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-    140,  28, 154, 223,  53,  36, 250, 158,
-     18,   0,   0,   0,   3,   0,   0,   0,
-     72,   9, 226, 197, 163, 247, 209, 182,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0, 194,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     25,   0,   0,   0,  71,   0,   0,   0,
-     65,   0,   0,   0,   7,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97,  99,  97,  99, 105,  97, 110, 111,
-    116,  99, 104,  46,  99,  97, 112, 110,
-    112,  58,  65, 100, 109, 105, 110,   0,
-      0,   0,   0,   0,   1,   0,   1,   0,
-      4,   0,   0,   0,   3,   0,   5,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     51,  90,   4, 109,  36, 174, 242, 131,
-     45, 159,  10, 140, 175, 177,  46, 210,
-     17,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      5,   0,   0,   0,   7,   0,   0,   0,
-    113, 117, 101, 114, 121,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   1,   0,
-      0,   0,   0,   0,   1,   0,   1,   0, }
-};
-::capnp::word const* const bp_9efa2435df9a1c8c = b_9efa2435df9a1c8c.words;
-#if !CAPNP_LITE
-static const ::capnp::_::RawSchema* const d_9efa2435df9a1c8c[] = {
-  &s_83f2ae246d045a33,
-  &s_d22eb1af8c0a9f2d,
-};
-static const uint16_t m_9efa2435df9a1c8c[] = {0};
-const ::capnp::_::RawSchema s_9efa2435df9a1c8c = {
-  0x9efa2435df9a1c8c, b_9efa2435df9a1c8c.words, 28, d_9efa2435df9a1c8c, m_9efa2435df9a1c8c,
-  2, 1, nullptr, nullptr, nullptr, { &s_9efa2435df9a1c8c, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<49> b_83f2ae246d045a33 = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     51,  90,   4, 109,  36, 174, 242, 131,
-     24,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      2,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  42,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97,  99,  97,  99, 105,  97, 110, 111,
-    116,  99, 104,  46,  99,  97, 112, 110,
-    112,  58,  65, 100, 109, 105, 110,  46,
-    113, 117, 101, 114, 121,  36,  80,  97,
-    114,  97, 109, 115,   0,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   1,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  82,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     44,   0,   0,   0,   3,   0,   1,   0,
-     56,   0,   0,   0,   2,   0,   1,   0,
-    119, 104,  97, 116,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97, 114, 103, 117, 109, 101, 110, 116,
-    115,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_83f2ae246d045a33 = b_83f2ae246d045a33.words;
-#if !CAPNP_LITE
-static const uint16_t m_83f2ae246d045a33[] = {1, 0};
-static const uint16_t i_83f2ae246d045a33[] = {0, 1};
-const ::capnp::_::RawSchema s_83f2ae246d045a33 = {
-  0x83f2ae246d045a33, b_83f2ae246d045a33.words, 49, nullptr, m_83f2ae246d045a33,
-  0, 2, i_83f2ae246d045a33, nullptr, nullptr, { &s_83f2ae246d045a33, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<48> b_d22eb1af8c0a9f2d = {
-  {   0,   0,   0,   0,   5,   0,   6,   0,
-     45, 159,  10, 140, 175, 177,  46, 210,
-     24,   0,   0,   0,   1,   0,   1,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      1,   0,   7,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     21,   0,   0,   0,  50,   1,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 119,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     97,  99,  97,  99, 105,  97, 110, 111,
-    116,  99, 104,  46,  99,  97, 112, 110,
-    112,  58,  65, 100, 109, 105, 110,  46,
-    113, 117, 101, 114, 121,  36,  82, 101,
-    115, 117, 108, 116, 115,   0,   0,   0,
-      8,   0,   0,   0,   3,   0,   4,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     41,   0,   0,   0,  50,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     36,   0,   0,   0,   3,   0,   1,   0,
-     48,   0,   0,   0,   2,   0,   1,   0,
-      1,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   1,   0,   1,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     45,   0,   0,   0,  42,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     40,   0,   0,   0,   3,   0,   1,   0,
-     52,   0,   0,   0,   2,   0,   1,   0,
-    101, 114, 114, 111, 114,   0,   0,   0,
-      7,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      7,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-    106, 115, 111, 110,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-     12,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0,
-      0,   0,   0,   0,   0,   0,   0,   0, }
-};
-::capnp::word const* const bp_d22eb1af8c0a9f2d = b_d22eb1af8c0a9f2d.words;
-#if !CAPNP_LITE
-static const uint16_t m_d22eb1af8c0a9f2d[] = {0, 1};
-static const uint16_t i_d22eb1af8c0a9f2d[] = {0, 1};
-const ::capnp::_::RawSchema s_d22eb1af8c0a9f2d = {
-  0xd22eb1af8c0a9f2d, b_d22eb1af8c0a9f2d.words, 48, nullptr, m_d22eb1af8c0a9f2d,
-  0, 2, i_d22eb1af8c0a9f2d, nullptr, nullptr, { &s_d22eb1af8c0a9f2d, nullptr, nullptr, 0, 0, nullptr }
-};
-#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2556,6 +2559,68 @@
 constexpr ::capnp::_::RawSchema const* CommandOutcome::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+#if !CAPNP_LITE
+::capnp::Request< ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults>
+Admin::Client::queryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults>(
+      0x9efa2435df9a1c8cull, 0, sizeHint);
+}
+::kj::Promise<void> Admin::Server::query(QueryContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "acacianotch.capnp:Admin", "query",
+      0x9efa2435df9a1c8cull, 0);
+}
+::capnp::Capability::Server::DispatchCallResult Admin::Server::dispatchCall(
+    uint64_t interfaceId, uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (interfaceId) {
+    case 0x9efa2435df9a1c8cull:
+      return dispatchCallInternal(methodId, context);
+    default:
+      return internalUnimplemented("acacianotch.capnp:Admin", interfaceId);
+  }
+}
+::capnp::Capability::Server::DispatchCallResult Admin::Server::dispatchCallInternal(
+    uint16_t methodId,
+    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
+  switch (methodId) {
+    case 0:
+      return {
+        query(::capnp::Capability::Server::internalGetTypedContext<
+             ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults>(context)),
+        false
+      };
+    default:
+      (void)context;
+      return ::capnp::Capability::Server::internalUnimplemented(
+          "acacianotch.capnp:Admin",
+          0x9efa2435df9a1c8cull, methodId);
+  }
+}
+#endif  // !CAPNP_LITE
+
+// Admin
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Admin::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Admin::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Admin::QueryParams
+constexpr uint16_t Admin::QueryParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Admin::QueryParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Admin::QueryParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Admin::QueryParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Admin::QueryResults
+constexpr uint16_t Admin::QueryResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Admin::QueryResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Admin::QueryResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Admin::QueryResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::acacianotch::wire::Control::SubscribeParams,  ::acacianotch::wire::Control::SubscribeResults>
 Control::Client::subscribeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -2593,6 +2658,8 @@
   switch (interfaceId) {
     case 0xfd00c6892a8e2253ull:
       return dispatchCallInternal(methodId, context);
+    case 0x9efa2435df9a1c8cull:
+      return  ::acacianotch::wire::Admin::Server::dispatchCallInternal(methodId, context);
     default:
       return internalUnimplemented("acacianotch.capnp:Control", interfaceId);
   }
@@ -2682,68 +2749,6 @@
 constexpr ::capnp::_::RawSchema const* Control::ReplicateResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-::capnp::Request< ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults>
-Admin::Client::queryRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
-  return newCall< ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults>(
-      0x9efa2435df9a1c8cull, 0, sizeHint);
-}
-::kj::Promise<void> Admin::Server::query(QueryContext) {
-  return ::capnp::Capability::Server::internalUnimplemented(
-      "acacianotch.capnp:Admin", "query",
-      0x9efa2435df9a1c8cull, 0);
-}
-::capnp::Capability::Server::DispatchCallResult Admin::Server::dispatchCall(
-    uint64_t interfaceId, uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (interfaceId) {
-    case 0x9efa2435df9a1c8cull:
-      return dispatchCallInternal(methodId, context);
-    default:
-      return internalUnimplemented("acacianotch.capnp:Admin", interfaceId);
-  }
-}
-::capnp::Capability::Server::DispatchCallResult Admin::Server::dispatchCallInternal(
-    uint16_t methodId,
-    ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
-  switch (methodId) {
-    case 0:
-      return {
-        query(::capnp::Capability::Server::internalGetTypedContext<
-             ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults>(context)),
-        false
-      };
-    default:
-      (void)context;
-      return ::capnp::Capability::Server::internalUnimplemented(
-          "acacianotch.capnp:Admin",
-          0x9efa2435df9a1c8cull, methodId);
-  }
-}
-#endif  // !CAPNP_LITE
-
-// Admin
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Admin::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Admin::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Admin::QueryParams
-constexpr uint16_t Admin::QueryParams::_capnpPrivate::dataWordSize;
-constexpr uint16_t Admin::QueryParams::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Admin::QueryParams::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Admin::QueryParams::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
-// Admin::QueryResults
-constexpr uint16_t Admin::QueryResults::_capnpPrivate::dataWordSize;
-constexpr uint16_t Admin::QueryResults::_capnpPrivate::pointerCount;
-#if !CAPNP_LITE
-constexpr ::capnp::Kind Admin::QueryResults::_capnpPrivate::kind;
-constexpr ::capnp::_::RawSchema const* Admin::QueryResults::_capnpPrivate::schema;
-#endif  // !CAPNP_LITE
-
 
 }  // namespace
 }  // namespace
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -37,6 +37,9 @@
 CAPNP_DECLARE_SCHEMA(a195c8b7856e9dea);
 CAPNP_DECLARE_SCHEMA(82ac2abd40faba50);
 CAPNP_DECLARE_SCHEMA(8bc50ca4e93a9d70);
+CAPNP_DECLARE_SCHEMA(9efa2435df9a1c8c);
+CAPNP_DECLARE_SCHEMA(83f2ae246d045a33);
+CAPNP_DECLARE_SCHEMA(d22eb1af8c0a9f2d);
 CAPNP_DECLARE_SCHEMA(fd00c6892a8e2253);
 CAPNP_DECLARE_SCHEMA(db70ab980d97f648);
 CAPNP_DECLARE_SCHEMA(9f3599d8f4003a90);
@@ -44,9 +47,6 @@
 CAPNP_DECLARE_SCHEMA(a83751b8a5dbe6a1);
 CAPNP_DECLARE_SCHEMA(975a5a99e8a7de28);
 CAPNP_DECLARE_SCHEMA(dfa9aab70e3a1bc0);
-CAPNP_DECLARE_SCHEMA(9efa2435df9a1c8c);
-CAPNP_DECLARE_SCHEMA(83f2ae246d045a33);
-CAPNP_DECLARE_SCHEMA(d22eb1af8c0a9f2d);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -338,6 +338,55 @@
   };
 };
 
+struct Admin {
+  Admin() = delete;
+
+#if !CAPNP_LITE
+  class Client;
+  class Server;
+#endif  // !CAPNP_LITE
+
+  struct QueryParams;
+  struct QueryResults;
+
+  #if !CAPNP_LITE
+  struct _capnpPrivate {
+    CAPNP_DECLARE_INTERFACE_HEADER(9efa2435df9a1c8c)
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+  };
+  #endif  // !CAPNP_LITE
+};
+
+struct Admin::QueryParams {
+  QueryParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(83f2ae246d045a33, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Admin::QueryResults {
+  QueryResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d22eb1af8c0a9f2d, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Control {
   Control() = delete;
 
@@ -451,55 +500,6 @@
   };
 };
 
-struct Admin {
-  Admin() = delete;
-
-#if !CAPNP_LITE
-  class Client;
-  class Server;
-#endif  // !CAPNP_LITE
-
-  struct QueryParams;
-  struct QueryResults;
-
-  #if !CAPNP_LITE
-  struct _capnpPrivate {
-    CAPNP_DECLARE_INTERFACE_HEADER(9efa2435df9a1c8c)
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-  };
-  #endif  // !CAPNP_LITE
-};
-
-struct Admin::QueryParams {
-  QueryParams() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(83f2ae246d045a33, 0, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct Admin::QueryResults {
-  QueryResults() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d22eb1af8c0a9f2d, 1, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 // =======================================================================================
 
 class LoadReport::Reader {
@@ -2280,11 +2280,11 @@
 #endif  // !CAPNP_LITE
 
 #if !CAPNP_LITE
-class Control::Client
+class Admin::Client
     : public virtual ::capnp::Capability::Client {
 public:
-  typedef Control Calls;
-  typedef Control Reads;
+  typedef Admin Calls;
+  typedef Admin Reads;
 
   Client(decltype(nullptr));
   explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
@@ -2298,21 +2298,17 @@
   Client& operator=(Client& other);
   Client& operator=(Client&& other);
 
-  ::capnp::Request< ::acacianotch::wire::Control::SubscribeParams,  ::acacianotch::wire::Control::SubscribeResults> subscribeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::acacianotch::wire::Control::ExecuteParams,  ::acacianotch::wire::Control::ExecuteResults> executeRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-  ::capnp::Request< ::acacianotch::wire::Control::ReplicateParams,  ::acacianotch::wire::Control::ReplicateResults> replicateRequest(
+  ::capnp::Request< ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults> queryRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
 };
 
-class Control::Server
+class Admin::Server
     : public virtual ::capnp::Capability::Server {
 public:
-  typedef Control Serves;
+  typedef Admin Serves;
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCall(
       uint64_t interfaceId, uint16_t methodId,
@@ -2320,22 +2316,14 @@
       override;
 
 protected:
-  typedef  ::acacianotch::wire::Control::SubscribeParams SubscribeParams;
-  typedef  ::acacianotch::wire::Control::SubscribeResults SubscribeResults;
-  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
-  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
-  typedef  ::acacianotch::wire::Control::ExecuteParams ExecuteParams;
-  typedef  ::acacianotch::wire::Control::ExecuteResults ExecuteResults;
-  typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
-  virtual ::kj::Promise<void> execute(ExecuteContext context);
-  typedef  ::acacianotch::wire::Control::ReplicateParams ReplicateParams;
-  typedef  ::acacianotch::wire::Control::ReplicateResults ReplicateResults;
-  typedef ::capnp::CallContext<ReplicateParams, ReplicateResults> ReplicateContext;
-  virtual ::kj::Promise<void> replicate(ReplicateContext context);
+  typedef  ::acacianotch::wire::Admin::QueryParams QueryParams;
+  typedef  ::acacianotch::wire::Admin::QueryResults QueryResults;
+  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
+  virtual ::kj::Promise<void> query(QueryContext context);
 
-  inline  ::acacianotch::wire::Control::Client thisCap() {
+  inline  ::acacianotch::wire::Admin::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::acacianotch::wire::Control>();
+        .template castAs< ::acacianotch::wire::Admin>();
   }
 
   ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
@@ -2344,9 +2332,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::SubscribeParams::Reader {
+class Admin::QueryParams::Reader {
 public:
-  typedef SubscribeParams Reads;
+  typedef QueryParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2361,17 +2349,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFacts() const;
-  inline  ::acacianotch::wire::NodeFacts::Reader getFacts() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline  ::uint64_t getEpoch() const;
+  inline bool hasWhat() const;
+  inline  ::capnp::Text::Reader getWhat() const;
 
-  inline bool hasSink() const;
-#if !CAPNP_LITE
-  inline  ::acacianotch::wire::NodeSink::Client getSink() const;
-#endif  // !CAPNP_LITE
+  inline bool hasArguments() const;
+  inline  ::capnp::Text::Reader getArguments() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2385,9 +2367,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::SubscribeParams::Builder {
+class Admin::QueryParams::Builder {
 public:
-  typedef SubscribeParams Builds;
+  typedef QueryParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2401,27 +2383,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasFacts();
-  inline  ::acacianotch::wire::NodeFacts::Builder getFacts();
-  inline void setFacts( ::acacianotch::wire::NodeFacts::Reader value);
-  inline  ::acacianotch::wire::NodeFacts::Builder initFacts();
-  inline void adoptFacts(::capnp::Orphan< ::acacianotch::wire::NodeFacts>&& value);
-  inline ::capnp::Orphan< ::acacianotch::wire::NodeFacts> disownFacts();
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline bool hasWhat();
+  inline  ::capnp::Text::Builder getWhat();
+  inline void setWhat( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWhat(unsigned int size);
+  inline void adoptWhat(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWhat();
 
-  inline bool hasSink();
-#if !CAPNP_LITE
-  inline  ::acacianotch::wire::NodeSink::Client getSink();
-  inline void setSink( ::acacianotch::wire::NodeSink::Client&& value);
-  inline void setSink( ::acacianotch::wire::NodeSink::Client& value);
-  inline void adoptSink(::capnp::Orphan< ::acacianotch::wire::NodeSink>&& value);
-  inline ::capnp::Orphan< ::acacianotch::wire::NodeSink> disownSink();
-#endif  // !CAPNP_LITE
+  inline bool hasArguments();
+  inline  ::capnp::Text::Builder getArguments();
+  inline void setArguments( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initArguments(unsigned int size);
+  inline void adoptArguments(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownArguments();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2433,16 +2407,14 @@
 };
 
 #if !CAPNP_LITE
-class Control::SubscribeParams::Pipeline {
+class Admin::QueryParams::Pipeline {
 public:
-  typedef SubscribeParams Pipelines;
+  typedef QueryParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::acacianotch::wire::NodeFacts::Pipeline getFacts();
-  inline  ::acacianotch::wire::NodeSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2451,9 +2423,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::SubscribeResults::Reader {
+class Admin::QueryResults::Reader {
 public:
-  typedef SubscribeResults Reads;
+  typedef QueryResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2468,6 +2440,11 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint16_t getError() const;
+
+  inline bool hasJson() const;
+  inline  ::capnp::Text::Reader getJson() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2480,9 +2457,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::SubscribeResults::Builder {
+class Admin::QueryResults::Builder {
 public:
-  typedef SubscribeResults Builds;
+  typedef QueryResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2496,6 +2473,16 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline  ::uint16_t getError();
+  inline void setError( ::uint16_t value);
+
+  inline bool hasJson();
+  inline  ::capnp::Text::Builder getJson();
+  inline void setJson( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initJson(unsigned int size);
+  inline void adoptJson(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownJson();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2506,9 +2493,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::SubscribeResults::Pipeline {
+class Admin::QueryResults::Pipeline {
 public:
-  typedef SubscribeResults Pipelines;
+  typedef QueryResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2522,25 +2509,101 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ExecuteParams::Reader {
+#if !CAPNP_LITE
+class Control::Client
+    : public virtual ::capnp::Capability::Client,
+      public virtual  ::acacianotch::wire::Admin::Client {
 public:
-  typedef ExecuteParams Reads;
+  typedef Control Calls;
+  typedef Control Reads;
 
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+  Client(decltype(nullptr));
+  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
+  Client(::kj::Own<_t>&& server);
+  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
+  Client(::kj::Promise<_t>&& promise);
+  Client(::kj::Exception&& exception);
+  Client(Client&) = default;
+  Client(Client&&) = default;
+  Client& operator=(Client& other);
+  Client& operator=(Client&& other);
 
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
+  ::capnp::Request< ::acacianotch::wire::Control::SubscribeParams,  ::acacianotch::wire::Control::SubscribeResults> subscribeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::acacianotch::wire::Control::ExecuteParams,  ::acacianotch::wire::Control::ExecuteResults> executeRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::acacianotch::wire::Control::ReplicateParams,  ::acacianotch::wire::Control::ReplicateResults> replicateRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
-#if !CAPNP_LITE
+protected:
+  Client() = default;
+};
+
+class Control::Server
+    : public virtual ::capnp::Capability::Server,
+      public virtual  ::acacianotch::wire::Admin::Server {
+public:
+  typedef Control Serves;
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
+      uint64_t interfaceId, uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
+      override;
+
+protected:
+  typedef  ::acacianotch::wire::Control::SubscribeParams SubscribeParams;
+  typedef  ::acacianotch::wire::Control::SubscribeResults SubscribeResults;
+  typedef ::capnp::CallContext<SubscribeParams, SubscribeResults> SubscribeContext;
+  virtual ::kj::Promise<void> subscribe(SubscribeContext context);
+  typedef  ::acacianotch::wire::Control::ExecuteParams ExecuteParams;
+  typedef  ::acacianotch::wire::Control::ExecuteResults ExecuteResults;
+  typedef ::capnp::CallContext<ExecuteParams, ExecuteResults> ExecuteContext;
+  virtual ::kj::Promise<void> execute(ExecuteContext context);
+  typedef  ::acacianotch::wire::Control::ReplicateParams ReplicateParams;
+  typedef  ::acacianotch::wire::Control::ReplicateResults ReplicateResults;
+  typedef ::capnp::CallContext<ReplicateParams, ReplicateResults> ReplicateContext;
+  virtual ::kj::Promise<void> replicate(ReplicateContext context);
+
+  inline  ::acacianotch::wire::Control::Client thisCap() {
+    return ::capnp::Capability::Server::thisCap()
+        .template castAs< ::acacianotch::wire::Control>();
+  }
+
+  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
+      uint16_t methodId,
+      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
+};
+#endif  // !CAPNP_LITE
+
+class Control::SubscribeParams::Reader {
+public:
+  typedef SubscribeParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
   inline ::kj::StringTree toString() const {
     return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCommand() const;
-  inline  ::capnp::Data::Reader getCommand() const;
+  inline bool hasFacts() const;
+  inline  ::acacianotch::wire::NodeFacts::Reader getFacts() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline bool hasSink() const;
+#if !CAPNP_LITE
+  inline  ::acacianotch::wire::NodeSink::Client getSink() const;
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2554,9 +2617,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ExecuteParams::Builder {
+class Control::SubscribeParams::Builder {
 public:
-  typedef ExecuteParams Builds;
+  typedef SubscribeParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2570,12 +2633,27 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasCommand();
-  inline  ::capnp::Data::Builder getCommand();
-  inline void setCommand( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initCommand(unsigned int size);
-  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
+  inline bool hasFacts();
+  inline  ::acacianotch::wire::NodeFacts::Builder getFacts();
+  inline void setFacts( ::acacianotch::wire::NodeFacts::Reader value);
+  inline  ::acacianotch::wire::NodeFacts::Builder initFacts();
+  inline void adoptFacts(::capnp::Orphan< ::acacianotch::wire::NodeFacts>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::NodeFacts> disownFacts();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline bool hasSink();
+#if !CAPNP_LITE
+  inline  ::acacianotch::wire::NodeSink::Client getSink();
+  inline void setSink( ::acacianotch::wire::NodeSink::Client&& value);
+  inline void setSink( ::acacianotch::wire::NodeSink::Client& value);
+  inline void adoptSink(::capnp::Orphan< ::acacianotch::wire::NodeSink>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::NodeSink> disownSink();
+#endif  // !CAPNP_LITE
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2587,14 +2665,16 @@
 };
 
 #if !CAPNP_LITE
-class Control::ExecuteParams::Pipeline {
+class Control::SubscribeParams::Pipeline {
 public:
-  typedef ExecuteParams Pipelines;
+  typedef SubscribeParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::acacianotch::wire::NodeFacts::Pipeline getFacts();
+  inline  ::acacianotch::wire::NodeSink::Client getSink();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2603,9 +2683,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ExecuteResults::Reader {
+class Control::SubscribeResults::Reader {
 public:
-  typedef ExecuteResults Reads;
+  typedef SubscribeResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2620,9 +2700,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome() const;
-  inline  ::acacianotch::wire::CommandOutcome::Reader getOutcome() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2635,9 +2712,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ExecuteResults::Builder {
+class Control::SubscribeResults::Builder {
 public:
-  typedef ExecuteResults Builds;
+  typedef SubscribeResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2651,13 +2728,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasOutcome();
-  inline  ::acacianotch::wire::CommandOutcome::Builder getOutcome();
-  inline void setOutcome( ::acacianotch::wire::CommandOutcome::Reader value);
-  inline  ::acacianotch::wire::CommandOutcome::Builder initOutcome();
-  inline void adoptOutcome(::capnp::Orphan< ::acacianotch::wire::CommandOutcome>&& value);
-  inline ::capnp::Orphan< ::acacianotch::wire::CommandOutcome> disownOutcome();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2668,15 +2738,14 @@
 };
 
 #if !CAPNP_LITE
-class Control::ExecuteResults::Pipeline {
+class Control::SubscribeResults::Pipeline {
 public:
-  typedef ExecuteResults Pipelines;
+  typedef SubscribeResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::acacianotch::wire::CommandOutcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2685,9 +2754,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ReplicateParams::Reader {
+class Control::ExecuteParams::Reader {
 public:
-  typedef ReplicateParams Reads;
+  typedef ExecuteParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2702,11 +2771,8 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender() const;
-  inline  ::capnp::Text::Reader getSender() const;
-
-  inline bool hasMessage() const;
-  inline  ::capnp::Data::Reader getMessage() const;
+  inline bool hasCommand() const;
+  inline  ::capnp::Data::Reader getCommand() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2720,9 +2786,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ReplicateParams::Builder {
+class Control::ExecuteParams::Builder {
 public:
-  typedef ReplicateParams Builds;
+  typedef ExecuteParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2736,19 +2802,12 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasSender();
-  inline  ::capnp::Text::Builder getSender();
-  inline void setSender( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initSender(unsigned int size);
-  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownSender();
-
-  inline bool hasMessage();
-  inline  ::capnp::Data::Builder getMessage();
-  inline void setMessage( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initMessage(unsigned int size);
-  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
+  inline bool hasCommand();
+  inline  ::capnp::Data::Builder getCommand();
+  inline void setCommand( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initCommand(unsigned int size);
+  inline void adoptCommand(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownCommand();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2760,9 +2819,9 @@
 };
 
 #if !CAPNP_LITE
-class Control::ReplicateParams::Pipeline {
+class Control::ExecuteParams::Pipeline {
 public:
-  typedef ReplicateParams Pipelines;
+  typedef ExecuteParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2776,9 +2835,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Control::ReplicateResults::Reader {
+class Control::ExecuteResults::Reader {
 public:
-  typedef ReplicateResults Reads;
+  typedef ExecuteResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2793,6 +2852,9 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOutcome() const;
+  inline  ::acacianotch::wire::CommandOutcome::Reader getOutcome() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2805,9 +2867,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Control::ReplicateResults::Builder {
+class Control::ExecuteResults::Builder {
 public:
-  typedef ReplicateResults Builds;
+  typedef ExecuteResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2821,6 +2883,13 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasOutcome();
+  inline  ::acacianotch::wire::CommandOutcome::Builder getOutcome();
+  inline void setOutcome( ::acacianotch::wire::CommandOutcome::Reader value);
+  inline  ::acacianotch::wire::CommandOutcome::Builder initOutcome();
+  inline void adoptOutcome(::capnp::Orphan< ::acacianotch::wire::CommandOutcome>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::CommandOutcome> disownOutcome();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2831,14 +2900,15 @@
 };
 
 #if !CAPNP_LITE
-class Control::ReplicateResults::Pipeline {
+class Control::ExecuteResults::Pipeline {
 public:
-  typedef ReplicateResults Pipelines;
+  typedef ExecuteResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::acacianotch::wire::CommandOutcome::Pipeline getOutcome();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -2847,62 +2917,9 @@
 };
 #endif  // !CAPNP_LITE
 
-#if !CAPNP_LITE
-class Admin::Client
-    : public virtual ::capnp::Capability::Client {
-public:
-  typedef Admin Calls;
-  typedef Admin Reads;
-
-  Client(decltype(nullptr));
-  explicit Client(::kj::Own< ::capnp::ClientHook>&& hook);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Server*>()>>
-  Client(::kj::Own<_t>&& server);
-  template <typename _t, typename = ::kj::EnableIf< ::kj::canConvert<_t*, Client*>()>>
-  Client(::kj::Promise<_t>&& promise);
-  Client(::kj::Exception&& exception);
-  Client(Client&) = default;
-  Client(Client&&) = default;
-  Client& operator=(Client& other);
-  Client& operator=(Client&& other);
-
-  ::capnp::Request< ::acacianotch::wire::Admin::QueryParams,  ::acacianotch::wire::Admin::QueryResults> queryRequest(
-      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
-
-protected:
-  Client() = default;
-};
-
-class Admin::Server
-    : public virtual ::capnp::Capability::Server {
-public:
-  typedef Admin Serves;
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCall(
-      uint64_t interfaceId, uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context)
-      override;
-
-protected:
-  typedef  ::acacianotch::wire::Admin::QueryParams QueryParams;
-  typedef  ::acacianotch::wire::Admin::QueryResults QueryResults;
-  typedef ::capnp::CallContext<QueryParams, QueryResults> QueryContext;
-  virtual ::kj::Promise<void> query(QueryContext context);
-
-  inline  ::acacianotch::wire::Admin::Client thisCap() {
-    return ::capnp::Capability::Server::thisCap()
-        .template castAs< ::acacianotch::wire::Admin>();
-  }
-
-  ::capnp::Capability::Server::DispatchCallResult dispatchCallInternal(
-      uint16_t methodId,
-      ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context);
-};
-#endif  // !CAPNP_LITE
-
-class Admin::QueryParams::Reader {
+class Control::ReplicateParams::Reader {
 public:
-  typedef QueryParams Reads;
+  typedef ReplicateParams Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -2917,11 +2934,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWhat() const;
-  inline  ::capnp::Text::Reader getWhat() const;
+  inline bool hasSender() const;
+  inline  ::capnp::Text::Reader getSender() const;
 
-  inline bool hasArguments() const;
-  inline  ::capnp::Text::Reader getArguments() const;
+  inline bool hasMessage() const;
+  inline  ::capnp::Data::Reader getMessage() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -2935,9 +2952,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Admin::QueryParams::Builder {
+class Control::ReplicateParams::Builder {
 public:
-  typedef QueryParams Builds;
+  typedef ReplicateParams Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -2951,19 +2968,19 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasWhat();
-  inline  ::capnp::Text::Builder getWhat();
-  inline void setWhat( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initWhat(unsigned int size);
-  inline void adoptWhat(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownWhat();
+  inline bool hasSender();
+  inline  ::capnp::Text::Builder getSender();
+  inline void setSender( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSender(unsigned int size);
+  inline void adoptSender(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSender();
 
-  inline bool hasArguments();
-  inline  ::capnp::Text::Builder getArguments();
-  inline void setArguments( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initArguments(unsigned int size);
-  inline void adoptArguments(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownArguments();
+  inline bool hasMessage();
+  inline  ::capnp::Data::Builder getMessage();
+  inline void setMessage( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initMessage(unsigned int size);
+  inline void adoptMessage(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownMessage();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -2975,9 +2992,9 @@
 };
 
 #if !CAPNP_LITE
-class Admin::QueryParams::Pipeline {
+class Control::ReplicateParams::Pipeline {
 public:
-  typedef QueryParams Pipelines;
+  typedef ReplicateParams Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -2991,9 +3008,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Admin::QueryResults::Reader {
+class Control::ReplicateResults::Reader {
 public:
-  typedef QueryResults Reads;
+  typedef ReplicateResults Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -3008,11 +3025,6 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getError() const;
-
-  inline bool hasJson() const;
-  inline  ::capnp::Text::Reader getJson() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3025,9 +3037,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Admin::QueryResults::Builder {
+class Control::ReplicateResults::Builder {
 public:
-  typedef QueryResults Builds;
+  typedef ReplicateResults Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -3041,16 +3053,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint16_t getError();
-  inline void setError( ::uint16_t value);
-
-  inline bool hasJson();
-  inline  ::capnp::Text::Builder getJson();
-  inline void setJson( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initJson(unsigned int size);
-  inline void adoptJson(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownJson();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3061,9 +3063,9 @@
 };
 
 #if !CAPNP_LITE
-class Admin::QueryResults::Pipeline {
+class Control::ReplicateResults::Pipeline {
 public:
-  typedef QueryResults Pipelines;
+  typedef ReplicateResults Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -4766,125 +4768,265 @@
   return _builder.getDataField< ::uint16_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void CommandOutcome::Builder::setError( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void CommandOutcome::Builder::setError( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CommandOutcome::Reader::hasDetail() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CommandOutcome::Builder::hasDetail() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CommandOutcome::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CommandOutcome::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CommandOutcome::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CommandOutcome::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CommandOutcome::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CommandOutcome::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CommandOutcome::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CommandOutcome::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void CommandOutcome::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CommandOutcome::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CommandOutcome::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader CommandOutcome::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder CommandOutcome::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CommandOutcome::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder CommandOutcome::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CommandOutcome::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> CommandOutcome::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CommandOutcome::Reader::hasPayload() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CommandOutcome::Builder::hasPayload() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader CommandOutcome::Reader::getPayload() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder CommandOutcome::Builder::getPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CommandOutcome::Builder::setPayload( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder CommandOutcome::Builder::initPayload(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CommandOutcome::Builder::adoptPayload(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> CommandOutcome::Builder::disownPayload() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+#if !CAPNP_LITE
+inline Admin::Client::Client(decltype(nullptr))
+    : ::capnp::Capability::Client(nullptr) {}
+inline Admin::Client::Client(
+    ::kj::Own< ::capnp::ClientHook>&& hook)
+    : ::capnp::Capability::Client(::kj::mv(hook)) {}
+template <typename _t, typename>
+inline Admin::Client::Client(::kj::Own<_t>&& server)
+    : ::capnp::Capability::Client(::kj::mv(server)) {}
+template <typename _t, typename>
+inline Admin::Client::Client(::kj::Promise<_t>&& promise)
+    : ::capnp::Capability::Client(::kj::mv(promise)) {}
+inline Admin::Client::Client(::kj::Exception&& exception)
+    : ::capnp::Capability::Client(::kj::mv(exception)) {}
+inline  ::acacianotch::wire::Admin::Client& Admin::Client::operator=(Client& other) {
+  ::capnp::Capability::Client::operator=(other);
+  return *this;
+}
+inline  ::acacianotch::wire::Admin::Client& Admin::Client::operator=(Client&& other) {
+  ::capnp::Capability::Client::operator=(kj::mv(other));
+  return *this;
 }
 
-inline bool CommandOutcome::Reader::hasDetail() const {
+#endif  // !CAPNP_LITE
+inline bool Admin::QueryParams::Reader::hasWhat() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CommandOutcome::Builder::hasDetail() {
+inline bool Admin::QueryParams::Builder::hasWhat() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CommandOutcome::Reader::getDetail() const {
+inline  ::capnp::Text::Reader Admin::QueryParams::Reader::getWhat() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CommandOutcome::Builder::getDetail() {
+inline  ::capnp::Text::Builder Admin::QueryParams::Builder::getWhat() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CommandOutcome::Builder::setDetail( ::capnp::Text::Reader value) {
+inline void Admin::QueryParams::Builder::setWhat( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CommandOutcome::Builder::initDetail(unsigned int size) {
+inline  ::capnp::Text::Builder Admin::QueryParams::Builder::initWhat(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CommandOutcome::Builder::adoptDetail(
+inline void Admin::QueryParams::Builder::adoptWhat(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CommandOutcome::Builder::disownDetail() {
+inline ::capnp::Orphan< ::capnp::Text> Admin::QueryParams::Builder::disownWhat() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t CommandOutcome::Reader::getRevision() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t CommandOutcome::Builder::getRevision() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void CommandOutcome::Builder::setRevision( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool CommandOutcome::Reader::hasLeader() const {
+inline bool Admin::QueryParams::Reader::hasArguments() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CommandOutcome::Builder::hasLeader() {
+inline bool Admin::QueryParams::Builder::hasArguments() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader CommandOutcome::Reader::getLeader() const {
+inline  ::capnp::Text::Reader Admin::QueryParams::Reader::getArguments() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder CommandOutcome::Builder::getLeader() {
+inline  ::capnp::Text::Builder Admin::QueryParams::Builder::getArguments() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CommandOutcome::Builder::setLeader( ::capnp::Text::Reader value) {
+inline void Admin::QueryParams::Builder::setArguments( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder CommandOutcome::Builder::initLeader(unsigned int size) {
+inline  ::capnp::Text::Builder Admin::QueryParams::Builder::initArguments(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CommandOutcome::Builder::adoptLeader(
+inline void Admin::QueryParams::Builder::adoptArguments(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> CommandOutcome::Builder::disownLeader() {
+inline ::capnp::Orphan< ::capnp::Text> Admin::QueryParams::Builder::disownArguments() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool CommandOutcome::Reader::hasPayload() const {
+inline  ::uint16_t Admin::QueryResults::Reader::getError() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t Admin::QueryResults::Builder::getError() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Admin::QueryResults::Builder::setError( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Admin::QueryResults::Reader::hasJson() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool CommandOutcome::Builder::hasPayload() {
+inline bool Admin::QueryResults::Builder::hasJson() {
   return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Data::Reader CommandOutcome::Reader::getPayload() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader Admin::QueryResults::Reader::getJson() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Data::Builder CommandOutcome::Builder::getPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder Admin::QueryResults::Builder::getJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void CommandOutcome::Builder::setPayload( ::capnp::Data::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+inline void Admin::QueryResults::Builder::setJson( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Data::Builder CommandOutcome::Builder::initPayload(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::capnp::Text::Builder Admin::QueryResults::Builder::initJson(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void CommandOutcome::Builder::adoptPayload(
-    ::capnp::Orphan< ::capnp::Data>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+inline void Admin::QueryResults::Builder::adoptJson(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Data> CommandOutcome::Builder::disownPayload() {
-  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> Admin::QueryResults::Builder::disownJson() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
 #if !CAPNP_LITE
@@ -5158,146 +5300,6 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-#if !CAPNP_LITE
-inline Admin::Client::Client(decltype(nullptr))
-    : ::capnp::Capability::Client(nullptr) {}
-inline Admin::Client::Client(
-    ::kj::Own< ::capnp::ClientHook>&& hook)
-    : ::capnp::Capability::Client(::kj::mv(hook)) {}
-template <typename _t, typename>
-inline Admin::Client::Client(::kj::Own<_t>&& server)
-    : ::capnp::Capability::Client(::kj::mv(server)) {}
-template <typename _t, typename>
-inline Admin::Client::Client(::kj::Promise<_t>&& promise)
-    : ::capnp::Capability::Client(::kj::mv(promise)) {}
-inline Admin::Client::Client(::kj::Exception&& exception)
-    : ::capnp::Capability::Client(::kj::mv(exception)) {}
-inline  ::acacianotch::wire::Admin::Client& Admin::Client::operator=(Client& other) {
-  ::capnp::Capability::Client::operator=(other);
-  return *this;
-}
-inline  ::acacianotch::wire::Admin::Client& Admin::Client::operator=(Client&& other) {
-  ::capnp::Capability::Client::operator=(kj::mv(other));
-  return *this;
-}
-
-#endif  // !CAPNP_LITE
-inline bool Admin::QueryParams::Reader::hasWhat() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Admin::QueryParams::Builder::hasWhat() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Admin::QueryParams::Reader::getWhat() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Admin::QueryParams::Builder::getWhat() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Admin::QueryParams::Builder::setWhat( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Admin::QueryParams::Builder::initWhat(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Admin::QueryParams::Builder::adoptWhat(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Admin::QueryParams::Builder::disownWhat() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool Admin::QueryParams::Reader::hasArguments() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Admin::QueryParams::Builder::hasArguments() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Admin::QueryParams::Reader::getArguments() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Admin::QueryParams::Builder::getArguments() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Admin::QueryParams::Builder::setArguments( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Admin::QueryParams::Builder::initArguments(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Admin::QueryParams::Builder::adoptArguments(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Admin::QueryParams::Builder::disownArguments() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline  ::uint16_t Admin::QueryResults::Reader::getError() const {
-  return _reader.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint16_t Admin::QueryResults::Builder::getError() {
-  return _builder.getDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void Admin::QueryResults::Builder::setError( ::uint16_t value) {
-  _builder.setDataField< ::uint16_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool Admin::QueryResults::Reader::hasJson() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Admin::QueryResults::Builder::hasJson() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Admin::QueryResults::Reader::getJson() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Admin::QueryResults::Builder::getJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Admin::QueryResults::Builder::setJson( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Admin::QueryResults::Builder::initJson(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Admin::QueryResults::Builder::adoptJson(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Admin::QueryResults::Builder::disownJson() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 }  // namespace
 }  // namespace
 
