--- a/test/settings_sample_test.cpp
+++ b/test/settings_sample_test.cpp
@@ -1,6 +1,8 @@
 /// \file Tests of the sample settings and catalogues.
 #include "core/file_func.h"
+#include "core/metrics.h"
 #include "ctl/entry_file.h"
+#include "table/error_reference.h"
 #include "table/settings.h"
 
 #include <doctest/doctest.h>
@@ -124,3 +126,21 @@
   CHECK(Defterdar.count(process_role::agent) == 13);
   CHECK(Defterdar.count("account") == 10);
 }
+
+// Guards against pages that lag behind the tables; scripts/make-pages repairs
+// them.
+TEST_CASE("the pages hold the current reference tables") {
+  const auto Page = [](const std::string &Name) {
+    const auto Text = readSmallFile(path(SOURCE_FOLDER) / "docs" / Name);
+    REQUIRE(Text.ok());
+    return *Text;
+  };
+  const auto Has = [](const std::string &Text, const std::string &Table) {
+    return Text.find("-->\n\n" + Table + "\n<!-- end") != std::string::npos;
+  };
+  const auto Operating = Page("OPERATING.md");
+  CHECK(Has(Operating, settingsReference()));
+  CHECK(Has(Operating, metricsReference()));
+  CHECK(Has(Operating, errorReference()));
+  CHECK(Has(Page("API.md"), errorReference()));
+}
