Add: [Daemon] wiring of the three roles, admin pages, shutdown, client transport

Cause: the modules need processes. Change: entry, agent and control roles with health, readiness, metrics, dumps and graceful shutdown; acacianotchctl talks to the leader or to one process.

--- a/src/ctl/connection.h
+++ b/src/ctl/connection.h
@@ -4,16 +4,31 @@
 #include "ctl/client_type.h"
 #include "ctl/options.h"
 
+#include <memory>
+
 namespace acacianotch {
 
 /// Sends commands and queries to the addresses in the options.
 class ctl_connection {
 public:
   explicit ctl_connection(const ctl_options &Options);
+  ~ctl_connection();
+  ctl_connection(const ctl_connection &) = delete;
+  auto operator=(const ctl_connection &) -> ctl_connection & = delete;
 
+  /// Sends \p Command to the leader. \return `{revision, detail, payload}`.
   [[nodiscard]] auto execute(const json &Command) -> result<json>;
+
+  /// Asks the process given by its admin address, or the control leader.
   [[nodiscard]] auto query(std::string_view What, const json &Arguments)
       -> result<json>;
+
+private:
+  struct state;
+  auto ready() -> result<void>;
+
+  ctl_options Options;
+  std::unique_ptr<state> State;
 };
 
 static_assert(control_client<ctl_connection>);
--- a/src/daemon/role.cpp
+++ b/src/daemon/role.cpp
@@ -1,12 +1,24 @@
 /// \file Entry point of the roles.
 #include "daemon/role.h"
 
+#include "agent/agent_role.h"
+#include "control/control_role.h"
+#include "entry/entry_role.h"
+
 namespace acacianotch {
 
 auto runRole(const settings &Settings) -> result<void> {
-  const std::string Role(ProcessRoleNames.name(Settings.Role));
-  return failure::of(errc::not_ready,
-                     "the role " + Role + " is not implemented");
+  switch (Settings.Role) {
+  case process_role::entry:
+    return runEntry(Settings);
+  case process_role::agent:
+    return runAgent(Settings);
+  case process_role::control:
+    return runControl(Settings);
+  case process_role::invalid:
+    break;
+  }
+  return failure::of(errc::bad_settings, "the role is not set");
 }
 
 } // namespace acacianotch
--- /dev/null
+++ b/src/entry/entry_role.cpp
@@ -0,0 +1,188 @@
+/// \file Wiring of the entry role.
+#include "entry/entry_role.h"
+
+#include "core/file_func.h"
+#include "entry/entry_service.h"
+#include "entry/request_task.h"
+#include "node/admin_server.h"
+#include "node/log_query.h"
+#include "node/node_link.h"
+#include "node/shutdown.h"
+
+#include <random>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr duration TickInterval = std::chrono::milliseconds(50);
+
+auto rpcOptions(const settings &Settings) -> rpc_options {
+  rpc_options Options;
+  Options.SilenceSeconds = static_cast<int>(Settings.Rpc.Keepalive.count());
+  return Options;
+}
+
+auto poolSettings(const entry_settings &Settings) -> pool_settings {
+  pool_settings Pools;
+  Pools.Placement.Subset.MinSize =
+      static_cast<std::uint32_t>(Settings.SubsetSize);
+  Pools.RetryShare = Settings.RetryBudgetShare;
+  Pools.Hedging.BudgetShare = Settings.HedgeBudgetShare;
+  return Pools;
+}
+
+/// Everything that one entry process holds.
+class entry_process {
+public:
+  entry_process(event_loop &TheLoop, const settings &Settings,
+                const session_signer &Sessions)
+      : Control(TheLoop, Settings.Control.Addresses, rpcOptions(Settings)),
+        Link(TheLoop, Control, View,
+             {node_id(Settings.Node.Id), "entry", Settings.Node.Zone, ""}),
+        Pools(node_id(Settings.Node.Id), zone_id(Settings.Node.Zone),
+              std::random_device{}(), poolSettings(Settings.Entry)),
+        Agents(TheLoop, rpcOptions(Settings)),
+        Usage(TheLoop, Control, Settings.Node.Id),
+        Context{TheLoop,
+                View,
+                Pools,
+                Agents,
+                Control,
+                Usage,
+                Sessions,
+                {Settings.Http.MaxBodyBytes, Settings.Entry.DefaultDeadline},
+                Settings.Node.Id,
+                {}},
+        Service(Context), Ticker(TheLoop.repeating([this] { Pools.tick(); })) {
+    Link.onChange([this] { Pools.follow(View); });
+  }
+
+  auto start() -> void {
+    Link.start();
+    Ticker->start(TickInterval);
+  }
+  auto service() -> entry_service & { return Service; }
+  auto stopAccepting() -> void {
+    Stopping = true;
+    Service.stopAccepting();
+  }
+  [[nodiscard]] auto idle() const -> bool {
+    return Service.open() == 0 && Usage.pending() == 0;
+  }
+
+  [[nodiscard]] auto ready() const -> result<void> {
+    if (Stopping)
+      return failure::of(errc::shutting_down);
+    if (!View.ready())
+      return failure::of(errc::not_ready);
+    return {};
+  }
+
+  [[nodiscard]] auto query(std::string_view What, const json &Arguments)
+      -> result<json> {
+    if (What == "log_level")
+      return queryLogLevel(Arguments);
+    if (What != "status" && What != "dump")
+      return failure::of(errc::bad_request,
+                         "unknown query " + std::string(What));
+    const auto &Counters = Context.Counters;
+    json Answer = {
+        {"role", "entry"},
+        {"revision", static_cast<std::uint64_t>(View.currentRevision())},
+        {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
+        {"ready", View.ready()},
+        {"fresh", View.fresh(steady_clock::now())},
+        {"open", Service.open()},
+        {"unsettled_usage", Usage.pending()},
+        {"accepted", Counters.Accepted},
+        {"completed", Counters.Completed},
+        {"not_run", Counters.NotRun},
+        {"may_have_run", Counters.MayHaveRun},
+        {"caller_left", Counters.CallerLeft},
+        {"retries", Counters.Retries},
+        {"hedges", Counters.Hedges},
+        {"claims", Counters.Claims}};
+    if (What == "dump")
+      Answer["pools"] = poolRows();
+    return Answer;
+  }
+
+private:
+  [[nodiscard]] auto poolRows() -> json {
+    json Rows = json::array();
+    for (const auto &[Name, Pool] : Pools.pools()) {
+      const auto &Load = Pool->Placement.load();
+      Rows.push_back({{"name", Name},
+                      {"members", Pool->Members.size()},
+                      {"eligible", Load.Backends},
+                      {"slots", Load.Slots},
+                      {"load", Load.Load},
+                      {"ejected", Pool->Outlier.ejected()}});
+    }
+    return Rows;
+  }
+
+  catalogue_view View;
+  leader_client Control;
+  node_link Link;
+  pool_set Pools;
+  agent_directory Agents;
+  usage_reporter Usage;
+  entry_context Context;
+  entry_service Service;
+  std::unique_ptr<loop_timer> Ticker;
+  bool Stopping = false;
+};
+
+auto httpOptions(const http_settings &Settings) -> http_server_options {
+  http_server_options Options;
+  // evhttp answers larger bodies itself, without the error format of this
+  // interface, so it gets twice the limit that the service checks.
+  Options.MaxBodyBytes = 2 * Settings.MaxBodyBytes;
+  Options.IdleSeconds = static_cast<int>(Settings.IdleTimeout.count());
+  return Options;
+}
+
+} // namespace
+
+auto runEntry(const settings &Settings) -> result<void> {
+  const auto Secret = readSecretFile(Settings.Node.SecretFile);
+  if (!Secret)
+    return Secret.error();
+  const auto Sessions = session_signer::create(Secret->reveal());
+  if (!Sessions)
+    return Sessions.error();
+  auto Loop = event_loop::create();
+  if (!Loop)
+    return Loop.error();
+  entry_process Process(**Loop, Settings, *Sessions);
+  const auto Http = http_server::create(
+      **Loop, Settings.Http.Listen, httpOptions(Settings.Http),
+      [&](const std::shared_ptr<http_exchange> &Exchange) {
+        Process.service().handle(Exchange);
+      });
+  if (!Http)
+    return Http.error();
+  admin_callbacks Callbacks;
+  Callbacks.Ready = [&] { return Process.ready(); };
+  Callbacks.Query = [&](std::string_view What, const json &Arguments) {
+    return Process.query(What, Arguments);
+  };
+  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+                                          rpcOptions(Settings), Callbacks);
+  if (!Admin)
+    return Admin.error();
+  const graceful_shutdown Shutdown(
+      **Loop, Settings.ShutdownDeadline,
+      [&] {
+        Process.stopAccepting();
+        (*Http)->stopAccepting();
+      },
+      [&] { return Process.idle() && (*Http)->openExchanges() == 0; });
+  Process.start();
+  (*Loop)->run();
+  return {};
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/node/admin_server.h
@@ -0,0 +1,52 @@
+/// \file Health, metrics and dumps of one process.
+#pragma once
+
+#include "core/metrics.h"
+#include "core/result.h"
+#include "net/http_server.h"
+#include "net/rpc.h"
+#include "table/settings_type.h"
+
+#include <nlohmann/json.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace acacianotch {
+
+/// What a role offers to operators and to the balancer.
+struct admin_callbacks {
+  std::function<result<void>()> Ready; ///< Why not, if not.
+  std::function<result<nlohmann::json>(std::string_view What,
+                                       const nlohmann::json &Arguments)>
+      Query;
+  std::function<void(metrics_registry &)> UpdateMetrics;
+};
+
+/// Serves `/healthz`, `/readyz`, `/metrics` and `/dump` over HTTP and queries
+/// over RPC.
+class admin_server {
+public:
+  /// \return the server; `address_in_use` if an address is taken.
+  [[nodiscard]] static auto create(event_loop &Loop,
+                                   const admin_settings &Settings,
+                                   const rpc_options &Rpc,
+                                   admin_callbacks Callbacks)
+      -> result<std::unique_ptr<admin_server>>;
+
+  [[nodiscard]] auto metrics() -> metrics_registry & { return Metrics; }
+
+private:
+  explicit admin_server(admin_callbacks TheCallbacks)
+      : Callbacks(std::move(TheCallbacks)) {}
+
+  auto handle(http_exchange &Exchange) -> void;
+
+  admin_callbacks Callbacks;
+  metrics_registry Metrics;
+  std::unique_ptr<http_server> Http;
+  std::unique_ptr<rpc_server> Rpc;
+};
+
+} // namespace acacianotch
