--- a/src/agent/agent_gate.cpp
+++ b/src/agent/agent_gate.cpp
@@ -8,8 +8,7 @@
 namespace {
 
 auto checkVersion(const catalogue_view &View, const backend_body &Backend,
-                  const gate_request &Request, time_point Now)
-    -> result<void> {
+                  const gate_request &Request, time_point Now) -> result<void> {
   const auto &Version = Request.Version;
   if (!View.fresh(Now, Version))
     return failure::of(errc::stale_catalogue);
@@ -17,8 +16,8 @@
     return failure::of(errc::unknown_model, Version.text());
   if (!View.active(Version))
     return failure::of(errc::version_withdrawn, Version.text());
-  const auto Serves = std::find(Backend.Versions.begin(),
-                                Backend.Versions.end(), Version);
+  const auto Serves =
+      std::find(Backend.Versions.begin(), Backend.Versions.end(), Version);
   if (Serves == Backend.Versions.end())
     return failure::of(errc::no_backend,
                        "this backend server does not serve " + Version.text());
@@ -29,13 +28,12 @@
 }
 
 auto checkService(const catalogue_view &View, const backend_body &Backend,
-                  const gate_request &Request, time_point Now)
-    -> result<void> {
+                  const gate_request &Request, time_point Now) -> result<void> {
   if (!View.fresh(Now))
     return failure::of(errc::stale_catalogue);
   if (Backend.Service != Request.Service)
-    return failure::of(errc::no_backend, "this backend server does not serve " +
-                                             Request.Service);
+    return failure::of(errc::no_backend,
+                       "this backend server does not serve " + Request.Service);
   if (View.account(Request.Account.Text) == nullptr)
     return failure::of(errc::not_allowed);
   return {};
--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -154,9 +154,9 @@
   if (!Loop)
     return Loop.error();
   agent_process Process(**Loop, Settings);
-  const auto Rpc = rpc_server::create(**Loop, Settings.Rpc.Listen,
-                                      Process.service().client(),
-                                      rpcOptions(Settings));
+  const auto Rpc =
+      rpc_server::create(**Loop, Settings.Rpc.Listen,
+                         Process.service().client(), rpcOptions(Settings));
   if (!Rpc)
     return Rpc.error();
   admin_callbacks Callbacks;
--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -157,8 +157,8 @@
 // requests wait.
 auto agent_service::startWork(work &Work) -> void {
   const auto Ticket = Work.Ticket;
-  const auto Gate = checkGate(View, State, gateRequest(Work.Attempt->request()),
-                              Clock.now());
+  const auto Gate =
+      checkGate(View, State, gateRequest(Work.Attempt->request()), Clock.now());
   const auto Stopping =
       !Gate && Gate.error().Code == errc::shutting_down; // Finishes its queue.
   if (!Gate && !Stopping) {
@@ -239,7 +239,8 @@
   auto Work = std::move(Found->second);
   Works.erase(Found);
   Queue.cancel(Ticket);
-  Loop.defer([this, Ended = std::shared_ptr<work>(std::move(Work))] { pump(); });
+  Loop.defer(
+      [this, Ended = std::shared_ptr<work>(std::move(Work))] { pump(); });
 }
 
 } // namespace acacianotch
--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -23,9 +23,9 @@
 /// Takes work from entries for one backend server.
 class agent_service {
 public:
-  agent_service(event_loop &Loop, const catalogue_view &View,
-                gate_state &State, const address &Backend,
-                const agent_queue_settings &Queue, const stream_limits &Limits);
+  agent_service(event_loop &Loop, const catalogue_view &View, gate_state &State,
+                const address &Backend, const agent_queue_settings &Queue,
+                const stream_limits &Limits);
   ~agent_service();
 
   /// \return the interface to offer on the RPC port.
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -16,9 +16,9 @@
 
 /// Limits of streams from an agent to an entry.
 struct stream_limits {
-  std::size_t WindowCalls = 16;                     ///< Unacknowledged writes.
-  duration Batch = std::chrono::milliseconds(3);    ///< Between two writes.
-  duration Silence = std::chrono::seconds(120);     ///< Of the backend server.
+  std::size_t WindowCalls = 16;                  ///< Unacknowledged writes.
+  duration Batch = std::chrono::milliseconds(3); ///< Between two writes.
+  duration Silence = std::chrono::seconds(120);  ///< Of the backend server.
 };
 
 /// How an attempt ended.
@@ -58,7 +58,9 @@
   }
 
   /// \return whether the first byte of the answer has arrived.
-  [[nodiscard]] auto answered() const -> bool { return FirstByteAt.has_value(); }
+  [[nodiscard]] auto answered() const -> bool {
+    return FirstByteAt.has_value();
+  }
 
 private:
   auto callOptions() -> http_call_options;
--- a/src/agent/sse_scanner.cpp
+++ b/src/agent/sse_scanner.cpp
@@ -64,8 +64,7 @@
   UsageSeen = true;
   PromptTokens = Usage.value("prompt_tokens", std::uint64_t{0});
   CompletionTokens = Usage.value("completion_tokens", std::uint64_t{0});
-  const auto OnlyUsage =
-      Event.contains("choices") && Event["choices"].empty();
+  const auto OnlyUsage = Event.contains("choices") && Event["choices"].empty();
   return !(HidesUsage && OnlyUsage);
 }
 
--- a/src/agent/sse_scanner.h
+++ b/src/agent/sse_scanner.h
@@ -18,9 +18,7 @@
   [[nodiscard]] auto feed(std::string_view Data) -> std::string;
 
   /// \return whether the end marker `[DONE]` was the last event.
-  [[nodiscard]] auto complete() const -> bool {
-    return Done && Rest.empty();
-  }
+  [[nodiscard]] auto complete() const -> bool { return Done && Rest.empty(); }
 
   /// \return the engine's count, or the number of content events.
   [[nodiscard]] auto completionTokens() const -> std::uint64_t {
--- a/src/control/control_query.cpp
+++ b/src/control/control_query.cpp
@@ -49,14 +49,13 @@
 auto nodeRows(const subscriptions &Nodes, revision Current) -> json {
   json Rows = json::array();
   for (const auto &Node : Nodes.nodes())
-    Rows.push_back(
-        {{"id", Node.Id},
-         {"role", Node.Role},
-         {"zone", Node.Zone},
-         {"revision", static_cast<std::uint64_t>(Node.Acknowledged)},
-         {"current", Node.Acknowledged == Current},
-         {"running", Node.Running},
-         {"queued", Node.Queued}});
+    Rows.push_back({{"id", Node.Id},
+                    {"role", Node.Role},
+                    {"zone", Node.Zone},
+                    {"revision", static_cast<std::uint64_t>(Node.Acknowledged)},
+                    {"current", Node.Acknowledged == Current},
+                    {"running", Node.Running},
+                    {"queued", Node.Queued}});
   return Rows;
 }
 
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -34,8 +34,7 @@
 auto membersOf(const settings &Settings) -> membership {
   membership Members;
   for (const auto &Peer : Settings.Control.Peers) {
-    Members.Members.push_back(
-        {replica_id{Peer.Id}, true, Peer.Address.text()});
+    Members.Members.push_back({replica_id{Peer.Id}, true, Peer.Address.text()});
     Members.NextId = std::max(Members.NextId, Peer.Id + 1);
   }
   return Members;
@@ -51,8 +50,7 @@
 auto updateMetrics(control_service &Service, metrics_registry &Metrics)
     -> void {
   const auto &Node = Service.replica().node();
-  Metrics.gauge(metric::leader)
-      .Set(Node.role() == raft_role::leader ? 1 : 0);
+  Metrics.gauge(metric::leader).Set(Node.role() == raft_role::leader ? 1 : 0);
   Metrics.gauge(metric::epoch).Set(static_cast<double>(Node.term()));
   Metrics.gauge(metric::catalogue_revision)
       .Set(static_cast<double>(Service.state().currentRevision()));
@@ -61,10 +59,9 @@
 } // namespace
 
 auto initialiseControl(const settings &Settings) -> result<void> {
-  return initialiseReplica(Settings.Control.DataFolder.string(),
-                           groupOf(Settings),
-                           replica_id{Settings.Control.ReplicaId},
-                           membersOf(Settings));
+  return initialiseReplica(
+      Settings.Control.DataFolder.string(), groupOf(Settings),
+      replica_id{Settings.Control.ReplicaId}, membersOf(Settings));
 }
 
 auto joinControl(const settings &Settings, std::uint64_t ReplicaId)
@@ -82,8 +79,8 @@
     return Opened.error();
   auto &Service = **Opened;
   const auto Rpc =
-      rpc_server::create(**Loop, Settings.Rpc.Listen,
-                         controlInterface(Service), rpcOptions(Settings));
+      rpc_server::create(**Loop, Settings.Rpc.Listen, controlInterface(Service),
+                         rpcOptions(Settings));
   if (!Rpc)
     return Rpc.error();
   admin_callbacks Callbacks;
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -131,8 +131,7 @@
 
 auto replica_host::addLearner(replica_id Id, std::string Address)
     -> result<log_position> {
-  auto Position =
-      Node.addLearner(Id, std::move(Address), steady_clock::now());
+  auto Position = Node.addLearner(Id, std::move(Address), steady_clock::now());
   scheduleDrive();
   return Position;
 }
@@ -240,9 +239,8 @@
   auto Request = Client->replicateRequest();
   const auto Encoded = encodeEnvelope(Envelope);
   Request.setMessage(toBytes(Encoded));
-  Request.send()
-      .then([](auto &&) {})
-      .detach([](kj::Exception &&) {}); // A lost message is sent again.
+  Request.send().then([](auto &&) {}).detach([](kj::Exception &&) {
+  }); // A lost message is sent again.
 }
 
 auto replica_host::compactIfDue() -> void {
@@ -269,8 +267,7 @@
 
 auto replica_host::scheduleTick() -> void {
   constexpr duration Least = std::chrono::milliseconds(1);
-  TickTimer->start(
-      std::max(Node.nextDeadline() - steady_clock::now(), Least));
+  TickTimer->start(std::max(Node.nextDeadline() - steady_clock::now(), Least));
 }
 
 } // namespace acacianotch
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -39,8 +39,7 @@
 /// Only for a new group: a replica that lost its disk must join under a new id.
 [[nodiscard]] auto initialiseReplica(const std::string &DataFolder,
                                      std::uint64_t Group, replica_id Id,
-                                     const membership &Members)
-    -> result<void>;
+                                     const membership &Members) -> result<void>;
 
 /// Drives a raft_node: messages over RPC, records to the log file, committed
 /// records to the state machine.
--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -113,8 +113,8 @@
                         .eagerlyEvaluate(nullptr);
 }
 
-auto subscriptions::handleAck(subscriber &Subscriber,
-                              wire::NodeAck::Reader Ack) -> void {
+auto subscriptions::handleAck(subscriber &Subscriber, wire::NodeAck::Reader Ack)
+    -> void {
   Subscriber.Waiting = false;
   auto &Node = Subscriber.Node;
   Node.Acknowledged = revision{Ack.getRevision()};
--- a/src/ctl/connection.cpp
+++ b/src/ctl/connection.cpp
@@ -18,21 +18,19 @@
 
 /// Runs the loop until \p Promise is done; failures become results.
 template <typename value_type>
-auto waitFor(event_loop &Loop, kj::Promise<value_type> &&Promise, duration Limit)
-    -> result<value_type> {
+auto waitFor(event_loop &Loop, kj::Promise<value_type> &&Promise,
+             duration Limit) -> result<value_type> {
   std::optional<result<value_type>> Outcome;
   auto Timeout = Loop.delay(Limit).then([]() -> value_type {
     kj::throwFatalException(KJ_EXCEPTION(OVERLOADED, "no answer in time"));
   });
-  const auto Call = Promise.exclusiveJoin(kj::mv(Timeout))
-                        .then(
-                            [&](value_type &&Value) {
-                              Outcome.emplace(std::move(Value));
-                            },
-                            [&](kj::Exception &&Exception) {
-                              Outcome.emplace(failureFrom(Exception));
-                            })
-                        .eagerlyEvaluate(nullptr);
+  const auto Call =
+      Promise.exclusiveJoin(kj::mv(Timeout))
+          .then([&](value_type &&Value) { Outcome.emplace(std::move(Value)); },
+                [&](kj::Exception &&Exception) {
+                  Outcome.emplace(failureFrom(Exception));
+                })
+          .eagerlyEvaluate(nullptr);
   while (!Outcome)
     Loop.turn();
   return std::move(*Outcome);
@@ -91,8 +89,7 @@
   if (auto Ready = ready(); !Ready)
     return Ready.error();
   const auto ToNode = Options.Node.valid();
-  const auto Addresses =
-      ToNode ? std::vector{Options.Node} : Options.Control;
+  const auto Addresses = ToNode ? std::vector{Options.Node} : Options.Control;
   auto Last = failure::of(errc::no_quorum, "no address answered");
   for (const auto &Address : Addresses) {
     rpc_peer Peer(*State->Loop, Address, {});
@@ -108,8 +105,7 @@
       return query_reply{errcFromWire(Response.getError()),
                          toString(Response.getJson())};
     });
-    const auto Reply =
-        waitFor(*State->Loop, kj::mv(Promise), Options.Timeout);
+    const auto Reply = waitFor(*State->Loop, kj::mv(Promise), Options.Timeout);
     if (!Reply) {
       Last = Reply.error();
       continue;
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,4 +1,5 @@
 /// \file Command line of acacianotchd.
+#include "control/control_role.h"
 #include "core/file_func.h"
 #include "core/log_func.h"
 #include "core/metrics.h"
@@ -26,6 +27,8 @@
   bool PrintSettings = false;
   bool PrintMetrics = false;
   bool PrintErrors = false;
+  bool Initialise = false;
+  std::uint64_t JoinAs = 0;
 
   [[nodiscard]] auto prints() const -> bool {
     return PrintSettings || PrintMetrics || PrintErrors;
@@ -73,6 +76,22 @@
   return exitFor(Done.error().Code);
 }
 
+/// Writes the identity of a control replica into its empty data folder.
+auto prepareReplica(const settings &Settings, const daemon_options &Options)
+    -> daemon_exit {
+  if (Settings.Role != process_role::control) {
+    std::cerr << "only a control replica has a data folder\n";
+    return daemon_exit::usage;
+  }
+  const auto Prepared = Options.Initialise
+                            ? initialiseControl(Settings)
+                            : joinControl(Settings, Options.JoinAs);
+  if (Prepared)
+    return daemon_exit::ok;
+  std::cerr << Prepared.error().text() << '\n';
+  return exitFor(Prepared.error().Code);
+}
+
 auto printReferences(const daemon_options &Options) -> daemon_exit {
   if (Options.PrintSettings)
     std::cout << settingsReference();
@@ -91,6 +110,8 @@
     std::cerr << Settings.error().Detail << '\n';
     return daemon_exit::bad_settings;
   }
+  if (Options.Initialise || Options.JoinAs != 0)
+    return prepareReplica(*Settings, Options);
   if (!Options.Check)
     return run(*Settings);
   std::cout << Options.SettingsFile << ": ok\n";
@@ -109,6 +130,16 @@
           ->type_name("FILE");
   App.add_flag("--check", Options.Check, "check the settings file and exit")
       ->needs(File);
+  auto *Initialise = App.add_flag(
+      "--initialise", Options.Initialise,
+      "prepare the empty data folder of a replica of a new group and exit");
+  Initialise->needs(File);
+  App.add_option("--join-as", Options.JoinAs,
+                 "prepare the empty data folder of a replica that the group "
+                 "has added under this id, and exit")
+      ->type_name("ID")
+      ->needs(File)
+      ->excludes(Initialise);
   App.add_flag("--print-settings-reference", Options.PrintSettings,
                "print the reference of all settings and exit")
       ->excludes(File);
--- a/src/entry/api_reply.cpp
+++ b/src/entry/api_reply.cpp
@@ -43,8 +43,8 @@
                        std::string(VerdictNames.name(Failure.Verdict)));
   if (RetryAfter > duration::zero()) {
     const auto Milliseconds = RetryAfter / std::chrono::milliseconds(1);
-    const auto Seconds = (RetryAfter + std::chrono::milliseconds(999)) /
-                         std::chrono::seconds(1);
+    const auto Seconds =
+        (RetryAfter + std::chrono::milliseconds(999)) / std::chrono::seconds(1);
     Headers.emplace_back("Retry-After", std::to_string(Seconds));
     Headers.emplace_back("Retry-After-Ms", std::to_string(Milliseconds));
   }
--- a/src/entry/chat_request.h
+++ b/src/entry/chat_request.h
@@ -18,7 +18,7 @@
   bool Streamed = false;
   bool IncludeUsage = false; ///< The caller wants the usage event.
   std::optional<std::uint64_t> MaxTokens;
-  std::size_t PromptBytes = 0; ///< Text in all messages.
+  std::size_t PromptBytes = 0;  ///< Text in all messages.
   std::uint64_t PrefixHash = 0; ///< Of the first message, for cache affinity.
   nlohmann::json Body;
 
--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -206,16 +206,16 @@
   if (!Attempt.Open)
     return;
   Attempt.Open = false;
-  Context.Pools.backends().finished(Attempt.Backend, Request.Long,
-                                    std::nullopt, steady_clock::now());
+  Context.Pools.backends().finished(Attempt.Backend, Request.Long, std::nullopt,
+                                    steady_clock::now());
 }
 
 auto dispatch::handleOutcome(attempt_state &Attempt,
                              wire::WorkOutcome::Reader Outcome) -> void {
   if (!Attempt.Open)
     return;
-  Context.Pools.backends().reported(Attempt.Backend, readLoad(Outcome.getLoad()),
-                                    steady_clock::now());
+  Context.Pools.backends().reported(
+      Attempt.Backend, readLoad(Outcome.getLoad()), steady_clock::now());
   const auto Code = errcFromWire(Outcome.getError());
   if (Code != errc::ok) {
     const auto RetryAfter =
--- a/src/entry/entry_service.cpp
+++ b/src/entry/entry_service.cpp
@@ -20,8 +20,8 @@
 }
 
 auto modelRow(const std::string &Name, const std::string &Owner) -> json {
-  return {{"id", Name}, {"object", "model"}, {"created", 0},
-          {"owned_by", Owner}};
+  return {
+      {"id", Name}, {"object", "model"}, {"created", 0}, {"owned_by", Owner}};
 }
 
 } // namespace
--- a/src/entry/pool_set.h
+++ b/src/entry/pool_set.h
@@ -29,9 +29,9 @@
 
 /// Controllers of the backend servers that serve one version or one service.
 struct pool {
-  pool(const steady_clock &Clock, seeded_random &Random, backend_board &Backends,
-       account_board &Accounts, const node_id &Entry, const zone_id &Zone,
-       const pool_settings &Settings)
+  pool(const steady_clock &Clock, seeded_random &Random,
+       backend_board &Backends, account_board &Accounts, const node_id &Entry,
+       const zone_id &Zone, const pool_settings &Settings)
       : Placement(Clock, Random, Backends, Entry, Zone, Settings.Placement),
         Admission(Random, Accounts, Settings.Admission),
         Hedging(Settings.Hedging), Outlier(Clock, Backends, Settings.Outlier),
--- a/src/entry/request_task.cpp
+++ b/src/entry/request_task.cpp
@@ -138,8 +138,7 @@
     Request.AffinityKey = hashOf(Session->Session);
   }
   const auto SessionId = Session ? Session->Session : newRequestId().Text;
-  auto Choice =
-      resolveModel(View, AccountBody, Chat.Model, hashOf(SessionId));
+  auto Choice = resolveModel(View, AccountBody, Chat.Model, hashOf(SessionId));
   if (!Choice && !Session)
     return Choice.error();
   const auto Version = Session ? Session->Version : Choice->Candidates.front();
@@ -152,8 +151,7 @@
   if (auto Applied = applyClass(Class.value_or(Choice ? Choice->Class : ""));
       !Applied)
     return Applied;
-  Request.Long =
-      Request.Long || Chat.MaxTokens.value_or(0) > LongWorkTokens;
+  Request.Long = Request.Long || Chat.MaxTokens.value_or(0) > LongWorkTokens;
   return {};
 }
 
@@ -210,8 +208,7 @@
 }
 
 auto request_task::checkSuspicion() -> result<void> {
-  const auto State =
-      Context.View.suspicionOf(fingerprint{Request.Fingerprint});
+  const auto State = Context.View.suspicionOf(fingerprint{Request.Fingerprint});
   if (State == suspicion::quarantined)
     return failure::of(errc::quarantined);
   Request.Isolated = State == suspicion::suspect;
@@ -247,8 +244,7 @@
   ++Context.Counters.Claims;
   command Command;
   Command.Issuer = Context.NodeId;
-  Command.Body =
-      claim_request{Account, Key, Digest, Request.Id, ClaimLeaseMs};
+  Command.Body = claim_request{Account, Key, Digest, Request.Id, ClaimLeaseMs};
   ClaimCall = Context.Control.execute(Command, ClaimLimit)
                   .then([this, Guard = Alive](const command_result &Result) {
                     if (*Guard)
@@ -329,7 +325,8 @@
 }
 
 auto request_task::finish(dispatch_end End) -> void {
-  Context.Counters.Retries += End.Attempts - End.Hedges - (End.Attempts ? 1 : 0);
+  Context.Counters.Retries +=
+      End.Attempts - End.Hedges - (End.Attempts ? 1 : 0);
   Context.Counters.Hedges += End.Hedges;
   release(End.Error ? duration::zero() : steady_clock::now() - StartedAt);
   settle(End);
@@ -380,7 +377,10 @@
       .detach([](kj::Exception &&) {});
 }
 
+// Plain services have no cost in the catalogue.
 auto request_task::recordUsage(const dispatch_end &End) -> void {
+  if (Request.Version.Model.empty())
+    return;
   usage_attempt Attempt;
   Attempt.Version = Request.Version;
   Attempt.Purpose = "primary";
--- a/src/entry/usage_reporter.cpp
+++ b/src/entry/usage_reporter.cpp
@@ -39,11 +39,20 @@
 }
 
 auto usage_reporter::handleResult(const command_result &Result) -> void {
-  if (Result.ok())
+  if (Result.ok()) {
     InFlight.clear();
-  else
-    logWarning(log_category::entry, "usage is not stored yet",
-               {{"error", Result.Detail}, {"records", InFlight.size()}});
+    return;
+  }
+  // Control will never take a malformed batch; repeating it for ever would hold
+  // back all later records.
+  if (Result.Code == errc::bad_request) {
+    logError(log_category::entry, "dropped usage that control rejects",
+             {{"error", Result.Detail}, {"records", InFlight.size()}});
+    InFlight.clear();
+    return;
+  }
+  logWarning(log_category::entry, "usage is not stored yet",
+             {{"error", Result.Detail}, {"records", InFlight.size()}});
 }
 
 } // namespace acacianotch
--- a/src/entry/version_choice.h
+++ b/src/entry/version_choice.h
@@ -13,7 +13,7 @@
 /// What a public model name resolves to for one account.
 struct model_choice {
   std::string Class; ///< Default class; empty if the name is no route.
-  std::optional<double> QualityTarget;  ///< Of the route.
+  std::optional<double> QualityTarget; ///< Of the route.
   std::vector<version_ref> Candidates; ///< Allowed versions, cheapest first.
 };
 
--- a/src/net/rpc.h
+++ b/src/net/rpc.h
@@ -74,7 +74,8 @@
   }
 
   /// Runs \p Callback once when the connection is lost.
-  auto onDisconnect(const std::function<void()> &Callback) -> void;
+  auto
+  onDisconnect(const std::function<void()> &Callback) -> void;
 
 private:
   struct state;
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -25,8 +25,8 @@
 
   auto query(QueryContext Context) -> kj::Promise<void> override {
     const auto Params = Context.getParams();
-    const auto Arguments = nlohmann::json::parse(
-        toString(Params.getArguments()), nullptr, false);
+    const auto Arguments =
+        nlohmann::json::parse(toString(Params.getArguments()), nullptr, false);
     const auto Answer = Callbacks.Query(toString(Params.getWhat()), Arguments);
     auto Results = Context.getResults();
     if (Answer) {
--- a/src/node/admin_server.h
+++ b/src/node/admin_server.h
@@ -29,10 +29,9 @@
 class admin_server {
 public:
   /// \return the server; `address_in_use` if an address is taken.
-  [[nodiscard]] static auto create(event_loop &Loop,
-                                   const admin_settings &Settings,
-                                   const rpc_options &Rpc,
-                                   admin_callbacks Callbacks)
+  [[nodiscard]] static auto
+  create(event_loop &Loop, const admin_settings &Settings,
+         const rpc_options &Rpc, admin_callbacks Callbacks)
       -> result<std::unique_ptr<admin_server>>;
 
   [[nodiscard]] auto metrics() -> metrics_registry & { return Metrics; }
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -34,8 +34,8 @@
 };
 
 leader_client::leader_client(event_loop &TheLoop,
-                               const std::vector<address> &Addresses,
-                               const rpc_options &Options)
+                             const std::vector<address> &Addresses,
+                             const rpc_options &Options)
     : Loop(TheLoop) {
   for (const auto &Address : Addresses)
     Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
@@ -83,11 +83,11 @@
     auto Outcome = Response.getOutcome();
     return std::pair{readOutcome(Outcome), toString(Outcome.getLeader())};
   });
-  auto Limit = Loop.delay(std::min<duration>(Rest, AttemptLimit))
-                   .then([]() -> std::pair<command_result, std::string> {
-                     return {command_result::of(errc::no_quorum, "no answer"),
-                             ""};
-                   });
+  auto Limit =
+      Loop.delay(std::min<duration>(Rest, AttemptLimit))
+          .then([]() -> std::pair<command_result, std::string> {
+            return {command_result::of(errc::no_quorum, "no answer"), ""};
+          });
   return Answer.exclusiveJoin(kj::mv(Limit))
       .then(
           [this, Call](auto &&Pair) mutable -> kj::Promise<command_result> {
--- a/src/node/leader_client.h
+++ b/src/node/leader_client.h
@@ -17,7 +17,7 @@
 class leader_client {
 public:
   leader_client(event_loop &Loop, const std::vector<address> &Addresses,
-                 const rpc_options &Options);
+                const rpc_options &Options);
 
   /// Runs \p Command. \return its result; `no_quorum` if no leader answered
   /// within \p Limit, after which the command may still take effect.
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -54,7 +54,7 @@
   /// Counts subscriptions; shared with sinks, which can outlive the link.
   std::shared_ptr<std::uint64_t> Generation =
       std::make_shared<std::uint64_t>(0);
-  time_point AckedAt{};         ///< When the last acknowledgement was sent.
+  time_point AckedAt{}; ///< When the last acknowledgement was sent.
   time_point HeardAt{};
   kj::Maybe<kj::Promise<void>> Subscription;
   std::unique_ptr<loop_timer> Retry;
--- a/src/node/shutdown.cpp
+++ b/src/node/shutdown.cpp
@@ -20,8 +20,7 @@
                                      std::function<void()> TheBegin,
                                      std::function<bool()> TheIdle)
     : Loop(TheLoop), Deadline(TheDeadline), Begin(std::move(TheBegin)),
-      Idle(std::move(TheIdle)),
-      Timer(TheLoop.repeating([this] { check(); })) {
+      Idle(std::move(TheIdle)), Timer(TheLoop.repeating([this] { check(); })) {
   Loop.onSignal(SIGTERM, [this] { begin(); });
   Loop.onSignal(SIGINT, [this] { begin(); });
 }
