Add: [Bench] policy benchmark and bound test; Fix: [Controller] faults it found

Ruled out: hedging alone; with cached prefixes a straggler gives its first token before any useful hedge delay, and the rest of the answer is slow. Change: bench/policy_bench runs the controllers against fake engines on a virtual clock, beside baselines; test/policy_bound_test checks the bounds. The outlier detector also compares time per token, and ignores a long time to first token while streams flow as fast as the peers'. Admission and agent queue no longer reject on a learnt service time without a queue, which could reject everything for ever. Accounts above their share leave the last places to accounts below it.

--- a/src/controller/admission.h
+++ b/src/controller/admission.h
@@ -13,6 +13,7 @@
 #include <array>
 #include <cmath>
 #include <cstdint>
+#include <limits>
 #include <unordered_map>
 
 namespace acacianotch {
@@ -144,38 +145,51 @@
     const auto Feasible = checkDeadline(Request, Lane, Usage);
     if (!Feasible.ok())
       return Feasible;
-    const auto Room = Usage.Slots * (1.0 + Settings.QueueFactor);
-    if (Usage.Load < Room || belowShare(Lane, Request.Account, Usage, Room))
+    if (Usage.Load < room(Lane, Request.Account, Usage))
       return {};
     return {errc::overloaded, duration{0}};
   }
 
+  // Without a queue, only a prediction for this very request may reject it: a
+  // learnt time above the deadline would reject everything and so never be
+  // corrected.
   static auto checkDeadline(const admission_request &Request, const lane &Lane,
                             const usage &Usage) -> admission_result {
     if (Request.Remaining.count() <= 0)
       return {};
-    const auto Mean = Lane.Service.mean();
-    const auto Expected =
-        Request.Expected.count() > 0 ? Request.Expected : Mean;
-    if (Expected > Request.Remaining)
+    if (Request.Expected > Request.Remaining)
       return {errc::deadline_exceeded, duration{0}};
     const auto Queue = std::max(0.0, Usage.Load + 1.0 - Usage.Slots);
-    const auto Wait = Queue / Usage.Slots * static_cast<double>(Mean.count());
-    if (Wait > static_cast<double>((Request.Remaining - Expected).count()))
+    const auto Predicted = Request.Expected.count() > 0;
+    const auto Expected = Predicted ? Request.Expected : Lane.Service.typical();
+    const auto Mean = static_cast<double>(Lane.Service.mean().count());
+    const auto Left =
+        static_cast<double>((Request.Remaining - Expected).count());
+    if (Queue > 0.0 && Queue / Usage.Slots * Mean > Left)
       return {errc::overloaded, duration{0}};
     return {};
   }
 
-  [[nodiscard]] auto belowShare(const lane &Lane, const account_id &Account,
-                                const usage &Usage, double Room) const -> bool {
+  // Load up to which the account is admitted. Below its weighted share of what
+  // this entry may hold, an account is always admitted. Above it, the room
+  // shrinks by up to half of the queue at twice the share, so that the last
+  // places are left to accounts whose demand varies around their share.
+  [[nodiscard]] auto room(const lane &Lane, const account_id &Account,
+                          const usage &Usage) const -> double {
+    const auto Queue = Usage.Slots * Settings.QueueFactor;
+    const auto Room = Usage.Slots + Queue;
     const auto Others = std::max(0.0, Usage.Load - Lane.Own);
     const auto OwnRoom = std::max(Room - Others, Room * Settings.MinEntryShare);
     const auto Found = Lane.Holdings.find(Account);
     const bool Active = Found != Lane.Holdings.end();
     const auto Weight = Board->row(Account).Facts.Weight;
     const auto AllWeight = Lane.ActiveWeight + (Active ? 0.0 : Weight);
+    const auto Share = OwnRoom * Weight / AllWeight;
     const auto Held = Active ? Found->second.InFlight : 0U;
-    return Held + 1.0 <= OwnRoom * Weight / AllWeight;
+    if (Held + 1.0 <= Share)
+      return std::numeric_limits<double>::infinity();
+    const auto Excess = std::min(1.0, Held / Share - 1.0);
+    return Room - 0.5 * Queue * std::max(0.0, Excess);
   }
 
   auto start(lane &Lane, const account_id &Account) -> void {
--- a/src/controller/agent_queue.h
+++ b/src/controller/agent_queue.h
@@ -191,7 +191,8 @@
   }
 
   [[nodiscard]] auto expected(const work_item &Item) const -> duration {
-    return Item.Expected.count() > 0 ? Item.Expected : mean(Item.Long).mean();
+    return Item.Expected.count() > 0 ? Item.Expected
+                                     : mean(Item.Long).typical();
   }
 
   [[nodiscard]] auto runningOf(bool Long) const -> std::uint32_t {
@@ -225,12 +226,15 @@
     return mean(LongRunning > 0).mean() * (IsolatedWaiting + 1);
   }
 
+  // Only a prediction for this very request may reject it without a queue: a
+  // learnt time above the deadline would reject everything and so never be
+  // corrected.
   auto assess(const work_item &Item) const -> admission_result {
-    const auto Latest = latestStart(Item);
-    if (Latest < Clock->now())
+    const auto Now = Clock->now();
+    if (Item.Deadline <= Now || Item.Deadline - Now < Item.Expected)
       return {errc::deadline_exceeded, duration{0}};
     const auto Wait = expectedWait(Item);
-    if (Wait > Latest - Clock->now())
+    if (Wait.count() > 0 && Wait > Item.Deadline - Now - expected(Item))
       return reject(errc::overloaded, Item);
     return {};
   }
@@ -238,7 +242,7 @@
   [[nodiscard]] auto latestStart(const work_item &Item) const -> time_point {
     if (Item.Deadline == time_point::max())
       return time_point::max();
-    return Item.Deadline - expected(Item);
+    return std::max(Item.Deadline - expected(Item), Clock->now());
   }
 
   auto reject(errc Code, const work_item &Item) const -> admission_result {
--- a/src/controller/outlier.h
+++ b/src/controller/outlier.h
@@ -2,41 +2,45 @@
 #pragma once
 
 #include "board/backend_board.h"
+#include "controller/peer_signal.h"
 #include "core/clock_type.h"
 
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
-#include <deque>
+#include <map>
 #include <optional>
-#include <unordered_map>
+#include <set>
+#include <utility>
 #include <vector>
 
 namespace acacianotch {
 
 /// Settings of outlier detection.
 struct outlier_settings {
-  double EjectFactor = 3.0;         ///< Times the peers' median.
-  duration MinExcess{20'000};       ///< Smaller differences are ignored.
-  double MaxEjectedShare = 0.3;     ///< Share of peers ejected as slow.
-  std::uint32_t MinPeers = 3;       ///< Peers with samples for a median.
-  std::uint32_t MinSamples = 4;     ///< Samples, ended or overdue.
-  std::uint32_t MaxFailures = 3;    ///< Failures in a row until ejection.
-  std::uint32_t GoodProbes = 3;     ///< Probes in a row until return.
-  duration Ejection{5'000'000};     ///< First ejection; doubles each time.
-  duration MaxEjection{60'000'000}; ///< Longest ejection.
+  double EjectFactor = 3.0;             ///< Times the peers' median.
+  duration MinExcess{20'000};           ///< Smaller differences are ignored.
+  double MaxEjectedShare = 0.3;         ///< Share of peers ejected as slow.
+  std::uint32_t MinPeers = 3;           ///< Peers with samples for a median.
+  std::uint32_t MinSamples = 4;         ///< Samples, ended or overdue.
+  std::uint32_t MaxFailures = 3;        ///< Failures in a row until ejection.
+  std::uint32_t GoodProbes = 3;         ///< Probes in a row until return.
+  duration Ejection{2'000'000};         ///< First ejection; doubles each time.
+  duration MaxEjection{60'000'000};     ///< Longest ejection.
+  duration ProgressValidity{1'000'000}; ///< Time that a token proves speed.
 };
 
-/// One observed attempt, from its start to its first token.
+/// One observed attempt, from its start to its end.
 struct observed_attempt {
   backend_handle Backend;   ///< Where it runs.
   std::uint64_t Number = 0; ///< Unique within the detector.
 };
 
-/// Ejects backend servers of one pool whose first tokens take longer than
-/// those of their peers, and returns them after successful probes. It relies
-/// on the entry's own observations because load reports of a straggler come
-/// late. Call tick() every 20 to 100 ms.
+/// Ejects backend servers of one pool that are slower than their peers, and
+/// returns them after successful probes. It relies on what the entry itself
+/// observes, because load reports of a straggler come late: the time to first
+/// token, and the time per token of streams, which shows a slow-down within a
+/// few tokens. Call tick() every 20 to 100 ms.
 template <clock_source clock> class outlier_detector {
 public:
   outlier_detector(const clock &ClockRef, backend_board &BoardRef,
@@ -44,62 +48,88 @@
       : Clock(&ClockRef), Board(&BoardRef), Settings(Values) {}
 
   /// Sets the pool's members of this entry.
-  auto setPeers(std::vector<backend_handle> Handles) -> void {
-    std::unordered_map<std::uint32_t, peer> Kept;
+  auto setPeers(const std::vector<backend_handle> &Handles) -> void {
+    peer_map Kept;
     for (const auto Handle : Handles) {
-      const auto Found = Peers.find(Handle.Index);
-      const bool Known = Found != Peers.end() && Found->second.Handle == Handle;
-      if (!Known)
-        Kept.emplace(Handle.Index, peer{Handle});
+      const auto Found = Peers.find(Handle);
+      if (Found == Peers.end())
+        Kept.emplace(Handle, peer{Handle});
       else
         Kept.insert(Peers.extract(Found));
     }
-    for (auto &[Index, Peer] : Peers)
+    for (auto &[Handle, Peer] : Peers)
       if (Peer.EjectedUntil)
         restore(Peer);
     Peers = std::move(Kept);
   }
 
-  /// Marks an attempt as sent.
-  auto started(backend_handle Backend) -> observed_attempt {
+  /// Marks an attempt as sent. The time to first token of \p Long work is not
+  /// compared, because its prompts are of another size.
+  auto started(backend_handle Backend, bool Long) -> observed_attempt {
     const observed_attempt Attempt{Backend, ++LastNumber};
-    if (auto *Peer = find(Backend))
-      Peer->Pending.push_back({Attempt.Number, Clock->now()});
+    auto *Peer = find(Backend);
+    if (Peer == nullptr)
+      return Attempt;
+    Peer->Open.insert(Attempt.Number);
+    if (!Long)
+      Peer->FirstToken.begin(Attempt.Number, Clock->now());
     return Attempt;
   }
 
   /// Marks the first token of an attempt.
   auto firstToken(const observed_attempt &Attempt) -> void {
     auto *Peer = find(Attempt.Backend);
-    const auto Since = removePending(Peer, Attempt.Number);
-    if (!Since)
+    // The first token of a cancelled attempt may still be on its way.
+    if (Peer == nullptr || Peer->Open.count(Attempt.Number) == 0)
       return;
+    const auto Now = Clock->now();
+    const auto Time = Peer->FirstToken.end(Attempt.Number, Now);
     Peer->Failures = 0;
-    const auto Time = logTime(Clock->now() - *Since);
-    if (Peer->Probe == Attempt.Number)
-      return probeEnded(*Peer, Time <= MedianLog + 0.5 * threshold());
-    observe(Peer->MeanLog, Time);
-    ++Peer->Samples;
+    Peer->PerToken.begin(Attempt.Number, Now);
+    if (!Time)
+      return;
+    if (Peer->Probe != Attempt.Number)
+      return Peer->FirstToken.observe(*Time);
+    // Where tokens follow, the first of them tells more than this time, which
+    // depends on the prompt.
+    if (PerTokenMedian == 0.0)
+      probeEnded(*Peer, *Time <= limit(FirstTokenMedian));
   }
 
-  /// Forgets an attempt that ended without a first token and without fault of
-  /// the backend server: cancelled, or rejected as `not_run`.
-  auto abandoned(const observed_attempt &Attempt) -> void {
+  /// Marks \p Tokens more tokens of an attempt after its first.
+  auto progress(const observed_attempt &Attempt, std::uint32_t Tokens) -> void {
     auto *Peer = find(Attempt.Backend);
-    if (!removePending(Peer, Attempt.Number))
+    if (Peer == nullptr || Tokens == 0)
+      return;
+    const auto Now = Clock->now();
+    const auto Time = Peer->PerToken.end(Attempt.Number, Now);
+    if (!Time)
       return;
+    Peer->PerToken.begin(Attempt.Number, Now);
+    Peer->ProgressAt = Now;
+    const auto Each = *Time / static_cast<std::int64_t>(Tokens);
     if (Peer->Probe == Attempt.Number)
-      Peer->Probe = 0;
+      return probeEnded(*Peer, Each <= limit(PerTokenMedian));
+    Peer->PerToken.observe(Each);
+  }
+
+  /// Forgets an attempt that ended without fault of the backend server:
+  /// complete, cancelled, or rejected as `not_run`.
+  auto ended(const observed_attempt &Attempt) -> void {
+    if (auto *Peer = find(Attempt.Backend))
+      forget(*Peer, Attempt.Number);
   }
 
   /// Marks an attempt as failed by the backend server or its agent.
   auto failed(const observed_attempt &Attempt) -> void {
     auto *Peer = find(Attempt.Backend);
-    if (!removePending(Peer, Attempt.Number))
+    if (Peer == nullptr)
       return;
     if (Peer->Probe == Attempt.Number)
-      return probeEnded(*Peer, false);
-    if (++Peer->Failures >= Settings.MaxFailures && mayEject())
+      probeEnded(*Peer, false);
+    forget(*Peer, Attempt.Number);
+    if (++Peer->Failures >= Settings.MaxFailures && !Peer->EjectedUntil &&
+        mayEject())
       eject(*Peer);
   }
 
@@ -113,8 +143,9 @@
 
   /// Compares the peers, ejects outliers and ends overdue probes.
   auto tick() -> void {
-    updateMedian();
-    for (auto &[Index, Peer] : Peers) {
+    FirstTokenMedian = medianOf(&peer::FirstToken).value_or(FirstTokenMedian);
+    PerTokenMedian = medianOf(&peer::PerToken).value_or(PerTokenMedian);
+    for (auto &[Handle, Peer] : Peers) {
       if (Peer.EjectedUntil)
         endOverdueProbe(Peer);
       else if (isOutlier(Peer) && mayEject())
@@ -124,126 +155,124 @@
 
   /// \return an ejected backend server that is due for a probe. The entry
   /// sends it a copy of an idempotent request, calls probeStarted(), discards
-  /// the answer and cancels the copy at its first token or after probeLimit().
+  /// the answer and cancels the copy once probing() is false.
   [[nodiscard]] auto probeDue() const -> std::optional<backend_handle> {
     if (Ejected == 0)
       return std::nullopt;
-    for (const auto &[Index, Peer] : Peers)
-      if (Peer.EjectedUntil && Peer.Probe == 0 && reachableFact(Peer) &&
+    for (const auto &[Handle, Peer] : Peers)
+      if (Peer.EjectedUntil && Peer.Probe == 0 && mayReturn(Peer) &&
           *Peer.EjectedUntil <= Clock->now())
-        return Peer.Handle;
+        return Handle;
     return std::nullopt;
   }
 
   /// Marks a probe as sent.
   auto probeStarted(backend_handle Backend) -> observed_attempt {
-    const auto Attempt = started(Backend);
+    const auto Attempt = started(Backend, false);
     if (auto *Peer = find(Backend))
       Peer->Probe = Attempt.Number;
     return Attempt;
   }
 
-  /// \return the time after which a probe counts as slow.
-  [[nodiscard]] auto probeLimit() const -> duration {
-    return duration{
-        static_cast<duration::rep>(std::exp(MedianLog + threshold()))};
+  /// \return whether the outcome of a probe is still open; changes with its
+  /// tokens, its end and tick().
+  [[nodiscard]] auto probing(const observed_attempt &Attempt) const -> bool {
+    const auto Found = Peers.find(Attempt.Backend);
+    return Found != Peers.end() && Found->second.Probe == Attempt.Number;
   }
 
   /// \return number of backend servers ejected now.
   [[nodiscard]] auto ejected() const -> std::uint32_t { return Ejected; }
 
 private:
-  struct pending {
-    std::uint64_t Number;
-    time_point Since;
-  };
+  // Time per token varies little between requests, so fewer samples of it are
+  // needed than of the time to first token, which depends on the prompt.
+  static constexpr double FirstTokenWeight = 1.0 / 8.0;
+  static constexpr double PerTokenWeight = 1.0 / 4.0;
+
   struct peer {
+    explicit peer(backend_handle Value) : Handle(Value) {}
+
     backend_handle Handle;
-    double MeanLog = 0.0; // Weighted mean of the logarithm of microseconds.
-    std::uint32_t Samples = 0;
+    peer_signal FirstToken{FirstTokenWeight};
+    peer_signal PerToken{PerTokenWeight};
+    std::set<std::uint64_t> Open; // Attempts neither ended nor failed.
     std::uint32_t Failures = 0;
     std::uint32_t Ejections = 0;
     std::uint32_t GoodProbes = 0;
     std::uint64_t Probe = 0; // Attempt number of the probe in flight.
     std::optional<time_point> EjectedUntil;
     time_point ReturnedAt{};
-    std::deque<pending> Pending;
+    time_point ProgressAt{}; // Last token of a stream.
   };
-
-  static auto logTime(duration Time) -> double {
-    return std::log(std::max(1.0, static_cast<double>(Time.count())));
-  }
-
-  // Logarithms, because times to first token are skewed: one long prompt must
-  // not look like a slow backend server.
-  static auto observe(double &MeanLog, double Time) -> void {
-    constexpr double Weight = 1.0 / 8.0;
-    MeanLog = MeanLog == 0.0 ? Time : MeanLog + Weight * (Time - MeanLog);
-  }
-
-  [[nodiscard]] auto threshold() const -> double {
-    return std::log(Settings.EjectFactor);
-  }
+  using peer_map = std::map<backend_handle, peer>;
 
   [[nodiscard]] auto find(backend_handle Backend) -> peer * {
-    const auto Found = Peers.find(Backend.Index);
-    if (Found == Peers.end() || Found->second.Handle != Backend)
-      return nullptr;
-    return &Found->second;
+    const auto Found = Peers.find(Backend);
+    return Found == Peers.end() ? nullptr : &Found->second;
   }
 
-  [[nodiscard]] auto reachableFact(const peer &Peer) const -> bool {
+  [[nodiscard]] auto mayReturn(const peer &Peer) const -> bool {
     const auto *Row = Board->row(Peer.Handle);
     return Row != nullptr && !Row->Gone && !Row->Facts.Leaving;
   }
 
-  static auto removePending(peer *Peer, std::uint64_t Number)
-      -> std::optional<time_point> {
-    if (Peer == nullptr)
-      return std::nullopt;
-    const auto Found = std::find_if(
-        Peer->Pending.begin(), Peer->Pending.end(),
-        [&](const pending &Pending) { return Pending.Number == Number; });
-    if (Found == Peer->Pending.end())
-      return std::nullopt;
-    const auto Since = Found->Since;
-    Peer->Pending.erase(Found);
-    return Since;
+  auto forget(peer &Peer, std::uint64_t Number) -> void {
+    Peer.Open.erase(Number);
+    Peer.FirstToken.end(Number, Clock->now());
+    Peer.PerToken.end(Number, Clock->now());
+    if (Peer.Probe == Number)
+      Peer.Probe = 0;
   }
 
-  auto updateMedian() -> void {
+  [[nodiscard]] auto medianOf(peer_signal peer::*Signal) const
+      -> std::optional<double> {
     std::vector<double> Means;
-    for (const auto &[Index, Peer] : Peers)
-      if (!Peer.EjectedUntil && Peer.Samples > 0)
-        Means.push_back(Peer.MeanLog);
+    for (const auto &[Handle, Peer] : Peers)
+      if (!Peer.EjectedUntil && (Peer.*Signal).current().Samples > 0)
+        Means.push_back((Peer.*Signal).current().MeanLog);
     if (Means.size() < Settings.MinPeers)
-      return;
+      return std::nullopt;
     const auto Middle =
         std::next(Means.begin(), static_cast<std::ptrdiff_t>(Means.size() / 2));
     std::nth_element(Means.begin(), Middle, Means.end());
-    MedianLog = *Middle;
+    return *Middle;
   }
 
-  // An attempt that is still without a first token counts with its age when
-  // that is above the mean; a straggler is found before it answers.
+  // The time to first token contains the wait in the agent's queue, which says
+  // nothing about the engine. It counts only where no stream shows that the
+  // engine is as fast as its peers.
   [[nodiscard]] auto isOutlier(const peer &Peer) const -> bool {
-    if (MedianLog == 0.0)
+    if (exceeds(Peer.PerToken, PerTokenMedian))
+      return true;
+    return !streamsWell(Peer) && exceeds(Peer.FirstToken, FirstTokenMedian);
+  }
+
+  [[nodiscard]] auto streamsWell(const peer &Peer) const -> bool {
+    const auto Estimate =
+        Peer.PerToken.withOverdue(PerTokenMedian, Clock->now());
+    return PerTokenMedian > 0.0 &&
+           Clock->now() - Peer.ProgressAt < Settings.ProgressValidity &&
+           Estimate.MeanLog <
+               PerTokenMedian + 0.5 * std::log(Settings.EjectFactor);
+  }
+
+  [[nodiscard]] auto exceeds(const peer_signal &Signal, double Median) const
+      -> bool {
+    if (Median == 0.0)
       return false;
-    auto MeanLog = Peer.MeanLog == 0.0 ? MedianLog : Peer.MeanLog;
-    auto Samples = Peer.Samples;
-    for (const auto &Pending : Peer.Pending) {
-      const auto Age = logTime(Clock->now() - Pending.Since);
-      if (Age <= std::max(MeanLog, MedianLog))
-        break;
-      observe(MeanLog, Age);
-      ++Samples;
-    }
-    const auto Excess = std::exp(MeanLog) - std::exp(MedianLog);
-    return Samples >= Settings.MinSamples &&
-           MeanLog > MedianLog + threshold() &&
+    const auto Estimate = Signal.withOverdue(Median, Clock->now());
+    const auto Excess = std::exp(Estimate.MeanLog) - std::exp(Median);
+    return Estimate.Samples >= Settings.MinSamples &&
+           Estimate.MeanLog > Median + std::log(Settings.EjectFactor) &&
            Excess > static_cast<double>(Settings.MinExcess.count());
   }
 
+  [[nodiscard]] auto limit(double Median) const -> duration {
+    const auto Micros = std::exp(Median) * Settings.EjectFactor;
+    return duration{static_cast<duration::rep>(Micros)} + Settings.MinExcess;
+  }
+
   [[nodiscard]] auto mayEject() const -> bool {
     if (Peers.size() < Settings.MinPeers)
       return false;
@@ -283,8 +312,8 @@
   auto restore(peer &Peer) -> void {
     Peer.EjectedUntil.reset();
     Peer.ReturnedAt = Clock->now();
-    Peer.MeanLog = 0.0;
-    Peer.Samples = 0;
+    Peer.FirstToken.reset();
+    Peer.PerToken.reset();
     Peer.Failures = 0;
     --Ejected;
     Board->restore(Peer.Handle);
@@ -293,17 +322,20 @@
   auto endOverdueProbe(peer &Peer) -> void {
     if (Peer.Probe == 0)
       return;
-    for (const auto &Pending : Peer.Pending)
-      if (Pending.Number == Peer.Probe &&
-          Clock->now() - Pending.Since > probeLimit())
-        return probeEnded(Peer, false);
+    const auto Now = Clock->now();
+    const auto First = Peer.FirstToken.age(Peer.Probe, Now);
+    const auto Next = Peer.PerToken.age(Peer.Probe, Now);
+    if ((First && *First > limit(FirstTokenMedian)) ||
+        (Next && *Next > limit(PerTokenMedian)))
+      probeEnded(Peer, false);
   }
 
   const clock *Clock;
   backend_board *Board;
   outlier_settings Settings;
-  std::unordered_map<std::uint32_t, peer> Peers;
-  double MedianLog = 0.0;
+  peer_map Peers;
+  double FirstTokenMedian = 0.0;
+  double PerTokenMedian = 0.0;
   std::uint64_t LastNumber = 0;
   std::uint32_t Ejected = 0;
 };
--- a/src/controller/service_time.h
+++ b/src/controller/service_time.h
@@ -3,6 +3,7 @@
 
 #include "core/clock_type.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace acacianotch {
@@ -11,21 +12,33 @@
 class service_time {
 public:
   explicit service_time(duration Prior)
-      : Mean(static_cast<double>(Prior.count())) {}
+      : Mean(micros(Prior)), MeanLog(std::log(micros(Prior))) {}
 
   /// Adds one observation.
   auto add(duration Observed) -> void {
     constexpr double Weight = 1.0 / 32.0;
-    Mean += Weight * (static_cast<double>(Observed.count()) - Mean);
+    Mean += Weight * (micros(Observed) - Mean);
+    MeanLog += Weight * (std::log(micros(Observed)) - MeanLog);
   }
 
-  /// \return the mean.
+  /// \return the mean, for the time that a queue takes.
   [[nodiscard]] auto mean() const -> duration {
     return duration{std::llround(Mean)};
   }
 
+  /// \return the geometric mean, for the time that one request takes; a few
+  /// very slow ones hardly move it.
+  [[nodiscard]] auto typical() const -> duration {
+    return duration{std::llround(std::exp(MeanLog))};
+  }
+
 private:
+  static auto micros(duration Time) -> double {
+    return std::max(1.0, static_cast<double>(Time.count()));
+  }
+
   double Mean;
+  double MeanLog;
 };
 
 } // namespace acacianotch
--- a/test/controller_agent_queue_test.cpp
+++ b/test/controller_agent_queue_test.cpp
@@ -97,7 +97,9 @@
   test_queue Queue(Clock, Settings);
   auto Item = shortWork();
   Item.Deadline = Clock.now() + 100 * Millisecond;
+  Item.Expected = 200 * Millisecond;
   CHECK(Queue.offer(Item).Code == errc::deadline_exceeded);
+  Item.Expected = duration{0};
   Item.Deadline = Clock.now() + 1200 * Millisecond;
   CHECK(Queue.offer(Item).ok());
   REQUIRE(Queue.next().has_value());
@@ -108,6 +110,24 @@
   CHECK(Rejected.error().Verdict == verdict::not_run);
 }
 
+// Guards against an agent that rejects everything for ever because slow answers
+// taught it a service time above the deadline.
+TEST_CASE(
+    "a learnt time above the deadline does not reject on an idle server") {
+  virtual_clock Clock;
+  test_queue Queue(Clock);
+  for (int Count = 0; Count < 200; ++Count) {
+    const auto Ticket = take(Queue, shortWork());
+    REQUIRE(Queue.next() == Ticket);
+    Clock.advance(100 * Second);
+    Queue.finished(Ticket, true);
+  }
+  auto Item = shortWork();
+  Item.Deadline = Clock.now() + Second;
+  const auto Ticket = take(Queue, Item);
+  CHECK(Queue.next() == Ticket);
+}
+
 // Guards against work that runs after its caller has stopped waiting.
 TEST_CASE("work that has become late is dropped without running") {
   virtual_clock Clock;
--- /dev/null
+++ b/test/policy_bound_test.cpp
@@ -0,0 +1,94 @@
+/// \file Checks the bounds of design section 1.4 on the policy benchmark's
+/// scenarios, shortened; deterministic.
+#include "policy_suite.h"
+
+#include <doctest/doctest.h>
+
+using namespace acacianotch;
+using namespace acacianotch::policy;
+
+namespace {
+
+constexpr std::uint64_t Seeds = 3;
+
+// Latencies and counts of all seeds together, so that the 99th percentile
+// stands on enough requests.
+struct pooled {
+  latency_log Short;
+  latency_log Small;
+  double Goodput = 0.0; // Mean.
+};
+
+auto add(latency_log &Into, const latency_log &From) -> void {
+  Into.Micros.insert(Into.Micros.end(), From.Micros.begin(), From.Micros.end());
+  Into.Good += From.Good;
+  Into.Late += From.Late;
+  Into.Offered += From.Offered;
+}
+
+auto run(scenario Scenario) -> pooled {
+  Scenario.WarmUp = duration{5'000'000};
+  Scenario.Length = duration{20'000'000};
+  pooled All;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    const auto Run = simulation(Scenario, Seed).run();
+    add(All.Short, Run.Short);
+    add(All.Small, Run.SmallAccounts);
+    All.Goodput += Run.Goodput / static_cast<double>(Seeds);
+  }
+  return All;
+}
+
+auto share(std::uint64_t Part, std::uint64_t All) -> double {
+  return static_cast<double>(Part) / static_cast<double>(All);
+}
+
+} // namespace
+
+// Guards against short work that waits behind long work.
+TEST_CASE("p99 of short work beside long work") {
+  const auto Alone = run(shortAlone());
+  const auto Beside = run(shortBesideLong());
+  const auto Ratio = Beside.Short.quantile(0.99) / Alone.Short.quantile(0.99);
+  CHECK(Ratio <= ShortBesideLongBound);
+}
+
+// Guards against work that is accepted and then wasted, and against idle slots,
+// when demand is far above capacity.
+TEST_CASE("goodput at five times demand") {
+  const auto Run = run(overload());
+  CHECK(Run.Goodput >= OverloadGoodputBound);
+}
+
+// Guards against a few large accounts that crowd out the others. Ten accounts
+// of equal weight are active and each small one offers an eighth of the
+// capacity, so four fifths of its demand fit into its share.
+TEST_CASE("small accounts keep their share at five times demand") {
+  const auto Run = run(overload());
+  CHECK(share(Run.Small.Good, Run.Small.Offered) >= 0.9 * 0.8);
+}
+
+// Guards against stragglers that set the latency of all.
+TEST_CASE("p99 with a tenth of backend servers ten times slower") {
+  const auto Healthy = run(healthy());
+  const auto Slowed = run(slowed());
+  const auto Ratio = Slowed.Short.quantile(0.99) / Healthy.Short.quantile(0.99);
+  CHECK(Ratio <= SlowedBound);
+}
+
+// Guards against a decision that examines every backend server.
+TEST_CASE("steps per decision from 10 to 10,000 backend servers") {
+  const auto Growth = stepsPerDecision(10'000, 1) / stepsPerDecision(10, 1);
+  CHECK(Growth <= std::log(10'000.0) / std::log(10.0));
+}
+
+// Guards against a bound test that any policy would pass.
+TEST_CASE("the baselines miss the bounds") {
+  const auto Alone = run(shortAlone()).Short.quantile(0.99);
+  const auto NoCap = run(baseline(shortBesideLong(), noLongCap));
+  CHECK(NoCap.Short.quantile(0.99) / Alone > ShortBesideLongBound);
+  CHECK(run(baseline(overload(), noAdmission)).Goodput < OverloadGoodputBound);
+  const auto Healthy = run(healthy()).Short.quantile(0.99);
+  const auto RoundRobin = run(baseline(slowed(), roundRobin));
+  CHECK(RoundRobin.Short.quantile(0.99) / Healthy > SlowedBound);
+}
