--- a/bench/version_bench.cpp
+++ b/bench/version_bench.cpp
@@ -1,5 +1,6 @@
 /// \file Benchmark of the cascade and of version tests. Prints JSON.
 #include "cascade_summary.h"
+#include "version_summary.h"
 
 #include <CLI/CLI.hpp>
 
@@ -15,6 +16,7 @@
   std::size_t Seeds = 20;
   std::uint64_t FirstSeed = 1;
   std::size_t Requests = 40'000;
+  std::size_t Rollouts = 200;
   std::string Only;
 };
 
@@ -28,6 +30,19 @@
   return Report;
 }
 
+auto versionReport(const bench_options &Options) -> nlohmann::json {
+  nlohmann::json Report;
+  for (const auto &Scenario : versionScenarios()) {
+    if (!Options.Only.empty() && Options.Only != Scenario.Name)
+      continue;
+    Report[Scenario.Name]["sequential"] =
+        runSequential(Scenario, Options.Rollouts, Options.FirstSeed).json();
+    Report[Scenario.Name]["fixed_threshold"] =
+        runThreshold(Scenario, Options.Rollouts, Options.FirstSeed).json();
+  }
+  return Report;
+}
+
 } // namespace
 
 auto main(int Count, char **Arguments) -> int {
@@ -36,12 +51,16 @@
   Program.add_option("--seeds", Options.Seeds, "number of seeds");
   Program.add_option("--first-seed", Options.FirstSeed, "first seed");
   Program.add_option("--requests", Options.Requests, "requests per trial");
+  Program.add_option("--rollouts", Options.Rollouts,
+                     "rollouts per version scenario, one seed each");
   Program.add_option("--only", Options.Only, "run only this scenario");
   CLI11_PARSE(Program, Count, Arguments);
   nlohmann::json Report;
   Report["seeds"] = Options.Seeds;
   Report["first_seed"] = Options.FirstSeed;
   Report["requests"] = Options.Requests;
+  Report["rollouts"] = Options.Rollouts;
+  Report["version_test"] = versionReport(Options);
   Report["cascade"] = cascadeReport(Options);
   std::cout << Report.dump(2) << '\n';
   return 0;
--- /dev/null
+++ b/bench/version_bounds.h
@@ -0,0 +1,46 @@
+/// \file Bounds of the design page (section 1.4) and the size at which the
+/// tests check them.
+#pragma once
+
+#include "cascade_summary.h"
+#include "version_summary.h"
+
+#include <string_view>
+
+namespace acacianotch::bench {
+
+constexpr double MostOverLargest = 0.5;
+constexpr double MostOverHindsight = 1.1;
+constexpr double MostExposed = 50; // requests
+
+constexpr std::size_t BoundSeeds = 6;
+constexpr std::size_t BoundRequests = 100'000;
+constexpr std::size_t BoundRollouts = 100;
+constexpr std::uint64_t BoundFirstSeed = 1;
+
+/// \return the scenario called \p Name, which must exist.
+template <typename scenario>
+[[nodiscard]] auto scenarioByName(const std::vector<scenario> &Scenarios,
+                                  std::string_view Name) -> const scenario & {
+  return *std::find_if(Scenarios.begin(), Scenarios.end(),
+                       [&](const auto &Item) { return Item.Name == Name; });
+}
+
+/// Runs the cascade scenario \p Name at the tests' size.
+[[nodiscard]] inline auto boundCascade(std::string_view Name)
+    -> cascade_summary {
+  const auto Scenarios = cascadeScenarios();
+  return runCascade(scenarioByName(Scenarios, Name), BoundSeeds, BoundFirstSeed,
+                    BoundRequests);
+}
+
+/// Runs rollouts of the version scenario \p Name at the tests' size.
+[[nodiscard]] inline auto boundRollouts(std::string_view Name,
+                                        std::size_t Rollouts = BoundRollouts)
+    -> version_summary {
+  const auto Scenarios = versionScenarios();
+  return runSequential(scenarioByName(Scenarios, Name), Rollouts,
+                       BoundFirstSeed);
+}
+
+} // namespace acacianotch::bench
--- /dev/null
+++ b/test/cascade_noisy_bound_test.cpp
@@ -0,0 +1,15 @@
+/// \file Bound on the cost of the cascade under noisy ratings.
+#include "version_bounds.h"
+
+#include <doctest/doctest.h>
+
+using namespace acacianotch::bench;
+
+// Guards against a cascade that buys too much quality when the rating service
+// errs in 8% of its verdicts.
+TEST_CASE("the cascade stays near the cost of hindsight with noisy ratings") {
+  const auto Summary = boundCascade("noisy_ratings");
+  CHECK(Summary.AboveTarget.mean() >= 0);
+  CHECK(Summary.OverLargest.max() <= MostOverLargest);
+  CHECK(Summary.OverHindsight.mean() <= MostOverHindsight);
+}
--- /dev/null
+++ b/test/version_bound_test.cpp
@@ -0,0 +1,72 @@
+/// \file Bounds on the cascade and on version tests, from the design page.
+#include "version_bounds.h"
+
+#include <doctest/doctest.h>
+
+using namespace acacianotch;
+using namespace acacianotch::bench;
+
+// Guards against a cascade that pays for quality that it does not need, or that
+// saves at the cost of the target. Ratings with much noise are checked in
+// cascade_noisy_bound_test.cpp.
+TEST_CASE("the cascade meets the target near the cost of hindsight") {
+  for (const auto *Name : {"steady", "drift", "wrong_estimates",
+                           "failing_ratings", "slow_ratings"}) {
+    CAPTURE(Name);
+    const auto Summary = boundCascade(Name);
+    CHECK(Summary.AboveTarget.mean() >= 0);
+    CHECK(Summary.OverLargest.max() <= MostOverLargest);
+    CHECK(Summary.OverHindsight.mean() <= MostOverHindsight);
+  }
+}
+
+// Guards against trusting a rating service that is gone or wrong: the target
+// must hold in every trial, at most at half the cost of always-largest.
+TEST_CASE("the cascade meets the target without a usable rating service") {
+  for (const auto *Name :
+       {"ratings_gone", "ratings_inverted", "ratings_all_pass",
+        "ratings_all_fail", "never_rated"}) {
+    CAPTURE(Name);
+    const auto Summary = boundCascade(Name);
+    CHECK(Summary.AboveTarget.min() >= 0);
+    CHECK(Summary.OverLargest.max() <= MostOverLargest);
+  }
+}
+
+// Guards against a bad version that reaches many callers before the stop. The
+// versions that chance alone lets pass 50 requests have a test of their own.
+TEST_CASE("a clearly bad version is stopped within 50 requests") {
+  for (const auto *Name : {"broken", "class_broken", "slow"}) {
+    CAPTURE(Name);
+    const auto Summary = boundRollouts(Name);
+    CHECK(Summary.Stops == BoundRollouts);
+    CHECK(Summary.Exposed.max() <= MostExposed);
+  }
+}
+
+// Guards against a test that notices some kind of bad version late or never,
+// also where single rollouts exceed the bound by chance.
+TEST_CASE("every bad version is stopped, on average within 50 requests") {
+  for (const auto &Scenario : versionScenarios()) {
+    if (!Scenario.Bad)
+      continue;
+    CAPTURE(Scenario.Name);
+    const auto Summary = boundRollouts(Scenario.Name);
+    CHECK(Summary.Stops == BoundRollouts);
+    CHECK(Summary.Exposed.mean() <= MostExposed);
+  }
+}
+
+// Guards against stopping a version that is as good as its predecessor, also
+// while a fault meets both. The benchmark runs enough rollouts to measure 1 in
+// 1,000.
+TEST_CASE("no good version is stopped") {
+  for (const auto &Scenario : versionScenarios()) {
+    if (Scenario.Bad)
+      continue;
+    CAPTURE(Scenario.Name);
+    const auto Summary = boundRollouts(Scenario.Name);
+    CHECK(Summary.Stops == 0);
+    CHECK(Summary.Finished == BoundRollouts);
+  }
+}
