Fix: [Entry] store a claimed request's outcome before its answer is sent

Change: settle first and reply then, waiting at most 1 s; report progress between tokens to the outlier detector.

--- a/scripts/local_deployment.py
+++ b/scripts/local_deployment.py
@@ -53,7 +53,7 @@
             self.run(name, *self.daemon(name))
         self.apply_catalogue()
         for name, row in self.role("agent").items():
-            plain = row["agent"]["backend_name"].startswith(("booking", "ledger"))
+            plain = row["agent"]["backend_name"] in self.plain_backends()
             program = "standin_service" if plain else "standin_engine"
             self.run(f"backend-{name}", self.build / program, "--listen", row["agent"]["backend_address"])
             self.run(name, *self.daemon(name))
@@ -61,6 +61,11 @@
             self.run(name, *self.daemon(name))
         self.wait_ready()
 
+    def plain_backends(self):
+        entries = tomllib.loads((self.folder / "catalogue.toml").read_text())["entries"]
+        return {entry["name"] for entry in entries
+                if entry["kind"] == "backend" and entry["body"].get("service")}
+
     def apply_catalogue(self):
         control = ",".join(row["rpc"]["listen"] for row in self.role("control").values())
         self.client = [self.build / "acacianotchctl", "--control", control]
--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -18,6 +18,15 @@
           Load.getLeaving()};
 }
 
+/// \return server-sent events in \p Data; an engine sends one for each token.
+auto countEvents(std::string_view Data) -> std::uint32_t {
+  std::uint32_t Events = 0;
+  for (auto At = Data.find("\n\n"); At != std::string_view::npos;
+       At = Data.find("\n\n", At + 2))
+    ++Events;
+  return Events;
+}
+
 } // namespace
 
 /// State of one attempt.
@@ -70,7 +79,7 @@
   *Alive = false;
   for (auto &Attempt : Attempts)
     if (Attempt->Open) {
-      Pool.Outlier.abandoned(Attempt->Observed);
+      Pool.Outlier.ended(Attempt->Observed);
       closeAttempt(*Attempt);
     }
 }
@@ -97,7 +106,7 @@
   auto State = std::make_unique<attempt_state>();
   State->Number = Race.add(*Picked);
   State->Backend = *Picked;
-  State->Observed = Pool.Outlier.started(*Picked);
+  State->Observed = Pool.Outlier.started(*Picked, Request.Long);
   Context.Pools.backends().started(*Picked, Request.Long);
   Tried.push_back(*Picked);
   Hedges += Hedge ? 1 : 0;
@@ -173,7 +182,7 @@
     return KJ_EXCEPTION(FAILED, "the data does not follow what came before");
   }
   Attempt.Offset += Data.size();
-  noteFirstToken(Attempt);
+  noteTokens(Attempt, Data);
   if (!Race.firstToken(Attempt.Number))
     return KJ_EXCEPTION(DISCONNECTED, "another attempt was faster");
   cancelLosers();
@@ -202,6 +211,16 @@
   }
 }
 
+auto dispatch::noteTokens(attempt_state &Attempt, std::string_view Data)
+    -> void {
+  const auto Events = countEvents(Data);
+  const auto First = !Attempt.FirstSeen;
+  noteFirstToken(Attempt);
+  const auto More = First && Events > 0 ? Events - 1 : Events;
+  if (Request.Streamed && More > 0)
+    Pool.Outlier.progress(Attempt.Observed, More);
+}
+
 auto dispatch::closeAttempt(attempt_state &Attempt) -> void {
   if (!Attempt.Open)
     return;
@@ -233,11 +252,11 @@
     return;
   }
   noteFirstToken(Attempt);
-  if (!Race.firstToken(Attempt.Number)) {
-    closeAttempt(Attempt);
-    return;
-  }
+  Pool.Outlier.ended(Attempt.Observed);
+  const auto Won = Race.firstToken(Attempt.Number);
   closeAttempt(Attempt);
+  if (!Won)
+    return;
   cancelLosers();
   dispatch_end End;
   End.HttpStatus = Outcome.getHttpStatus();
@@ -260,7 +279,7 @@
     Failure = failure::of(errc::crossed_answer);
   closeAttempt(Attempt);
   if (Failure.Verdict == verdict::not_run) {
-    Pool.Outlier.abandoned(Attempt.Observed);
+    Pool.Outlier.ended(Attempt.Observed);
   } else {
     Pool.Outlier.failed(Attempt.Observed);
     MayHaveRun = true;
@@ -311,7 +330,7 @@
 auto dispatch::cancelLosers() -> void {
   for (const auto &Loser : Race.takeLosers()) {
     auto &Attempt = *Attempts[Loser.Number];
-    Pool.Outlier.abandoned(Attempt.Observed);
+    Pool.Outlier.ended(Attempt.Observed);
     closeAttempt(Attempt);
     Context.Loop.defer([Alive = Alive, &Attempt] {
       if (*Alive)
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -91,6 +91,7 @@
       -> void;
   auto receive(attempt_state &Attempt, std::uint64_t Offset,
                std::string_view Data) -> kj::Promise<void>;
+  auto noteTokens(attempt_state &Attempt, std::string_view Data) -> void;
   auto noteFirstToken(attempt_state &Attempt) -> void;
   auto handleOutcome(attempt_state &Attempt, wire::WorkOutcome::Reader Outcome)
       -> void;
--- a/src/entry/request_task.cpp
+++ b/src/entry/request_task.cpp
@@ -20,6 +20,7 @@
 constexpr std::uint64_t LongWorkTokens = 2000;
 constexpr duration ClaimLimit = std::chrono::seconds(3);
 constexpr duration SettleLimit = std::chrono::seconds(30);
+constexpr duration SettleWait = std::chrono::seconds(1);
 constexpr std::uint32_t ClaimLeaseMs = 300'000;
 constexpr std::size_t MaxStoredAnswerBytes = 64ULL * 1024;
 constexpr int HttpOk = 200;
@@ -329,7 +330,14 @@
       End.Attempts - End.Hedges - (End.Attempts ? 1 : 0);
   Context.Counters.Hedges += End.Hedges;
   release(End.Error ? duration::zero() : steady_clock::now() - StartedAt);
-  settle(End);
+  if (!Claimed) {
+    reply(End);
+    return;
+  }
+  settleThenReply(std::move(End));
+}
+
+auto request_task::reply(const dispatch_end &End) -> void {
   if (End.Error) {
     replyFailure(*End.Error, End.RetryAfter);
     return;
@@ -351,9 +359,7 @@
   Exchange->reply(End.HttpStatus, Headers, End.Body);
 }
 
-auto request_task::settle(const dispatch_end &End) -> void {
-  if (!Claimed)
-    return;
+auto request_task::settlement(const dispatch_end &End) const -> command {
   settle_request Settle{Account, Key, Request.Id, claim_outcome::done,
                         std::nullopt};
   if (End.Error)
@@ -368,13 +374,30 @@
   command Command;
   Command.Issuer = Context.NodeId;
   Command.Body = std::move(Settle);
-  Context.Control.execute(Command, SettleLimit)
-      .then([](const command_result &Result) {
-        if (!Result.ok())
-          logWarning(log_category::entry, "a claim could not be settled",
-                     {{"error", Result.Detail}});
-      })
-      .detach([](kj::Exception &&) {});
+  return Command;
+}
+
+// The caller can lose the answer and resend at once, so the outcome is stored
+// before the answer is sent. An answer that exists is not held back for long:
+// the claim alone already prevents a second run.
+auto request_task::settleThenReply(dispatch_end End) -> void {
+  auto Stored =
+      Context.Control.execute(settlement(End), SettleLimit)
+          .then([](const command_result &Result) {
+            if (!Result.ok())
+              logWarning(log_category::entry, "a claim could not be settled",
+                         {{"error", Result.Detail}});
+          })
+          .fork();
+  ClaimCall = Stored.addBranch()
+                  .exclusiveJoin(Context.Loop.delay(SettleWait))
+                  .then([this, Guard = Alive, Held = std::move(End)] {
+                    if (*Guard)
+                      reply(Held);
+                  })
+                  .eagerlyEvaluate(nullptr);
+  // Storing goes on after the reply.
+  Stored.addBranch().detach([](kj::Exception &&) {});
 }
 
 // Plain services have no cost in the catalogue.
--- a/src/entry/request_task.h
+++ b/src/entry/request_task.h
@@ -38,7 +38,9 @@
   auto run() -> void;
   auto deliver(std::string_view Data, std::function<void()> OnTaken) -> void;
   auto finish(dispatch_end End) -> void;
-  auto settle(const dispatch_end &End) -> void;
+  auto reply(const dispatch_end &End) -> void;
+  [[nodiscard]] auto settlement(const dispatch_end &End) const -> command;
+  auto settleThenReply(dispatch_end End) -> void;
   auto recordUsage(const dispatch_end &End) -> void;
   auto replyWhole(const dispatch_end &End) -> void;
   auto replyFailure(const failure &Failure, duration RetryAfter) -> void;
