Feature: [Entry] cascades with ratings, length prediction

Cause: the entry always used the cheapest candidate of a route. Change: one cascade for each route, class and candidate list decides the first version; answers are rated in the background, or before the reply when a second attempt may follow; all attempts are one usage record; long work is predicted. The request's code is split by step into four sources.

--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -36,20 +36,26 @@
 class entry_process {
 public:
   entry_process(event_loop &TheLoop, const settings &Settings,
-                const session_signer &Sessions)
-      : Control(TheLoop, Settings.Control.Addresses, rpcOptions(Settings)),
+                const session_signer &Sessions, length_predictor Predictor)
+      : Lengths(std::move(Predictor)),
+        Control(TheLoop, Settings.Control.Addresses, rpcOptions(Settings)),
         Link(TheLoop, Control, View,
              {node_id(Settings.Node.Id), "entry", Settings.Node.Zone, ""}),
         Pools(node_id(Settings.Node.Id), zone_id(Settings.Node.Zone),
               std::random_device{}(), poolSettings(Settings.Entry)),
         Agents(TheLoop, rpcOptions(Settings)),
         Usage(TheLoop, Control, Settings.Node.Id),
+        Routes(std::random_device{}()),
+        Ratings(TheLoop, Settings.Entry.RatingAddress),
         Context{TheLoop,
                 View,
                 Pools,
                 Agents,
                 Control,
                 Usage,
+                Routes,
+                Ratings,
+                Lengths,
                 Sessions,
                 {Settings.Http.MaxBodyBytes, Settings.Entry.DefaultDeadline},
                 Settings.Node.Id,
@@ -102,7 +108,9 @@
         {"caller_left", Counters.CallerLeft},
         {"retries", Counters.Retries},
         {"hedges", Counters.Hedges},
-        {"claims", Counters.Claims}};
+        {"claims", Counters.Claims},
+        {"escalations", Counters.Escalations},
+        {"cascades", Routes.cascades()}};
     if (What == "dump")
       Answer["pools"] = poolRows();
     return Answer;
@@ -123,12 +131,15 @@
     return Rows;
   }
 
+  length_predictor Lengths;
   catalogue_view View;
   leader_client Control;
   node_link Link;
   pool_set Pools;
   agent_directory Agents;
   usage_reporter Usage;
+  route_planner Routes;
+  rating_client Ratings;
   entry_context Context;
   entry_service Service;
   std::unique_ptr<loop_timer> Ticker;
@@ -156,7 +167,10 @@
   auto Loop = event_loop::create();
   if (!Loop)
     return Loop.error();
-  entry_process Process(**Loop, Settings, *Sessions);
+  auto Lengths = length_predictor::create({});
+  if (!Lengths)
+    return Lengths.error();
+  entry_process Process(**Loop, Settings, *Sessions, std::move(*Lengths));
   const auto Http = http_server::create(
       **Loop, Settings.Http.Listen, httpOptions(Settings.Http),
       [&](const std::shared_ptr<http_exchange> &Exchange) {
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include "catalogue/catalogue_view.h"
+#include "controller/length_predictor.h"
 #include "controller/session_token.h"
 #include "entry/agent_directory.h"
 #include "entry/pool_set.h"
+#include "entry/rating_client.h"
+#include "entry/route_planner.h"
 #include "entry/usage_reporter.h"
 #include "net/http_server.h"
 #include "node/leader_client.h"
@@ -43,6 +46,9 @@
   agent_directory &Agents;
   leader_client &Control;
   usage_reporter &Usage;
+  route_planner &Routes;
+  rating_client &Ratings;
+  length_predictor &Lengths;
   const session_signer &Sessions;
   entry_limits Limits;
   std::string NodeId;
--- a/src/entry/request_task.h
+++ b/src/entry/request_task.h
@@ -4,6 +4,7 @@
 #include "entry/chat_request.h"
 #include "entry/dispatch.h"
 #include "entry/entry_service.h"
+#include "entry/version_choice.h"
 
 #include <functional>
 #include <memory>
@@ -25,23 +26,47 @@
   auto start() -> void;
 
 private:
+  // request_prepare.cpp
+  auto prepare() -> result<void>;
   auto prepareChat() -> result<void>;
   auto prepareService() -> result<void>;
   auto chooseVersion() -> result<void>;
+  auto resumeSession(const std::string &Token) -> result<void>;
+  auto useVersion(const version_ref &Version) -> result<void>;
+  auto applyChatClass(const std::string &Default) -> result<void>;
   auto applyClass(const std::string &Name) -> result<void>;
+  [[nodiscard]] auto lengthFeatures() const -> length_features;
+  auto planRoute(model_choice &Choice) -> void;
   auto checkSuspicion() -> result<void>;
-  auto admit() -> bool;
-  auto proceed() -> void;
+
+  // request_claim.cpp
   auto claim() -> void;
   auto handleClaim(const command_result &Result) -> void;
   auto replyStored(const json &Response) -> void;
+  [[nodiscard]] auto settlement(const dispatch_end &End) const -> command;
+  auto settleThenReply(dispatch_end End) -> void;
+
+  // request_cascade.cpp
+  auto noteAttempt(const dispatch_end &End, std::string_view Purpose) -> void;
+  auto recordUsage() -> void;
+  auto keepForRating(std::string_view Data) -> void;
+  [[nodiscard]] auto ratingQuestion() const -> rating_question;
+  auto afterFirstAnswer(dispatch_end End) -> void;
+  auto rateInBackground(rating_client::handler OnOutcome) -> void;
+  auto rateBeforeReply(dispatch_end End) -> void;
+  auto takeStep(const cascade_step &Step, dispatch_end First) -> void;
+  auto startSecond(dispatch_end &First) -> bool;
+  auto afterSecondAnswer(dispatch_end End) -> void;
+  auto rateDelivered(bool Expected) -> void;
+
+  // request_task.cpp
+  auto admit() -> bool;
+  auto proceed() -> void;
   auto run() -> void;
   auto deliver(std::string_view Data, std::function<void()> OnTaken) -> void;
   auto finish(dispatch_end End) -> void;
+  auto conclude(dispatch_end End) -> void;
   auto reply(const dispatch_end &End) -> void;
-  [[nodiscard]] auto settlement(const dispatch_end &End) const -> command;
-  auto settleThenReply(dispatch_end End) -> void;
-  auto recordUsage(const dispatch_end &End) -> void;
   auto replyWhole(const dispatch_end &End) -> void;
   auto replyFailure(const failure &Failure, duration RetryAfter) -> void;
   auto replyHeaders() -> http_headers;
@@ -60,6 +85,12 @@
   pool *Pool = nullptr;
   std::unique_ptr<dispatch> Dispatch;
   std::optional<session_claims> Session;
+  length_prediction Predicted;
+  std::optional<route_plan> Plan;          ///< Of a route with a choice.
+  std::optional<dispatch_end> FirstAnswer; ///< Held during a second attempt.
+  std::optional<rating_order> FinalRating; ///< For the delivered answer.
+  std::string Rated;                       ///< Answer as it will be rated.
+  std::vector<usage_attempt> Usage;
   std::string Key; ///< Idempotency key; empty for none.
   std::string Digest;
   bool Admitted = false;
