Change: [Controller] hedge delay up to 8 medians, queue factor 0.75

Cause: at 3 medians, prompts without a cached prefix used up the hedge budget without any straggler; at a queue factor of 0.5 slots were briefly idle under five times demand.

--- a/src/controller/admission.h
+++ b/src/controller/admission.h
@@ -20,7 +20,7 @@
 
 /// Settings of admission.
 struct admission_settings {
-  double QueueFactor = 0.5;   ///< Requests admitted to wait, per slot.
+  double QueueFactor = 0.75;  ///< Requests admitted to wait, per slot.
   double LongShare = 0.5;     ///< Share of slots that long work may take.
   double MinEntryShare = 0.1; ///< Share of the pool that this entry may always
                               ///< use; about 1 by number of entries.
--- a/src/controller/hedging.h
+++ b/src/controller/hedging.h
@@ -18,7 +18,7 @@
   double BudgetShare = 0.05;          ///< Hedges per request.
   double BudgetSaved = 20.0;          ///< Hedges saved up in quiet times.
   double Quantile = 0.95;             ///< Share of requests that is not late.
-  double MaxMedians = 3.0;            ///< Bound of the delay in medians.
+  double MaxMedians = 8.0;            ///< Bound of the delay in medians.
   duration MinDelay{5'000};           ///< Least delay.
   std::uint64_t MinSamples = 50;      ///< Samples before the first hedge.
   std::uint64_t RefreshInterval = 32; ///< Samples between two new delays.
@@ -56,7 +56,9 @@
 
 private:
   // With a tenth of the backend servers slow, the high quantile is a slow
-  // server's time; the median is not moved by them and bounds the delay.
+  // server's time; the median is not moved by them and bounds the delay. The
+  // bound is wide because a prompt without a cached prefix takes several times
+  // the median; at 3 medians such prompts used up the budget.
   auto refresh() -> void {
     const auto Late = Times.quantile(Settings.Quantile);
     const auto Median = static_cast<double>(Times.quantile(0.5).count());
