--- a/src/catalogue/catalogue_state.cpp
+++ b/src/catalogue/catalogue_state.cpp
@@ -88,15 +88,15 @@
   return All;
 }
 
-auto catalogue_state::updatesSince(revision Base) const
+auto catalogue_state::updatesSince(revision Base, std::size_t Bytes) const
     -> std::vector<node_update> {
   if (Base > Data.Revision)
     return {};
   if (Base == revision::none)
-    return snapshotUpdates();
+    return snapshotUpdates(Bytes);
   const auto Keys = Deltas.keysSince(Base);
   if (!Keys)
-    return snapshotUpdates();
+    return snapshotUpdates(Bytes);
   node_update Update;
   Update.Base = Base;
   Update.Revision = Data.Revision;
@@ -108,7 +108,8 @@
   return {std::move(Update)};
 }
 
-auto catalogue_state::snapshotUpdates() const -> std::vector<node_update> {
+auto catalogue_state::snapshotUpdates(std::size_t Limit) const
+    -> std::vector<node_update> {
   std::vector<node_update> Updates;
   std::vector<shared_change> Part;
   const auto Close = [&] {
@@ -123,7 +124,7 @@
   for (auto &Change : sharedContent()) {
     Bytes += encodeChanges({Change}).size();
     Part.push_back(std::move(Change));
-    if (Bytes < ChunkBytes)
+    if (Bytes < Limit)
       continue;
     Close();
     Bytes = 0;
--- a/src/catalogue/catalogue_state.h
+++ b/src/catalogue/catalogue_state.h
@@ -52,8 +52,10 @@
   /// \return the updates that bring a node from \p Base to the current
   /// revision: a confirmation, a delta, or a snapshot in chunks if the history
   /// does not reach back. Empty if the node is ahead of this replica. The
-  /// caller sets the epoch and the confirmation flag.
-  [[nodiscard]] auto updatesSince(revision Base) const
+  /// caller sets the epoch and the confirmation flag. A chunk of a snapshot
+  /// ends with the value that reaches \p Bytes.
+  [[nodiscard]] auto updatesSince(revision Base,
+                                  std::size_t Bytes = ChunkBytes) const
       -> std::vector<node_update>;
 
   /// \return the current value of a shared key, or nothing.
@@ -65,7 +67,8 @@
 
 private:
   auto run(command_context &Context) -> command_result;
-  [[nodiscard]] auto snapshotUpdates() const -> std::vector<node_update>;
+  [[nodiscard]] auto snapshotUpdates(std::size_t Limit) const
+      -> std::vector<node_update>;
 
   catalogue_data Data;
   delta_history Deltas;
--- a/src/catalogue/entry_cmd.cpp
+++ b/src/catalogue/entry_cmd.cpp
@@ -54,6 +54,13 @@
   stopRolloutsOf(Data, Context, Version);
 }
 
+auto forgetKey(catalogue_data &Data, const model_entry *Entry) -> void {
+  if (Entry == nullptr)
+    return;
+  if (const auto *Account = std::get_if<account_body>(&Entry->Body))
+    Data.AccountKeys.erase(Account->KeySha256);
+}
+
 /// Stores an entry with its revision and history.
 auto store(catalogue_data &Data, command_context &Context, model_entry Entry)
     -> const model_entry & {
@@ -63,6 +70,9 @@
   Entry.Created = Current ? Current->Created : Context.revisionHere();
   if (const auto *Version = std::get_if<version_body>(&Entry.Body))
     noteState(Data, Context, Version->ref(), Version->State);
+  forgetKey(Data, Current);
+  if (const auto *Account = std::get_if<account_body>(&Entry.Body))
+    Data.AccountKeys[Account->KeySha256] = Entry.Name;
   addHistory(Data, Context, Key, &Entry);
   Context.Changed.push_back(sharedKey(Key));
   return Data.Entries.insert_or_assign(Key, std::move(Entry)).first->second;
@@ -73,16 +83,11 @@
   const auto *Body = std::get_if<account_body>(&Entry.Body);
   if (Body == nullptr)
     return {};
-  auto Place = Data.Entries.lower_bound({entry_kind::account, {}});
-  for (; Place != Data.Entries.end(); ++Place) {
-    if (Place->first.Kind != entry_kind::account)
-      break;
-    const auto &Other = std::get<account_body>(Place->second.Body);
-    if (Place->first.Name != Entry.Name && Other.KeySha256 == Body->KeySha256)
-      return failure::of(errc::bad_request, "account '" + Place->first.Name +
-                                                "' has the same bearer key");
-  }
-  return {};
+  const auto Place = Data.AccountKeys.find(Body->KeySha256);
+  if (Place == Data.AccountKeys.end() || Place->second == Entry.Name)
+    return {};
+  return failure::of(errc::bad_request,
+                     "account '" + Place->second + "' has the same bearer key");
 }
 
 auto reinstates(const catalogue_data &Data, const model_entry &Entry) -> bool {
@@ -158,6 +163,7 @@
     Payload = withdrawPayload(Data, *Current);
     noteState(Data, Context, Version->ref(), version_state::withdrawn);
   }
+  forgetKey(Data, Current);
   addHistory(Data, Context, Key, nullptr);
   Context.Changed.push_back(sharedKey(Key));
   Data.Entries.erase(Key);
--- a/src/catalogue/snapshot.cpp
+++ b/src/catalogue/snapshot.cpp
@@ -39,6 +39,18 @@
   return {};
 }
 
+/// Derives the index of bearer keys; two accounts must not share one.
+auto indexKeys(catalogue_data &Data) -> result<void> {
+  for (const auto &[Key, Entry] : Data.Entries) {
+    const auto *Account = std::get_if<account_body>(&Entry.Body);
+    if (Account == nullptr)
+      continue;
+    if (!Data.AccountKeys.try_emplace(Account->KeySha256, Key.Name).second)
+      return corrupt("two accounts have the same bearer key");
+  }
+  return {};
+}
+
 auto checkRollouts(const catalogue_data &Data) -> result<void> {
   for (const auto &[Model, Rollout] : Data.Rollouts) {
     if (auto Done = validateRollout(Rollout); !Done)
@@ -93,6 +105,8 @@
     return corrupt(Done.error().Detail);
   if (auto Done = check(State.Data); !Done)
     return Done.error();
+  if (auto Done = indexKeys(State.Data); !Done)
+    return Done.error();
   State.Deltas.restart(State.Data.Revision);
   return State;
 }
--- a/src/catalogue/state_type.h
+++ b/src/catalogue/state_type.h
@@ -131,6 +131,10 @@
   std::map<std::string, std::vector<budget_lease>> Leases; ///< By account.
   std::map<fingerprint, crash_record> Crashes;
   std::map<std::string, remembered_change> Changes;
+
+  /// Digest of each bearer key to its account. Derived from the entries and not
+  /// stored, so that a put need not search all accounts for a duplicate.
+  std::map<std::string, std::string> AccountKeys;
 };
 
 /// \return the hash under which an old claim is remembered.
