Fix: [Ctl] stack overflow on deeply nested JSON files

Cause: checks of entry files recurse; a JSON file with 2,000,000 open brackets ended acacianotchctl with signal 11. TOML files were safe, because toml++ limits nesting to 256. Change: JSON nested deeper than 64 levels is refused, and `.json` files are always checked as entry files. log_field no longer shadows its member, which GCC does not report because src/ is a system include folder for the library's users.

--- a/src/core/log_type.h
+++ b/src/core/log_type.h
@@ -77,22 +77,22 @@
   std::string_view Key; ///< Name of the field.
   content Value;        ///< Its value.
 
-  log_field(std::string_view Key, const char *Text)
-      : Key(Key), Value(std::string_view(Text)) {}
-  log_field(std::string_view Key, std::string_view Text)
-      : Key(Key), Value(Text) {}
-  log_field(std::string_view Key, const std::string &Text)
-      : Key(Key), Value(std::string_view(Text)) {}
-  log_field(std::string_view Key, const secret & /*Hidden*/)
-      : Key(Key), Value(HiddenText) {}
-  log_field(std::string_view Key, std::same_as<bool> auto Flag)
-      : Key(Key), Value(Flag) {}
-  log_field(std::string_view Key, std::floating_point auto Number)
-      : Key(Key), Value(static_cast<double>(Number)) {}
+  log_field(std::string_view Name, const char *Text)
+      : Key(Name), Value(std::string_view(Text)) {}
+  log_field(std::string_view Name, std::string_view Text)
+      : Key(Name), Value(Text) {}
+  log_field(std::string_view Name, const std::string &Text)
+      : Key(Name), Value(std::string_view(Text)) {}
+  log_field(std::string_view Name, const secret & /*Hidden*/)
+      : Key(Name), Value(HiddenText) {}
+  log_field(std::string_view Name, std::same_as<bool> auto Flag)
+      : Key(Name), Value(Flag) {}
+  log_field(std::string_view Name, std::floating_point auto Number)
+      : Key(Name), Value(static_cast<double>(Number)) {}
   template <std::integral type>
   requires(!std::same_as<type, bool>)
-      log_field(std::string_view Key, type Number)
-      : Key(Key), Value(integer(Number)) {}
+      log_field(std::string_view Name, type Number)
+      : Key(Name), Value(integer(Number)) {}
 
 private:
   template <std::integral type>
--- a/src/ctl/entry_file.cpp
+++ b/src/ctl/entry_file.cpp
@@ -5,6 +5,7 @@
 #include "core/text_func.h"
 #include "table/toml_type.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr std::size_t MessageLimit = 160;
+constexpr std::size_t MaxNesting = 64;
 
 auto toJson(const toml::node &Node) -> json;
 
@@ -162,8 +164,30 @@
                          ": " + oneLine(Error.description(), MessageLimit));
 }
 
+/// \return the greatest number of open brackets in \p Text outside strings.
+auto nestingOf(std::string_view Text) -> std::size_t {
+  std::size_t Open = 0;
+  std::size_t Greatest = 0;
+  auto InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    const auto Char = Text[I];
+    if (InString && Char == '\\')
+      ++I;
+    else if (Char == '"')
+      InString = !InString;
+    else if (!InString && (Char == '[' || Char == '{'))
+      Greatest = std::max(Greatest, ++Open);
+    else if (!InString && (Char == ']' || Char == '}') && Open > 0)
+      --Open;
+  }
+  return Greatest;
+}
+
 auto parseJson(const std::string &Text, const std::string &File)
     -> result<json> {
+  // Checks and output of JSON recurse and would exhaust the stack.
+  if (nestingOf(Text) > MaxNesting)
+    return failure::of(errc::bad_settings, File + ": is nested too deeply");
   auto Value = json::parse(Text, nullptr, false);
   if (Value.is_discarded())
     return failure::of(errc::bad_settings, File + ": is not JSON");
@@ -194,8 +218,11 @@
 }
 
 auto isEntryFile(const std::filesystem::path &File) -> bool {
+  // Settings are always TOML.
+  if (File.extension() == ".json")
+    return true;
   const auto Root = parseFile(File);
-  return Root && (Root->is_array() || Root->contains("entries"));
+  return Root && Root->contains("entries");
 }
 
 } // namespace acacianotch
--- a/src/ctl/entry_file.h
+++ b/src/ctl/entry_file.h
@@ -26,7 +26,8 @@
 [[nodiscard]] auto loadEntries(const std::filesystem::path &File)
     -> result<std::vector<file_entry>>;
 
-/// \return whether the TOML file \p File has a top-level key `entries`.
+/// \return whether \p File is meant to hold entries: its name ends in `.json`,
+/// or it has a top-level key `entries`.
 [[nodiscard]] auto isEntryFile(const std::filesystem::path &File) -> bool;
 
 } // namespace acacianotch
--- a/test/ctl_test.cpp
+++ b/test/ctl_test.cpp
@@ -1,10 +1,12 @@
 /// \file Tests of acacianotchctl with a client that keeps a small catalogue.
+#include "core/random_type.h"
 #include "ctl/entry_file.h"
 #include "ctl/run.h"
 
 #include <doctest/doctest.h>
 
 #include <cstdio>
+#include <cstdlib>
 #include <fstream>
 #include <map>
 #include <sstream>
@@ -268,6 +270,43 @@
   CHECK(Client.Commands.empty());
 }
 
+// Guards against a stack overflow: JSON is checked and printed recursively.
+TEST_CASE("deeply nested JSON is refused") {
+  fake_client Client;
+  constexpr std::size_t Depth = 200000;
+  const auto Nested = std::string(Depth, '[') + std::string(Depth, ']');
+  const scratch_file File(".json", Nested);
+  CHECK(runCtl(Client, {"check-config", File.name()}).Exit ==
+        ctl_exit::bad_settings);
+  const scratch_file Text(".json", R"([{"kind":"a","name":"b","owner":"\"[",
+                                       "body":{"x":")" +
+                                       std::string(Depth, '[') + "\"}}]");
+  CHECK(runCtl(Client, {"check-config", Text.name()}).Exit == ctl_exit::ok);
+}
+
+// Guards against a crash on damaged files. ACACIANOTCH_SEED repeats a run.
+TEST_CASE("random garbage in entry files is refused or read, never fatal") {
+  const auto *Given = std::getenv("ACACIANOTCH_SEED");
+  const auto Seed =
+      Given != nullptr ? std::strtoull(Given, nullptr, 10) : 20261204;
+  CAPTURE(Seed);
+  seeded_random Random(Seed);
+  const std::string Json =
+      R"([{"kind":"a","name":"b","owner":"c","revision":1,"body":{"x":[1]}}])";
+  constexpr std::string_view Tokens = "[]{}=.,:\"'\\\n#-+ 019aetn\xff\xc3";
+  for (int Round = 0; Round < 1000; ++Round) {
+    const auto IsToml = randomBelow(Random, 2) == 0;
+    auto Text = IsToml ? TwoEntries : Json;
+    for (auto Edits = 1 + randomBelow(Random, 5); Edits > 0; --Edits)
+      Text[randomBelow(Random, Text.size())] =
+          Tokens[randomBelow(Random, Tokens.size())];
+    const scratch_file File(IsToml ? ".toml" : ".json", Text);
+    const auto Entries = loadEntries(File.name());
+    if (!Entries)
+      CHECK(Entries.error().Code == errc::bad_settings);
+  }
+}
+
 // Guards against output of `get --json` that cannot be edited and applied.
 TEST_CASE("the JSON output of get is a file for apply") {
   const scratch_file File(".toml", TwoEntries);
