Change: [Replication] send silent replicas heartbeats only

Change: a replica that has not answered for the least election timeout gets empty appends until it answers. A new leader starts with its no-op instead of the index after it, which every follower rejected.

--- a/src/replication/raft_append.cpp
+++ b/src/replication/raft_append.cpp
@@ -170,8 +170,16 @@
   }
 }
 
+/// \return whether \p Peer has been silent for so long that it gets heartbeats
+/// only: records and snapshot pieces would load the network without use.
+auto raft_node::silent(const peer &Peer, time_point Now) const -> bool {
+  return std::max(Peer.AnsweredAt, LeaderSince) <= Now - Timing.ElectionMin;
+}
+
 /// Sends what \p To lacks, as far as its window allows.
 auto raft_node::replicateTo(replica_id To, peer &Peer, time_point Now) -> void {
+  if (silent(Peer, Now))
+    return Peer.Sending.reset();
   if (Peer.Sending || !Log.termAt(Peer.Next - 1)) {
     if (!Peer.Waiting)
       sendChunk(To, Peer, Now);
@@ -183,14 +191,16 @@
 }
 
 auto raft_node::sendAppend(replica_id To, peer &Peer, time_point Now) -> void {
-  const auto Previous = Peer.Next - 1;
+  const auto Known = Log.termAt(Peer.Next - 1).has_value();
+  const auto Previous = Known ? Peer.Next - 1 : Log.base().Index;
   append_request Body;
   Body.Term = State.Term;
   Body.Previous = {Previous, Log.termAt(Previous).value_or(0)};
   Body.Commit = Commit;
   Body.SentAt = wireTime(Now);
   const auto Last = std::min(Log.last().Index, Peer.Match + Limits.Window);
-  Body.Records = Log.slice(Peer.Next, Last, Limits.AppendBytes);
+  if (!silent(Peer, Now))
+    Body.Records = Log.slice(Peer.Next, Last, Limits.AppendBytes);
   if (Peer.Probing)
     Peer.Waiting = true;
   else
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -90,8 +90,8 @@
   Votes.clear();
   // Records of earlier terms count as committed only below a record of this
   // term; the no-op provides one at once.
-  TermStart = addRecord(record_kind::no_op, {}).Index;
   updatePeers();
+  TermStart = addRecord(record_kind::no_op, {}).Index;
 }
 
 /// The leader's lease counts on this: a replica that answered a leader gives
--- a/src/replication/raft_node.h
+++ b/src/replication/raft_node.h
@@ -225,6 +225,7 @@
   auto advanceCommit(time_point Now) -> void;
   auto sendAppends(time_point Now) -> void;
   auto sendAppend(replica_id To, peer &Peer, time_point Now) -> void;
+  [[nodiscard]] auto silent(const peer &Peer, time_point Now) const -> bool;
   auto replicateTo(replica_id To, peer &Peer, time_point Now) -> void;
 
   // raft_snapshot.cpp
--- a/test/replication_test.cpp
+++ b/test/replication_test.cpp
@@ -79,7 +79,9 @@
     for (const auto &Envelope : Effects.Messages) {
       const auto To = static_cast<std::uint64_t>(Envelope.To);
       const auto Found = Nodes.find(To);
-      if (Found != Nodes.end() && !Cut[{Id, To}])
+      if (Cut[{Id, To}])
+        Wasted += encodeEnvelope(Envelope).size();
+      else if (Found != Nodes.end())
         Found->second.receive(Envelope, Now);
     }
     return !Effects.Messages.empty() || Effects.Write.Sequence != 0;
@@ -96,6 +98,7 @@
   std::map<std::pair<std::uint64_t, std::uint64_t>, bool> Cut;
   std::map<std::uint64_t, std::vector<log_record>> Committed;
   std::map<std::uint64_t, snapshot> Restored;
+  std::size_t Wasted = 0; ///< Bytes sent into cut links.
 };
 
 auto wireTime(time_point Time) -> std::uint64_t {
@@ -334,6 +337,27 @@
   CHECK(Group.Committed[Other].back().Index == Index + 1);
 }
 
+// Guards against a replica that never answers and costs the leader a message
+// full of records, or a snapshot piece, with each heartbeat.
+TEST_CASE("an unreachable replica gets heartbeats only") {
+  lockstep Group(3);
+  const auto Leader = Group.elect();
+  auto &Node = Group.at(Leader);
+  Group.Cut[{Leader, 4}] = true;
+  Group.run(400ms);
+  REQUIRE(Node.addLearner(replica_id{4}, "vm", Group.Now).ok());
+  for (auto Count = 0; Count < 100; ++Count)
+    REQUIRE(Node.propose(std::string(500, 'x'), Group.Now).ok());
+  constexpr std::size_t HeartbeatBytes = 100;
+  Group.run(1s);
+  CHECK(Group.Wasted > 0);
+  CHECK(Group.Wasted < 25 * HeartbeatBytes);
+  const std::string Data(100'000, 's');
+  REQUIRE(Node.compact(Node.commitIndex(), Data).ok());
+  Group.run(1s);
+  CHECK(Group.Wasted < 50 * HeartbeatBytes);
+}
+
 // Guards against two changes at a time, reused ids, the promotion of a learner
 // that lacks records, and the loss of the last majority.
 TEST_CASE("membership changes one replica at a time") {
