Feature: [Entry] spend limits through leased budget

Cause: an account's spend limit was stored but not enforced. Change: the entry reserves a request's expected cost from budget that control leases to it and settles the real cost at the end; without control nothing beyond the lease is reserved.

--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr duration TickInterval = std::chrono::milliseconds(50);
+constexpr duration BudgetLimit = std::chrono::seconds(3);
 
 auto rpcOptions(const settings &Settings) -> rpc_options {
   rpc_options Options;
@@ -45,6 +46,11 @@
               std::random_device{}(), poolSettings(Settings.Entry)),
         Agents(TheLoop, rpcOptions(Settings)),
         Usage(TheLoop, Control, Settings.Node.Id),
+        Budgets(
+            [this](const command &Command) {
+              return Control.execute(Command, BudgetLimit);
+            },
+            Settings.Node.Id),
         Routes(std::random_device{}()),
         Ratings(TheLoop, Settings.Entry.RatingAddress),
         Context{TheLoop,
@@ -53,6 +59,7 @@
                 Agents,
                 Control,
                 Usage,
+                Budgets,
                 Routes,
                 Ratings,
                 Lengths,
@@ -138,6 +145,7 @@
   pool_set Pools;
   agent_directory Agents;
   usage_reporter Usage;
+  budget_keeper Budgets;
   route_planner Routes;
   rating_client Ratings;
   entry_context Context;
--- a/src/entry/entry_service.h
+++ b/src/entry/entry_service.h
@@ -5,6 +5,7 @@
 #include "controller/length_predictor.h"
 #include "controller/session_token.h"
 #include "entry/agent_directory.h"
+#include "entry/budget_keeper.h"
 #include "entry/pool_set.h"
 #include "entry/rating_client.h"
 #include "entry/route_planner.h"
@@ -46,6 +47,7 @@
   agent_directory &Agents;
   leader_client &Control;
   usage_reporter &Usage;
+  budget_keeper &Budgets;
   route_planner &Routes;
   rating_client &Ratings;
   length_predictor &Lengths;
--- a/src/entry/request_cascade.cpp
+++ b/src/entry/request_cascade.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::uint64_t TokensPerPrice = 1000;
+constexpr std::uint64_t BytesPerToken = 4;
 constexpr std::size_t MaxRatedBytes = 64ULL * 1024;
 
 } // namespace
@@ -19,15 +20,36 @@
   Attempt.Purpose = Purpose;
   Attempt.InputTokens = End.PromptTokens;
   Attempt.OutputTokens = End.CompletionTokens;
-  if (const auto *Version = Context.View.version(Request.Version))
-    Attempt.Cost = (End.PromptTokens * Version->InputCost +
-                    End.CompletionTokens * Version->OutputCost) /
-                   TokensPerPrice;
+  Attempt.Cost = costOf(End.PromptTokens, End.CompletionTokens);
   Usage.push_back(std::move(Attempt));
   Context.Lengths.observe(lengthFeatures(),
                           static_cast<std::uint32_t>(End.CompletionTokens));
 }
 
+auto request_task::costOf(std::uint64_t Input, std::uint64_t Output) const
+    -> std::uint64_t {
+  const auto *Version = Context.View.version(Request.Version);
+  if (Version == nullptr)
+    return 0;
+  return (Input * Version->InputCost + Output * Version->OutputCost) /
+         TokensPerPrice;
+}
+
+auto request_task::expectedCost() const -> std::uint64_t {
+  return costOf(Chat.PromptBytes / BytesPerToken,
+                static_cast<std::uint64_t>(Predicted.OutputTokens));
+}
+
+auto request_task::settleBudget() -> void {
+  if (!Reserved)
+    return;
+  std::uint64_t Spent = 0;
+  for (const auto &Attempt : Usage)
+    Spent += Attempt.Cost;
+  Context.Budgets.settle(Account, *std::exchange(Reserved, std::nullopt),
+                         Spent);
+}
+
 // All attempts of a request are one record, so it is billed once. Plain
 // services have no cost in the catalogue.
 auto request_task::recordUsage() -> void {
--- a/src/entry/request_task.cpp
+++ b/src/entry/request_task.cpp
@@ -49,7 +49,26 @@
     if (*Guard)
       callerLeft();
   });
-  proceed();
+  if (Request.Version.Model.empty())
+    proceed();
+  else
+    reserveBudget();
+}
+
+auto request_task::reserveBudget() -> void {
+  const auto Cost = expectedCost();
+  Context.Budgets.reserve(
+      Account, Cost, [this, Guard = Alive, Cost](const result<void> &Outcome) {
+        if (!*Guard) {
+          return;
+        }
+        if (!Outcome) {
+          replyFailure(Outcome.error(), duration::zero());
+          return;
+        }
+        Reserved = Cost;
+        proceed();
+      });
 }
 
 auto request_task::admit() -> bool {
@@ -198,6 +217,7 @@
   if (Done)
     return;
   Done = true;
+  settleBudget();
   OnDone();
 }
 
--- a/src/entry/request_task.h
+++ b/src/entry/request_task.h
@@ -49,6 +49,10 @@
   // request_cascade.cpp
   auto noteAttempt(const dispatch_end &End, std::string_view Purpose) -> void;
   auto recordUsage() -> void;
+  [[nodiscard]] auto costOf(std::uint64_t Input, std::uint64_t Output) const
+      -> std::uint64_t;
+  [[nodiscard]] auto expectedCost() const -> std::uint64_t;
+  auto settleBudget() -> void;
   auto keepForRating(std::string_view Data) -> void;
   [[nodiscard]] auto ratingQuestion() const -> rating_question;
   auto afterFirstAnswer(dispatch_end End) -> void;
@@ -61,6 +65,7 @@
 
   // request_task.cpp
   auto admit() -> bool;
+  auto reserveBudget() -> void;
   auto proceed() -> void;
   auto run() -> void;
   auto deliver(std::string_view Data, std::function<void()> OnTaken) -> void;
@@ -91,7 +96,8 @@
   std::optional<rating_order> FinalRating; ///< For the delivered answer.
   std::string Rated;                       ///< Answer as it will be rated.
   std::vector<usage_attempt> Usage;
-  std::string Key; ///< Idempotency key; empty for none.
+  std::optional<std::uint64_t> Reserved; ///< Budget in micro-units.
+  std::string Key;                       ///< Idempotency key; empty for none.
   std::string Digest;
   bool Admitted = false;
   bool Claimed = false;
