Add: [Catalogue] test of a resent return of a budget lease

Cause: a trial that removed the guard against a second return of a lease passed all tests.

Change: a test returns a part of a lease twice while its usage is not recorded.

--- a/test/catalogue_usage_test.cpp
+++ b/test/catalogue_usage_test.cpp
@@ -128,6 +128,18 @@
   }
 }
 
+// Guards against a resent return that frees budget which is spent but not yet
+// recorded.
+TEST_CASE("a lease is returned once") {
+  cluster Cluster;
+  REQUIRE(Cluster.put(accountEntry("a", 100)).ok());
+  const auto Granted = Cluster.runPlain(leaseOf("n1", 50));
+  const auto Id = Granted.Payload.at("lease").get<std::uint64_t>();
+  Cluster.runPlain(leaseOf("n1", 0, Id, 20));
+  Cluster.runPlain(leaseOf("n1", 0, Id, 20));
+  CHECK(Cluster.State.data().Leases.at("a").front().Amount == 30);
+}
+
 // Guards against a budget that stays locked when its holder dies.
 TEST_CASE("a lost lease frees its budget after ten seconds") {
   cluster Cluster;
