Fix: [Agent] keep the agent alive when a backend server breaks off an answer

Cause: endWork() moved the ended work out of Works before noteEnd() listed Works for the crash report, so noteEnd() read an empty pointer and the agent crashed. The process test "truncated and crossed answers are errors" showed it: the agent ended without a log line and the entry reported "Peer disconnected". Change: note the end while the work is still listed; the report then also names the request whose answer broke off.

--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -179,8 +179,9 @@
   const auto Found = Works.find(Ticket);
   if (Found == Works.end())
     return;
+  // A crash report lists all of Works, so this one must still be in it.
+  noteEnd(*Found->second, End);
   auto Work = std::move(Found->second);
-  noteEnd(*Work, End);
   Works.erase(Found);
   Queue.finished(Ticket, End.Code == errc::ok);
   Work->Attempt->fillOutcome(End);
