Fix: [Control] a joining replica answers before it knows the members

The leader never learnt what the replica lacks and promote_replica failed for ever with not_ready. Change: replicas that the membership does not tell are looked up in the setting control.peers. A leader that is missing from that setting still gets no answer.

--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -28,6 +28,8 @@
   Options.SnapshotEvery = Control.SnapshotEvery;
   Options.Seed = std::random_device{}();
   Options.Rpc = rpcOptions(Settings);
+  for (const auto &Peer : Control.Peers)
+    Options.Contacts[replica_id{Peer.Id}] = Peer.Address.text();
   return Options;
 }
 
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -215,14 +215,23 @@
   Node.storageFailed(steady_clock::now());
 }
 
+// A replica that has just joined knows no members; without an answer from it
+// the leader would not send what it lacks.
+auto replica_host::addressOf(replica_id Id) const -> std::string {
+  if (const auto *Member = Node.members().find(Id))
+    return Member->Address;
+  const auto Contact = Options.Contacts.find(Id);
+  return Contact == Options.Contacts.end() ? "" : Contact->second;
+}
+
 auto replica_host::peerFor(replica_id Id) -> rpc_peer * {
-  const auto *Member = Node.members().find(Id);
-  if (Member == nullptr)
+  const auto Text = addressOf(Id);
+  if (Text.empty())
     return nullptr;
-  auto &Peer = Peers[Member->Address];
+  auto &Peer = Peers[Text];
   if (Peer != nullptr)
     return Peer.get();
-  const auto Address = parseAddress(Member->Address);
+  const auto Address = parseAddress(Text);
   if (!Address)
     return nullptr;
   Peer = std::make_unique<rpc_peer>(Loop, *Address, Options.Rpc);
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -25,6 +25,8 @@
   std::uint64_t SnapshotEvery = 10'000; ///< Log records between snapshots.
   std::uint64_t Seed = 0;
   rpc_options Rpc;
+  /// Addresses of replicas that the membership does not tell yet.
+  std::map<replica_id, std::string> Contacts;
 };
 
 /// What the state machine must do for the replica.
@@ -90,6 +92,7 @@
   auto carryOut(raft_effects &Effects) -> void;
   auto store(const write_batch &Batch) -> void;
   auto send(const envelope &Envelope) -> void;
+  [[nodiscard]] auto addressOf(replica_id Id) const -> std::string;
   auto peerFor(replica_id Id) -> rpc_peer *;
   auto compactIfDue() -> void;
   auto scheduleTick() -> void;
