Feature: [Ctl] replica add, promote and remove; queries go to the leader

Cause: the membership queries of control had no subcommand, and only the leader accepts them. Queries but status went to the first address that answered: a follower may lag behind a change that was just acknowledged, which showed as an entry that was missing right after its apply. Change: three subcommands; queries to control look for the leader first. Without a leader any replica answers, as before.

--- a/src/ctl/client_type.h
+++ b/src/ctl/client_type.h
@@ -62,6 +62,12 @@
 inline constexpr std::string_view Dump = "dump";
 /// {category?, level?} to {levels: {category: level}} after the change.
 inline constexpr std::string_view LogLevel = "log_level";
+/// {id, address} to {accepted: true}; only the leader accepts it.
+inline constexpr std::string_view AddReplica = "add_replica";
+/// {id} to {accepted: true}; only the leader accepts it.
+inline constexpr std::string_view PromoteReplica = "promote_replica";
+/// {id} to {accepted: true}; only the leader accepts it.
+inline constexpr std::string_view RemoveReplica = "remove_replica";
 } // namespace query_name
 
 } // namespace acacianotch
--- a/src/ctl/connection.cpp
+++ b/src/ctl/connection.cpp
@@ -84,42 +84,52 @@
               {"payload", Result->Payload}};
 }
 
+auto ctl_connection::ask(const address &Address, std::string_view What,
+                         const json &Arguments) -> result<json> {
+  rpc_peer Peer(*State->Loop, Address, {});
+  auto Client = Peer.as<wire::Admin>();
+  if (!Client)
+    return Client.error();
+  auto Request = Client->queryRequest();
+  Request.setWhat(std::string(What).c_str());
+  Request.setArguments(Arguments.dump().c_str());
+  auto Promise = Request.send().then([](auto &&Response) {
+    return query_reply{errcFromWire(Response.getError()),
+                       toString(Response.getJson())};
+  });
+  const auto Reply = waitFor(*State->Loop, kj::mv(Promise), Options.Timeout);
+  if (!Reply)
+    return Reply.error();
+  if (Reply->Code != errc::ok)
+    return failure::of(Reply->Code, Reply->Text);
+  return json::parse(Reply->Text, nullptr, false);
+}
+
+// A follower may lag behind a change that was just acknowledged, so control is
+// asked through its leader; without a leader, any replica answers.
 auto ctl_connection::query(std::string_view What, const json &Arguments)
     -> result<json> {
   if (auto Ready = ready(); !Ready)
     return Ready.error();
-  const auto ToNode = Options.Node.valid();
-  const auto Addresses = ToNode ? std::vector{Options.Node} : Options.Control;
-  auto Last = failure::of(errc::no_quorum, "no address answered");
-  for (const auto &Address : Addresses) {
-    rpc_peer Peer(*State->Loop, Address, {});
-    auto Client = Peer.as<wire::Admin>();
-    if (!Client) {
-      Last = Client.error();
-      continue;
-    }
-    auto Request = Client->queryRequest();
-    Request.setWhat(std::string(What).c_str());
-    Request.setArguments(Arguments.dump().c_str());
-    auto Promise = Request.send().then([](auto &&Response) {
-      return query_reply{errcFromWire(Response.getError()),
-                         toString(Response.getJson())};
-    });
-    const auto Reply = waitFor(*State->Loop, kj::mv(Promise), Options.Timeout);
-    if (!Reply) {
-      Last = Reply.error();
+  if (Options.Node.valid())
+    return ask(Options.Node, What, Arguments);
+  auto Chosen = Options.Control.front();
+  auto Last = result<json>(failure::of(errc::no_quorum, "no address answered"));
+  for (const auto &Address : Options.Control) {
+    auto Status = ask(Address, query_name::Status, json::object());
+    if (!Status) {
+      if (!Last)
+        Last = Status;
       continue;
     }
-    if (Reply->Code != errc::ok)
-      return failure::of(Reply->Code, Reply->Text);
-    auto Value = json::parse(Reply->Text, nullptr, false);
-    // Only the leader's view is certain; others may lag.
-    const auto IsLeader =
-        ToNode || What != "status" || Value.value("leader", false);
-    if (IsLeader || &Address == &Addresses.back())
-      return Value;
+    Chosen = Address;
+    Last = std::move(Status);
+    if (memberOf(*Last, "leader") == true)
+      break;
   }
-  return Last;
+  if (!Last || What == query_name::Status)
+    return Last;
+  return ask(Chosen, What, Arguments);
 }
 
 } // namespace acacianotch
--- a/src/ctl/connection.h
+++ b/src/ctl/connection.h
@@ -26,6 +26,8 @@
 private:
   struct state;
   auto ready() -> result<void>;
+  auto ask(const address &Address, std::string_view What, const json &Arguments)
+      -> result<json>;
 
   ctl_options Options;
   std::unique_ptr<state> State;
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -31,6 +31,7 @@
     addVersionCommands();
     addRolloutCommands();
     addProcessCommands();
+    addReplicaCommands();
     addLocalCommands();
   }
 
@@ -188,6 +189,30 @@
         ->needs(Category);
   }
 
+  auto addReplicaCommands() -> void {
+    auto &Replica =
+        *App.add_subcommand("replica", "change the replicas of control");
+    Replica.require_subcommand(1)->fallthrough();
+    auto &Add = add(Replica, "add", "add a replica that does not vote yet",
+                    ctl_action::replica_add);
+    auto &Promote = add(Replica, "promote", "let a replica vote",
+                        ctl_action::replica_promote);
+    auto &Remove =
+        add(Replica, "remove", "remove a replica", ctl_action::replica_remove);
+    for (auto *Command : {&Add, &Promote, &Remove})
+      Command
+          ->add_option("ID", Options.ReplicaId,
+                       "replica id; never used again after its disk is lost")
+          ->required();
+    Add.add_option_function<std::string>(
+           "ADDR",
+           [this](const std::string &Text) {
+             Options.Address = readOne(Text).text();
+           },
+           "RPC address of the replica")
+        ->required();
+  }
+
   auto addLocalCommands() -> void {
     auto &Check = add(App, "check-config", "check a settings or catalogue file",
                       ctl_action::check_config);
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -46,6 +46,9 @@
   status,
   dump,
   log_level,
+  replica_add,
+  replica_promote,
+  replica_remove,
   check_config,
   completion,
 };
@@ -73,6 +76,9 @@
   std::string To;
   std::vector<std::string> Stages; ///< SHARE[:MIN_REQUESTS[:MIN_SECONDS]].
 
+  std::uint64_t ReplicaId = 0;
+  std::string Address; ///< RPC address of a replica.
+
   std::string Category; ///< Log category; empty means all.
   std::string Level;    ///< New log level; empty means show.
 
--- a/src/ctl/run.h
+++ b/src/ctl/run.h
@@ -43,6 +43,13 @@
       return query(query_name::Dump, json::object());
     case ctl_action::log_level:
       return query(query_name::LogLevel, levelArguments());
+    case ctl_action::replica_add:
+      return query(query_name::AddReplica,
+                   {{"id", Options.ReplicaId}, {"address", Options.Address}});
+    case ctl_action::replica_promote:
+      return query(query_name::PromoteReplica, {{"id", Options.ReplicaId}});
+    case ctl_action::replica_remove:
+      return query(query_name::RemoveReplica, {{"id", Options.ReplicaId}});
     default:
       return Options.needsClient() ? change() : runLocal(Options, Output);
     }
--- a/test/ctl_test.cpp
+++ b/test/ctl_test.cpp
@@ -298,6 +298,25 @@
   }
 }
 
+// Guards against a membership change for another replica or address.
+TEST_CASE("replica sends id and address") {
+  fake_client Client;
+  Client.Reply = json{{"accepted", true}};
+  const auto Run = [&](std::vector<std::string> Words) {
+    return runCtl(Client, std::move(Words)).Exit;
+  };
+  CHECK(Run({"replica", "add", "4", "127.0.0.1:71"}) == ctl_exit::ok);
+  CHECK(Run({"replica", "promote", "4"}) == ctl_exit::ok);
+  CHECK(Run({"replica", "remove", "2"}) == ctl_exit::ok);
+  const std::vector<std::pair<std::string, json>> Expected = {
+      {"add_replica", {{"id", 4}, {"address", "127.0.0.1:71"}}},
+      {"promote_replica", {{"id", 4}}},
+      {"remove_replica", {{"id", 2}}}};
+  CHECK(Client.Queries == Expected);
+  CHECK(Run({"replica", "add", "4"}) == ctl_exit::usage);
+  CHECK(Run({"replica", "add", "4", "nowhere"}) == ctl_exit::usage);
+}
+
 // Guards against log-level changes that reach other categories.
 TEST_CASE("log-level sends category and level") {
   fake_client Client;
