Add: [Test] process tests with real daemons, relays and stand-ins

Cause: the request path, claims, control failover, withdrawal, shutdown and billing had no test across processes. Change: a harness in test/process/support (child process, deployment, HTTP client, TCP relay that stops forwarding silently, block of ports for each test program) and a test file for each subject. Not run in the sanitizer build.

--- /dev/null
+++ b/test/process/support/port_block.h
@@ -0,0 +1,18 @@
+/// \file Loopback ports of one test program.
+#pragma once
+
+#include <cstdint>
+
+namespace acacianotch {
+
+/// \return a socket that is bound to the loopback port, or -1.
+[[nodiscard]] auto bindLoopback(std::uint16_t Port) -> int;
+
+/// \return a socket that is connected to the loopback port, or -1.
+[[nodiscard]] auto connectLoopback(std::uint16_t Port) -> int;
+
+/// \return a free port that no other test program uses. The ports lie below
+/// the range from which the kernel takes those of outgoing connections.
+[[nodiscard]] auto nextPort() -> std::uint16_t;
+
+} // namespace acacianotch
