Codechange: [Test] process tests pass clang-tidy

Cause: clang-tidy reported a copy and a widening multiplication. Change: a reference and an unsigned factor; no check changes. Result: path_test and billing_test pass, ctest -R 'process\.(path|billing)'.

--- a/test/process/billing_test.cpp
+++ b/test/process/billing_test.cpp
@@ -30,7 +30,7 @@
 
 auto totals(deployment &System) -> json {
   const auto Dump = deployment::dump(System.Controls[System.leader()]);
-  const auto Usage = Dump["usage"];
+  const auto &Usage = Dump["usage"];
   return Usage.empty() ? json{{"requests", 0}} : Usage[0];
 }
 
--- a/test/process/path_test.cpp
+++ b/test/process/path_test.cpp
@@ -99,7 +99,7 @@
   deployment System;
   const auto &Entry = System.Entries[0];
   auto Body = chatBody("oversize");
-  Body["padding"] = std::string(5 * 1024 * 1024, 'x');
+  Body["padding"] = std::string(5UL * 1024 * 1024, 'x');
   const auto Answer = startChat(Entry, Body)->finish();
   CHECK(Answer.Status == 413);
   CHECK(System.runs() == 0);
