--- a/src/entry/request_id.cpp
+++ b/src/entry/request_id.cpp
@@ -7,8 +7,11 @@
 
 namespace acacianotch {
 
-auto newRequestId() -> request_id {
-  constexpr std::size_t Bytes = 16;
+namespace {
+
+/// \return 64 random bits in hex, which name this process.
+auto randomSource() -> std::string {
+  constexpr std::size_t Bytes = 8;
   constexpr std::string_view Digits = "0123456789abcdef";
   std::array<unsigned char, Bytes> Random{};
   RAND_bytes(Random.data(), static_cast<int>(Random.size()));
@@ -17,7 +20,16 @@
     Text += Digits[Byte / Digits.size()];
     Text += Digits[Byte % Digits.size()];
   }
-  return request_id(std::move(Text));
+  return Text;
+}
+
+} // namespace
+
+// Control remembers ids of this form as ranges, about a byte for each.
+auto newRequestId() -> request_id {
+  static const auto Source = randomSource();
+  static std::uint64_t Sequence = 0;
+  return request_id(Source + "-" + std::to_string(++Sequence));
 }
 
 } // namespace acacianotch
--- a/src/entry/request_id_func.h
+++ b/src/entry/request_id_func.h
@@ -5,7 +5,8 @@
 
 namespace acacianotch {
 
-/// \return a new id that is unique system-wide: 128 random bits in hex.
+/// \return a new id that is unique system-wide: `SOURCE-SEQUENCE`, where the
+/// source is drawn at random when the process starts.
 [[nodiscard]] auto newRequestId() -> request_id;
 
 } // namespace acacianotch
