Fix: [Agent] one crash report for one crash of the backend server

Cause: each broken answer sent a report of its own with everything that was running, so one crash counted as several and a single broken answer or an HTTP status of 500 brought suspicion on innocent requests.

--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -32,6 +32,11 @@
   return Item;
 }
 
+// A crash breaks off all running answers at about the same time, so answers
+// that break off within this time are one crash. One that breaks off alone
+// does not bring suspicion on the others.
+constexpr duration CrashWindow = std::chrono::milliseconds(100);
+
 } // namespace
 
 struct agent_service::work {
@@ -74,6 +79,7 @@
       Backend(TheLoop, TheBackend), Limits(TheLimits),
       Queue(Clock, QueueSettings),
       QueueTimer(TheLoop.oneShot([this] { pump(); })),
+      CrashTimer(TheLoop.oneShot([this] { reportCrash(); })),
       Slots(QueueSettings.Slots) {}
 
 agent_service::~agent_service() = default;
@@ -179,10 +185,9 @@
   const auto Found = Works.find(Ticket);
   if (Found == Works.end())
     return;
-  // A crash report lists all of Works, so this one must still be in it.
-  noteEnd(*Found->second, End);
   auto Work = std::move(Found->second);
   Works.erase(Found);
+  noteEnd(*Work, End);
   Queue.finished(Ticket, End.Code == errc::ok);
   Work->Attempt->fillOutcome(End);
   fillLoad(Work->Attempt->outcomeLoad());
@@ -191,8 +196,6 @@
   pump();
 }
 
-// A backend server that breaks off an answer has probably crashed; everything
-// that it was running is suspected.
 auto agent_service::noteEnd(const work &Work, const attempt_end &End) -> void {
   if (End.Code == errc::ok) {
     ++Counters.Completed;
@@ -207,15 +210,22 @@
   ++Counters.Failed;
   logWarning(log_category::agent, "an attempt failed",
              {{"error", errcRow(End.Code).Name}, {"detail", End.Detail}});
-  const auto Broken =
-      End.Code == errc::backend_failed || End.Code == errc::incomplete_answer;
-  if (!Broken || !OnCrash)
-    return;
-  std::vector<fingerprint> Running;
-  for (const auto &[Ticket, Other] : Works)
-    if (Other->Started)
-      Running.push_back(Other->Fingerprint);
-  OnCrash(std::move(Running), Work.Isolated);
+  if (End.Broken)
+    noteBroken(Work);
+}
+
+auto agent_service::noteBroken(const work &Work) -> void {
+  if (Broken.empty())
+    CrashTimer->start(CrashWindow);
+  Broken.push_back(Work.Fingerprint);
+  BrokenIsolated = BrokenIsolated || Work.Isolated;
+}
+
+auto agent_service::reportCrash() -> void {
+  auto Fingerprints = std::exchange(Broken, {});
+  const auto Isolated = std::exchange(BrokenIsolated, false);
+  if (OnCrash)
+    OnCrash(std::move(Fingerprints), Isolated);
 }
 
 auto agent_service::dropWork(const dropped_work &Dropped) -> void {
--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -44,8 +44,8 @@
   /// Follows the slots and the cap on long work in the catalogue.
   auto configure(std::uint32_t Slots, double LongShare) -> void;
 
-  /// Runs with the fingerprints in flight when the backend server broke off
-  /// running requests, and whether the only one ran in isolation.
+  /// Runs once for each crash of the backend server with the fingerprints whose
+  /// answers it broke off, and whether one of them ran in isolation.
   std::function<void(std::vector<fingerprint>, bool Isolated)> OnCrash;
 
   /// Runs when a request completed in isolation.
@@ -62,6 +62,8 @@
   auto startWork(work &Work) -> void;
   auto endWork(work_ticket Ticket, const attempt_end &End) -> void;
   auto noteEnd(const work &Work, const attempt_end &End) -> void;
+  auto noteBroken(const work &Work) -> void;
+  auto reportCrash() -> void;
   auto dropWork(const dropped_work &Dropped) -> void;
   auto cancelled(work_ticket Ticket) -> void;
 
@@ -74,6 +76,9 @@
   agent_queue<steady_clock> Queue;
   std::map<work_ticket, std::unique_ptr<work>> Works;
   std::unique_ptr<loop_timer> QueueTimer;
+  std::unique_ptr<loop_timer> CrashTimer;
+  std::vector<fingerprint> Broken; ///< Answers broken off in this window.
+  bool BrokenIsolated = false;     ///< One of them ran in isolation.
   agent_counters Counters;
   duration FirstToken{};
   std::uint32_t Slots = 0;
--- a/src/agent/attempt.cpp
+++ b/src/agent/attempt.cpp
@@ -159,7 +159,8 @@
 auto attempt::judge() -> attempt_end {
   if (!Ended->ok()) {
     const auto &Error = Ended->error();
-    return {Error.Code, Error.Detail, Error.Verdict};
+    const auto Broken = Error.Verdict != verdict::not_run;
+    return {Error.Code, Error.Detail, Error.Verdict, Broken};
   }
   if (Crossed)
     return {errc::crossed_answer, "", verdict::may_have_run};
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -26,6 +26,7 @@
   errc Code = errc::ok;
   std::string Detail;
   verdict Verdict = verdict::invalid;
+  bool Broken = false; ///< The backend server broke off the connection.
 };
 
 /// Calls the backend server and forwards its answer to the entry. Destroying
