Fix: [Agent] a cancelled attempt is detached before its RPC context ends

Change: cancelling abandons the attempt at once and detaches all callbacks of the HTTP call; a test sends an answer that is in the socket before the cancellation.

--- a/bench/path_bench.py
+++ b/bench/path_bench.py
@@ -347,7 +347,7 @@
             measure_requests(deployment, rows)
         except BaseException:
             for log in sorted(deployment.logs.glob("*.log")):
-                sys.stderr.write(f"== {log.stem}\n{log.read_text()[-600:]}\n")
+                sys.stderr.write(f"== {log.stem}\n{log.read_text()[-9000:]}\n")
             raise
         finally:
             deployment.stop()
--- a/src/agent/agent_service.cpp
+++ b/src/agent/agent_service.cpp
@@ -192,7 +192,7 @@
   Work->Attempt->fillOutcome(End);
   fillLoad(Work->Attempt->outcomeLoad());
   Work->Done->fulfill();
-  Loop.defer([Ended = std::shared_ptr<work>(std::move(Work))] {});
+  retire(std::move(Work));
   pump();
 }
 
@@ -239,6 +239,13 @@
       {Dropped.Reason.Code, "dropped from the queue", verdict::not_run});
   fillLoad(Work->Attempt->outcomeLoad());
   Work->Done->fulfill();
+  retire(std::move(Work));
+}
+
+// The RPC context ends with the call, so nothing may reach the attempt after
+// that; the attempt itself can be on the stack and is freed later.
+auto agent_service::retire(std::unique_ptr<work> Work) -> void {
+  Work->Attempt->abandon();
   Loop.defer([Ended = std::shared_ptr<work>(std::move(Work))] {});
 }
 
@@ -250,8 +257,8 @@
   auto Work = std::move(Found->second);
   Works.erase(Found);
   Queue.cancel(Ticket);
-  Loop.defer(
-      [this, Ended = std::shared_ptr<work>(std::move(Work))] { pump(); });
+  retire(std::move(Work));
+  Loop.defer([this] { pump(); });
 }
 
 } // namespace acacianotch
--- a/src/agent/agent_service.h
+++ b/src/agent/agent_service.h
@@ -66,6 +66,7 @@
   auto reportCrash() -> void;
   auto dropWork(const dropped_work &Dropped) -> void;
   auto cancelled(work_ticket Ticket) -> void;
+  auto retire(std::unique_ptr<work> Work) -> void;
 
   event_loop &Loop;
   const catalogue_view &View;
--- a/src/agent/attempt.cpp
+++ b/src/agent/attempt.cpp
@@ -31,6 +31,12 @@
 
 attempt::~attempt() { *Alive = false; }
 
+auto attempt::abandon() -> void {
+  *Alive = false;
+  FlushTimer->stop();
+  Call.reset();
+}
+
 auto attempt::callOptions() -> http_call_options {
   const auto Request = request();
   http_call_options Options;
@@ -105,7 +111,7 @@
 
 // The window of unacknowledged writes is the back pressure: reading from the
 // backend server stops while it is full.
-auto attempt::send(std::string Data) -> void {
+auto attempt::send(std::string_view Data) -> void {
   auto Write = Sink.writeRequest();
   Write.setRequestId(Id.c_str());
   Write.setOffset(Offset);
--- a/src/agent/attempt.h
+++ b/src/agent/attempt.h
@@ -45,6 +45,10 @@
   /// Starts the call; \p OnEnd runs once, outside of this call.
   auto start(std::function<void(const attempt_end &)> OnEnd) -> void;
 
+  /// Ends the call and ignores everything that still arrives. Must be called
+  /// before the RPC context ends.
+  auto abandon() -> void;
+
   /// Writes the outcome into the RPC results.
   auto fillOutcome(const attempt_end &End) -> void;
 
@@ -70,7 +74,7 @@
   auto handleEnd(result<void> Result) -> void;
   auto readWholeUsage() -> void;
   auto flush() -> void;
-  auto send(std::string Data) -> void;
+  auto send(std::string_view Data) -> void;
   auto acknowledged() -> void;
   auto finishIfDone() -> void;
   auto judge() -> attempt_end;
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -183,7 +183,7 @@
     const auto Bytes = Context.getParams().getCommand();
     return Service
         .execute({reinterpret_cast<const char *>(Bytes.begin()), Bytes.size()})
-        .then([this, Context](command_result Result) mutable {
+        .then([this, Context](const command_result &Result) mutable {
           auto Outcome = Context.getResults().initOutcome();
           Outcome.setError(static_cast<std::uint16_t>(Result.Code));
           Outcome.setDetail(Result.Detail.c_str());
--- a/src/controller/cascade.h
+++ b/src/controller/cascade.h
@@ -47,15 +47,15 @@
 public:
   /// \p Candidates are ordered from cheapest to most expensive.
   /// \return the cascade; `bad_settings` if a value is out of range.
-  [[nodiscard]] static auto create(cascade_settings Settings,
-                                   std::vector<cascade_candidate> Candidates,
-                                   const clock &Clock, random &Random)
-      -> result<cascade> {
+  [[nodiscard]] static auto
+  create(cascade_settings Settings,
+         const std::vector<cascade_candidate> &Candidates, const clock &Clock,
+         random &Random) -> result<cascade> {
     if (auto Checked = checkCascade(Settings, Candidates); !Checked)
       return Checked.error();
     cascade Result(Clock, Random);
     Result.Board.Settings = Settings;
-    Result.Board.Candidates = std::move(Candidates);
+    Result.Board.Candidates = Candidates;
     return Result;
   }
 
--- a/src/core/file_func.h
+++ b/src/core/file_func.h
@@ -11,7 +11,7 @@
 namespace acacianotch {
 
 /// Largest file that readSmallFile() accepts, in bytes.
-inline constexpr std::size_t SmallFileLimit = 16 * 1024 * 1024;
+inline constexpr std::size_t SmallFileLimit = 16ULL * 1024 * 1024;
 
 /// Reads a regular file. \return bad_settings if it cannot be read or is
 /// larger than SmallFileLimit.
--- a/src/entry/request_task.cpp
+++ b/src/entry/request_task.cpp
@@ -207,7 +207,7 @@
 }
 
 auto request_task::release(duration Response) -> void {
-  if (!Admitted)
+  if (!Admitted || Pool == nullptr)
     return;
   Admitted = false;
   Pool->Admission.finished(Account, Request.Long, Response);
--- a/src/entry/route_planner.cpp
+++ b/src/entry/route_planner.cpp
@@ -42,8 +42,7 @@
   }
   cascade_settings Settings;
   Settings.QualityTarget = Question.QualityTarget;
-  auto Created =
-      entry_cascade::create(Settings, std::move(Candidates), Clock, Random);
+  auto Created = entry_cascade::create(Settings, Candidates, Clock, Random);
   if (!Created) {
     logWarning(log_category::version, "a route has no usable cascade",
                {{"route", Question.Route}, {"error", Created.error().text()}});
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -151,7 +151,8 @@
     *Alive = false;
     if (Request == nullptr)
       return;
-    // Detach first: cancelling runs evhttp's callbacks.
+    // The connection is freed later, and its answer can arrive before that.
+    evhttp_request_set_header_cb(Request, nullptr);
     evhttp_request_set_chunked_cb(Request, nullptr);
     evhttp_request_set_error_cb(Request, nullptr);
     Request->cb = [](evhttp_request *, void *) {};
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -169,6 +169,33 @@
   CHECK_FALSE(First.End.has_value());
 }
 
+// Guards against use of a cancelled call: its answer can be in the socket
+// already when the call is destroyed, as with the loser of two attempts.
+TEST_CASE("an answer that arrives after the cancellation is ignored") {
+  const auto Loop = testLoop();
+  auto Listener = listenOn(loopback(0));
+  REQUIRE(Listener.ok());
+  http_client Client(*Loop, loopback(boundPort(Listener->fd())));
+  recorder Recorder;
+  auto Call = Client.start(options(), Recorder.events());
+  unique_socket Server;
+  REQUIRE(runUntil(*Loop, [&] {
+    Server = unique_socket(accept(Listener->fd(), nullptr, nullptr));
+    return Server.fd() >= 0;
+  }));
+  char Request[1024];
+  REQUIRE(runUntil(*Loop, [&] {
+    return recv(Server.fd(), Request, sizeof(Request), MSG_DONTWAIT) > 0;
+  }));
+  const std::string Answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate";
+  REQUIRE(send(Server.fd(), Answer.data(), Answer.size(), 0) > 0);
+  Call.reset();
+  for (int Turn = 0; Turn < 10; ++Turn)
+    Loop->poll();
+  CHECK(Recorder.Status == 0);
+  CHECK_FALSE(Recorder.End.has_value());
+}
+
 // Guards against garbage that ends the process or stays connected for ever.
 TEST_CASE("garbage on the HTTP port is refused") {
   fixture Fixture(
