Fix: [Entry] probe ejected backend servers

Cause: an ejected backend server never returned, because nothing sent probes; a pool of one stayed empty after its agent restarted. Change: probes copy a recent idempotent request, or only ask the agent where there is none. The request's wire form is shared by dispatch and probes.

--- a/src/controller/outlier.h
+++ b/src/controller/outlier.h
@@ -174,6 +174,14 @@
     return Attempt;
   }
 
+  /// Marks a probe as answered in full, if its tokens have not decided before.
+  auto probeAnswered(const observed_attempt &Attempt) -> void {
+    auto *Peer = find(Attempt.Backend);
+    if (Peer != nullptr && Peer->Probe == Attempt.Number)
+      probeEnded(*Peer, true);
+    ended(Attempt);
+  }
+
   /// \return whether the outcome of a probe is still open; changes with its
   /// tokens, its end and tick().
   [[nodiscard]] auto probing(const observed_attempt &Attempt) const -> bool {
--- /dev/null
+++ b/src/entry/backend_prober.h
@@ -0,0 +1,38 @@
+/// \file Probes of ejected backend servers.
+#pragma once
+
+#include "entry/agent_directory.h"
+#include "entry/dispatch_request.h"
+#include "entry/pool_set.h"
+
+#include <list>
+#include <memory>
+
+namespace acacianotch {
+
+/// Tells the outlier detectors when an ejected backend server is well again. A
+/// probe is a copy of a recent idempotent request of its pool, whose answer is
+/// discarded; without one, it is a call that shows only that the agent answers.
+class backend_prober {
+public:
+  explicit backend_prober(dispatch_context TheContext);
+  ~backend_prober();
+  backend_prober(const backend_prober &) = delete;
+  auto operator=(const backend_prober &) -> backend_prober & = delete;
+
+  /// Starts the probes that are due and ends those that are decided.
+  auto tick() -> void;
+
+private:
+  class sink;
+  struct probe;
+
+  auto start(pool &Pool, backend_handle Backend) -> void;
+  auto send(const std::shared_ptr<probe> &Probe, wire::Agent::Client Agent)
+      -> kj::Promise<void>;
+
+  dispatch_context Context;
+  std::list<std::shared_ptr<probe>> Probes;
+};
+
+} // namespace acacianotch
--- a/src/entry/dispatch.cpp
+++ b/src/entry/dispatch.cpp
@@ -18,15 +18,6 @@
           Load.getLeaving()};
 }
 
-/// \return server-sent events in \p Data; an engine sends one for each token.
-auto countEvents(std::string_view Data) -> std::uint32_t {
-  std::uint32_t Events = 0;
-  for (auto At = Data.find("\n\n"); At != std::string_view::npos;
-       At = Data.find("\n\n", At + 2))
-    ++Events;
-  return Events;
-}
-
 } // namespace
 
 /// State of one attempt.
@@ -88,6 +79,7 @@
   StartedAt = steady_clock::now();
   Pool.Hedging.requestStarted();
   Pool.Retries.firstAttempt();
+  keepForProbes();
   if (!startAttempt(false)) {
     finish({failure::of(errc::no_backend)});
     return;
@@ -95,6 +87,13 @@
   startHedgeTimer();
 }
 
+auto dispatch::keepForProbes() -> void {
+  if (Pool.Outlier.ejected() == 0)
+    Pool.ProbeCopy.reset();
+  else if (Request.Idempotent && !Request.Long && !Request.Isolated)
+    Pool.ProbeCopy = Request;
+}
+
 auto dispatch::startAttempt(bool Hedge) -> bool {
   const auto Picked =
       Pool.Placement.pick({Request.AffinityKey, Tried, Request.Long});
@@ -132,7 +131,7 @@
 auto dispatch::sendTo(attempt_state &Attempt, wire::Agent::Client Agent)
     -> kj::Promise<void> {
   auto Call = Agent.runRequest();
-  fillRequest(Call.initRequest(), Attempt.Number);
+  fillWork(Call.initRequest(), Request, Attempt.Number, Context.View);
   Call.setSink(kj::heap<sink>(*this, Attempt));
   return Call.send().then(
       [this, &Attempt](auto &&Response) {
@@ -143,38 +142,6 @@
       });
 }
 
-auto dispatch::fillRequest(wire::WorkRequest::Builder Work,
-                           std::uint32_t Number) -> void {
-  Work.setRequestId(Request.Id.Text.c_str());
-  Work.setAttempt(Number);
-  Work.setAccount(Request.Account.Text.c_str());
-  Work.setAccountWeight(static_cast<float>(Request.AccountWeight));
-  Work.setModel(Request.Version.Model.c_str());
-  Work.setVersion(Request.Version.Version.c_str());
-  Work.setService(Request.Service.c_str());
-  Work.setRequestClass(Request.Class.c_str());
-  Work.setPriority(Request.Priority);
-  Work.setLongWork(Request.Long);
-  Work.setIdempotent(Request.Idempotent);
-  Work.setStreamed(Request.Streamed);
-  Work.setHideUsage(Request.HideUsage);
-  Work.setIsolated(Request.Isolated);
-  if (Request.Deadline != time_point::max()) {
-    const auto Rest = Request.Deadline - steady_clock::now();
-    const auto RestMs = std::max<std::int64_t>(
-        Rest / std::chrono::milliseconds(1), std::int64_t{1});
-    Work.setDeadlineMs(static_cast<std::uint32_t>(RestMs));
-  }
-  Work.setCatalogueRevision(
-      static_cast<std::uint64_t>(Context.View.currentRevision()));
-  Work.setEpoch(static_cast<std::uint64_t>(Context.View.currentEpoch()));
-  Work.setFingerprint(Request.Fingerprint);
-  Work.setMethod(Request.Method.c_str());
-  Work.setPath(Request.Path.c_str());
-  Work.setContentType(Request.ContentType.c_str());
-  Work.setBody(toBytes(Request.Body));
-}
-
 auto dispatch::receive(attempt_state &Attempt, std::uint64_t Offset,
                        std::string_view Data) -> kj::Promise<void> {
   if (Offset != Attempt.Offset) {
--- a/src/entry/dispatch.h
+++ b/src/entry/dispatch.h
@@ -4,6 +4,7 @@
 #include "controller/hedging.h"
 #include "core/result.h"
 #include "entry/agent_directory.h"
+#include "entry/dispatch_request.h"
 #include "entry/pool_set.h"
 
 #include <functional>
@@ -15,37 +16,6 @@
 
 namespace acacianotch {
 
-/// What all requests of one entry use.
-struct dispatch_context {
-  event_loop &Loop;
-  pool_set &Pools;
-  agent_directory &Agents;
-  const catalogue_view &View;
-};
-
-/// One request as it is sent to agents.
-struct dispatch_request {
-  request_id Id;
-  account_id Account;
-  double AccountWeight = 1;
-  version_ref Version; ///< Empty model for a plain service.
-  std::string Service;
-  std::string Class;
-  std::uint8_t Priority = 0;
-  bool Long = false;
-  bool Idempotent = true;
-  bool Streamed = false;
-  bool HideUsage = false;
-  bool Isolated = false;
-  time_point Deadline = time_point::max();
-  std::uint64_t Fingerprint = 0;
-  std::optional<std::uint64_t> AffinityKey;
-  std::string Method = "POST";
-  std::string Path;
-  std::string ContentType;
-  std::string Body;
-};
-
 /// How a request ended on the backend servers.
 struct dispatch_end {
   std::optional<failure> Error; ///< Empty if a whole answer was delivered.
@@ -84,11 +54,10 @@
   class sink;
   struct attempt_state;
 
+  auto keepForProbes() -> void;
   auto startAttempt(bool Hedge) -> bool;
   auto sendTo(attempt_state &Attempt, wire::Agent::Client Agent)
       -> kj::Promise<void>;
-  auto fillRequest(wire::WorkRequest::Builder Work, std::uint32_t Number)
-      -> void;
   auto receive(attempt_state &Attempt, std::uint64_t Offset,
                std::string_view Data) -> kj::Promise<void>;
   auto noteTokens(attempt_state &Attempt, std::string_view Data) -> void;
--- /dev/null
+++ b/src/entry/dispatch_request.h
@@ -0,0 +1,59 @@
+/// \file One request as an entry sends it to agents.
+#pragma once
+
+#include "catalogue/catalogue_view.h"
+#include "core/clock_type.h"
+#include "core/id_type.h"
+#include "net/event_loop.h"
+
+#include <acacianotch.capnp.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace acacianotch {
+
+class agent_directory;
+class pool_set;
+
+/// What all requests of one entry use.
+struct dispatch_context {
+  event_loop &Loop;
+  pool_set &Pools;
+  agent_directory &Agents;
+  const catalogue_view &View;
+};
+
+/// One request as it is sent to agents.
+struct dispatch_request {
+  request_id Id;
+  account_id Account;
+  double AccountWeight = 1;
+  version_ref Version; ///< Empty model for a plain service.
+  std::string Service;
+  std::string Class;
+  std::uint8_t Priority = 0;
+  bool Long = false;
+  bool Idempotent = true;
+  bool Streamed = false;
+  bool HideUsage = false;
+  bool Isolated = false;
+  time_point Deadline = time_point::max();
+  std::uint64_t Fingerprint = 0;
+  std::optional<std::uint64_t> AffinityKey;
+  std::string Method = "POST";
+  std::string Path;
+  std::string ContentType;
+  std::string Body;
+};
+
+/// Writes attempt \p Number of \p Request under the catalogue \p View.
+auto fillWork(wire::WorkRequest::Builder Work, const dispatch_request &Request,
+              std::uint32_t Number, const catalogue_view &View) -> void;
+
+/// \return server-sent events in \p Data; an engine sends one for each token.
+[[nodiscard]] auto countEvents(std::string_view Data) -> std::uint32_t;
+
+} // namespace acacianotch
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -2,6 +2,7 @@
 #include "entry/entry_role.h"
 
 #include "core/file_func.h"
+#include "entry/backend_prober.h"
 #include "entry/entry_service.h"
 #include "entry/request_task.h"
 #include "node/admin_server.h"
@@ -67,7 +68,11 @@
                 {Settings.Http.MaxBodyBytes, Settings.Entry.DefaultDeadline},
                 Settings.Node.Id,
                 {}},
-        Service(Context), Ticker(TheLoop.repeating([this] { Pools.tick(); })) {
+        Service(Context), Prober({TheLoop, Pools, Agents, View}),
+        Ticker(TheLoop.repeating([this] {
+          Pools.tick();
+          Prober.tick();
+        })) {
     Link.onChange([this] { Pools.follow(View); });
   }
 
@@ -150,6 +155,7 @@
   rating_client Ratings;
   entry_context Context;
   entry_service Service;
+  backend_prober Prober;
   std::unique_ptr<loop_timer> Ticker;
   bool Stopping = false;
 };
--- a/src/entry/pool_set.h
+++ b/src/entry/pool_set.h
@@ -11,6 +11,7 @@
 #include "controller/traffic_budget.h"
 #include "core/address_type.h"
 #include "core/random_type.h"
+#include "entry/dispatch_request.h"
 
 #include <map>
 #include <memory>
@@ -43,6 +44,8 @@
   outlier_detector<steady_clock> Outlier;
   traffic_budget Retries;
   std::vector<backend_handle> Members;
+  /// Copied to probe ejected backend servers; kept only while there are some.
+  std::optional<dispatch_request> ProbeCopy;
 };
 
 /// Follows the catalogue with the boards and one pool per version and service.
