--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -6,6 +6,7 @@
 #include "node/admin_server.h"
 #include "node/log_query.h"
 #include "node/node_link.h"
+#include "node/role_func.h"
 #include "node/shutdown.h"
 
 namespace acacianotch {
@@ -14,12 +15,6 @@
 
 constexpr duration CommandLimit = std::chrono::seconds(30);
 
-auto rpcOptions(const settings &Settings) -> rpc_options {
-  rpc_options Options;
-  Options.SilenceSeconds = static_cast<int>(Settings.Rpc.Keepalive.count());
-  return Options;
-}
-
 auto queueSettings(const agent_settings &Settings) -> agent_queue_settings {
   agent_queue_settings Queue;
   Queue.Slots = static_cast<std::uint32_t>(Settings.Slots);
@@ -66,11 +61,7 @@
   [[nodiscard]] auto idle() const -> bool { return Service.open() == 0; }
 
   [[nodiscard]] auto ready() const -> result<void> {
-    if (State.ShuttingDown)
-      return failure::of(errc::shutting_down);
-    if (!View.ready())
-      return failure::of(errc::not_ready);
-    return {};
+    return nodeReady(View, State.ShuttingDown);
   }
 
   [[nodiscard]] auto query(std::string_view What, const json &Arguments)
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -3,6 +3,7 @@
 
 #include "control/control_service.h"
 #include "node/admin_server.h"
+#include "node/role_func.h"
 #include "node/shutdown.h"
 
 #include <xxhash.h>
@@ -13,12 +14,6 @@
 
 namespace {
 
-auto rpcOptions(const settings &Settings) -> rpc_options {
-  rpc_options Options;
-  Options.SilenceSeconds = static_cast<int>(Settings.Rpc.Keepalive.count());
-  return Options;
-}
-
 auto hostOptions(const settings &Settings) -> replica_host_options {
   const auto &Control = Settings.Control;
   replica_host_options Options;
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -8,6 +8,7 @@
 #include "node/admin_server.h"
 #include "node/log_query.h"
 #include "node/node_link.h"
+#include "node/role_func.h"
 #include "node/shutdown.h"
 
 #include <random>
@@ -19,12 +20,6 @@
 constexpr duration TickInterval = std::chrono::milliseconds(50);
 constexpr duration BudgetLimit = std::chrono::seconds(3);
 
-auto rpcOptions(const settings &Settings) -> rpc_options {
-  rpc_options Options;
-  Options.SilenceSeconds = static_cast<int>(Settings.Rpc.Keepalive.count());
-  return Options;
-}
-
 auto poolSettings(const entry_settings &Settings) -> pool_settings {
   pool_settings Pools;
   Pools.Placement.Subset.MinSize =
@@ -90,11 +85,7 @@
   }
 
   [[nodiscard]] auto ready() const -> result<void> {
-    if (Stopping)
-      return failure::of(errc::shutting_down);
-    if (!View.ready())
-      return failure::of(errc::not_ready);
-    return {};
+    return nodeReady(View, Stopping);
   }
 
   [[nodiscard]] auto query(std::string_view What, const json &Arguments)
