Fix: [Net] a read of no bytes copies nothing

Cause: a message with an empty segment table makes kj read 0 bytes into a null target; the undefined-behaviour sanitizer ended control in path_test ('garbage on every port harms nothing', kj_stream.cpp:59). Change: return before the copy.

--- a/src/net/kj_stream.cpp
+++ b/src/net/kj_stream.cpp
@@ -56,6 +56,9 @@
 
 auto socket_stream::takeBuffered(kj::byte *Target, size_t MaxBytes) -> size_t {
   const auto Count = std::min(MaxBytes, BufferEnd - BufferBegin);
+  // kj may pass a null target with a size of 0.
+  if (Count == 0)
+    return 0;
   std::memcpy(Target, Buffer.data() + BufferBegin, Count);
   BufferBegin += Count;
   return Count;
