--- a/src/catalogue/catalogue_state.cpp
+++ b/src/catalogue/catalogue_state.cpp
@@ -58,6 +58,15 @@
       return std::nullopt;
     return State;
   }
+  if (Key == RoutingKey)
+    return Data.Routing ? std::optional<shared_value>(*Data.Routing)
+                        : std::nullopt;
+  if (Key.starts_with(ServiceRolloutPrefix)) {
+    const auto Place = Data.ServiceRollouts.find(Name);
+    if (Place == Data.ServiceRollouts.end())
+      return std::nullopt;
+    return Place->second;
+  }
   if (Key == rolloutKey(Name)) {
     const auto Place = Data.Rollouts.find(Name);
     if (Place == Data.Rollouts.end())
@@ -78,6 +87,10 @@
     All.push_back({sharedKey(Key), Entry});
   for (const auto &[Model, Rollout] : Data.Rollouts)
     All.push_back({rolloutKey(Model), Rollout});
+  for (const auto &[Service, Rollout] : Data.ServiceRollouts)
+    All.push_back({std::string(ServiceRolloutPrefix) + Service, Rollout});
+  if (Data.Routing)
+    All.push_back({std::string(RoutingKey), *Data.Routing});
   for (const auto &[Fingerprint, Record] : Data.Crashes)
     if (Record.State == suspicion::suspect ||
         Record.State == suspicion::quarantined)
--- a/src/catalogue/catalogue_view.cpp
+++ b/src/catalogue/catalogue_view.cpp
@@ -90,6 +90,8 @@
 auto catalogue_view::clear() -> void {
   Entries = {};
   Rollouts.clear();
+  ServiceRollouts.clear();
+  Routing.reset();
   Suspicions.clear();
   Accounts.clear();
   VersionsOfModel.clear();
@@ -107,6 +109,15 @@
     Rollouts.insert_or_assign(std::move(Model), std::move(*Rollout));
     return;
   }
+  if (auto *Rollout = std::get_if<service_rollout>(&*Change.Value)) {
+    auto Service = Rollout->Service;
+    ServiceRollouts.insert_or_assign(std::move(Service), std::move(*Rollout));
+    return;
+  }
+  if (auto *Document = std::get_if<routing_document>(&*Change.Value)) {
+    Routing = std::move(*Document);
+    return;
+  }
   const auto Key = fingerprintOfKey(Change.Key);
   if (Key)
     Suspicions[static_cast<std::uint64_t>(*Key)] =
--- a/src/catalogue/catalogue_view.h
+++ b/src/catalogue/catalogue_view.h
@@ -107,6 +107,17 @@
   /// \return the last rollout of a model, or nullptr.
   [[nodiscard]] auto rolloutOf(std::string_view Model) const -> const rollout *;
 
+  /// \return the routing document, or nullptr before the first.
+  [[nodiscard]] auto routing() const -> const routing_document * {
+    return Routing ? &*Routing : nullptr;
+  }
+
+  /// \return the last rollout of each service.
+  [[nodiscard]] auto serviceRollouts() const
+      -> const std::map<std::string, service_rollout, std::less<>> & {
+    return ServiceRollouts;
+  }
+
   /// \return suspect or quarantined, or invalid if neither.
   [[nodiscard]] auto suspicionOf(fingerprint Fingerprint) const -> suspicion;
   [[nodiscard]] auto quarantined(fingerprint Fingerprint) const -> bool {
@@ -142,6 +153,8 @@
 
   std::array<entry_map, EntryKinds> Entries;
   std::map<std::string, rollout, std::less<>> Rollouts;
+  std::map<std::string, service_rollout, std::less<>> ServiceRollouts;
+  std::optional<routing_document> Routing;
   std::unordered_map<std::uint64_t, suspicion> Suspicions;
   std::map<std::string, const model_entry *, std::less<>> Accounts;
   index VersionsOfModel;
--- a/src/catalogue/command_codec.cpp
+++ b/src/catalogue/command_codec.cpp
@@ -64,13 +64,17 @@
 }
 
 auto needsChangeId(const command &Command) -> bool {
-  const auto IsRequestPath =
+  const auto HasOwnKey =
       std::holds_alternative<claim_request>(Command.Body) ||
       std::holds_alternative<settle_request>(Command.Body) ||
       std::holds_alternative<record_usage>(Command.Body) ||
       std::holds_alternative<lease_budget>(Command.Body) ||
-      std::holds_alternative<report_version_evidence>(Command.Body);
-  return !IsRequestPath;
+      std::holds_alternative<report_version_evidence>(Command.Body) ||
+      std::holds_alternative<publish_routing>(Command.Body) ||
+      std::holds_alternative<start_service_rollout>(Command.Body) ||
+      std::holds_alternative<end_service_rollout>(Command.Body) ||
+      std::holds_alternative<report_service_evidence>(Command.Body);
+  return !HasOwnKey;
 }
 
 auto commandToJson(const command &Command) -> json {
--- a/src/catalogue/command_fields.h
+++ b/src/catalogue/command_fields.h
@@ -12,6 +12,9 @@
 /// the snapshot for 24 hours.
 inline constexpr limits StoredBodyLength{0, 65536};
 
+/// A routing document fits into one message between replicas.
+inline constexpr limits RoutingLength{1, 8.0 * 1024 * 1024};
+
 template <> struct field_table<put_entry> {
   static constexpr auto Fields = std::tuple{
       required("entry", &put_entry::Entry, {}, "the entry"),
@@ -183,4 +186,41 @@
   };
 };
 
+template <> struct field_table<publish_routing> {
+  static constexpr auto Fields = std::tuple{
+      required("number", &publish_routing::Number, {}, "number"),
+      required("text", &publish_routing::Text, RoutingLength, "content"),
+  };
+};
+
+template <> struct field_table<start_service_rollout> {
+  using body = start_service_rollout;
+  static constexpr auto Fields = std::tuple{
+      required("service", &body::Service, {1, 256}, "service"),
+      required("to", &body::To, {1, 256}, "new version"),
+      required("duration_ms", &body::DurationMs, {0, 4e9}, "time to complete"),
+  };
+};
+
+template <> struct field_table<end_service_rollout> {
+  using body = end_service_rollout;
+  static constexpr auto Fields = std::tuple{
+      required("service", &body::Service, {1, 256}, "service"),
+      required("to", &body::To, {1, 256}, "new version"),
+      required("state", &body::State, {}, "done or aborted"),
+      field("reason", &body::Reason, ReasonLength, "reason"),
+  };
+};
+
+template <> struct field_table<report_service_evidence> {
+  using body = report_service_evidence;
+  static constexpr auto Fields = std::tuple{
+      required("service", &body::Service, {1, 256}, "service"),
+      required("to", &body::To, {1, 256}, "new version"),
+      required("source", &body::Source, {1, 128}, "node and its start"),
+      required("sequence", &body::Sequence, {1, 1e15}, "grows per report"),
+      required("counters", &body::Counters, {1, 16}, "counts per version"),
+  };
+};
+
 } // namespace acacianotch
--- a/src/catalogue/command_func.h
+++ b/src/catalogue/command_func.h
@@ -66,6 +66,15 @@
 auto execute(catalogue_data &Data, command_context &Context,
              const lift_quarantine &Body) -> command_result;
 
+auto execute(catalogue_data &Data, command_context &Context,
+             const publish_routing &Body) -> command_result;
+auto execute(catalogue_data &Data, command_context &Context,
+             const start_service_rollout &Body) -> command_result;
+auto execute(catalogue_data &Data, command_context &Context,
+             const end_service_rollout &Body) -> command_result;
+auto execute(catalogue_data &Data, command_context &Context,
+             const report_service_evidence &Body) -> command_result;
+
 /// Stops the rollouts that a withdrawn version takes part in: a rollout to it
 /// is aborted, a rollout from it is paused.
 auto stopRolloutsOf(catalogue_data &Data, command_context &Context,
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -4,6 +4,7 @@
 #include "catalogue/entry_type.h"
 #include "catalogue/quarantine_type.h"
 #include "catalogue/rollout_type.h"
+#include "catalogue/routing_type.h"
 #include "core/error_type.h"
 
 #include <string>
@@ -179,11 +180,43 @@
   std::vector<version_counters> Counters;
 };
 
+/// Puts a routing document in force if its number is the highest.
+struct publish_routing {
+  std::uint64_t Number = 0;
+  blob Text;
+};
+
+/// Starts to move a service's requests to another version.
+struct start_service_rollout {
+  std::string Service;
+  std::string To;
+  std::uint32_t DurationMs = 0;
+};
+
+/// Ends a running rollout of a service.
+struct end_service_rollout {
+  std::string Service;
+  std::string To;
+  rollout_state State = rollout_state::invalid; ///< done or aborted.
+  std::string Reason;
+};
+
+/// Adds a gateway's counts to the evidence of a service's rollout.
+struct report_service_evidence {
+  std::string Service;
+  std::string To;
+  std::string Source;         ///< Node and its start; one counter each.
+  std::uint64_t Sequence = 0; ///< Grows with each report of the source.
+  std::vector<version_counters> Counters;
+};
+
 using command_body =
     std::variant<put_entry, remove_entry, withdraw_version, start_rollout,
                  set_rollout_state, advance_rollout, drain_backend,
                  claim_request, settle_request, record_usage, lease_budget,
-                 report_crash, lift_quarantine, report_version_evidence>;
+                 report_crash, lift_quarantine, report_version_evidence,
+                 publish_routing, start_service_rollout, end_service_rollout,
+                 report_service_evidence>;
 
 /// Names of the command bodies in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<command_body>>
@@ -192,7 +225,9 @@
         "start_rollout",   "set_rollout_state",      "advance_rollout",
         "drain_backend",   "claim_request",          "settle_request",
         "record_usage",    "lease_budget",           "report_crash",
-        "lift_quarantine", "report_version_evidence"};
+        "lift_quarantine", "report_version_evidence",
+        "publish_routing", "start_service_rollout", "end_service_rollout",
+        "report_service_evidence"};
 
 /// One command of the log.
 struct command {
@@ -223,7 +258,8 @@
 [[nodiscard]] auto commandName(const command &Command) -> std::string_view;
 
 /// \return whether the command must carry a change id. Commands of the request
-/// path have keys of their own, which keeps the memory of change ids small.
+/// path and of routing have keys of their own, which keeps the memory of change
+/// ids small.
 [[nodiscard]] auto needsChangeId(const command &Command) -> bool;
 
 /// \return the command as JSON `{command, change_id, issuer, ..., body}`.
--- /dev/null
+++ b/src/catalogue/routing_cmd.cpp
@@ -0,0 +1,107 @@
+/// \file Commands that change the routing document and service rollouts.
+#include "catalogue/command_func.h"
+
+#include <algorithm>
+
+namespace acacianotch {
+
+namespace {
+
+auto rolloutConflict(const service_rollout &Current, std::string Detail)
+    -> command_result {
+  return command_result::of(errc::revision_conflict, std::move(Detail),
+                            writeValue(Current));
+}
+
+auto touch(command_context &Context, const std::string &Service) -> void {
+  Context.Changed.push_back(std::string(ServiceRolloutPrefix) + Service);
+}
+
+auto findRunning(catalogue_data &Data, const std::string &Service,
+                 const std::string &To) -> service_rollout * {
+  const auto Place = Data.ServiceRollouts.find(Service);
+  const auto Found =
+      Place != Data.ServiceRollouts.end() && Place->second.To == To;
+  return Found ? &Place->second : nullptr;
+}
+
+} // namespace
+
+// A lower number was overtaken, and other content under the number held must
+// never be in force. Both leave the state as it is and are acknowledged.
+auto execute(catalogue_data &Data, command_context &Context,
+             const publish_routing &Body) -> command_result {
+  if (Data.Routing && Body.Number <= Data.Routing->Number)
+    return command_result::of(errc::ok, "unchanged");
+  if (Context.DryRun)
+    return {};
+  Data.Routing = routing_document{Body.Number, Body.Text};
+  Context.Changed.emplace_back(RoutingKey);
+  return command_result::of(errc::ok, "stored");
+}
+
+auto execute(catalogue_data &Data, command_context &Context,
+             const start_service_rollout &Body) -> command_result {
+  const auto Place = Data.ServiceRollouts.find(Body.Service);
+  if (Place != Data.ServiceRollouts.end()) {
+    if (Place->second.To == Body.To)
+      return command_result::of(errc::ok, "unchanged",
+                                writeValue(Place->second));
+    if (Place->second.State == rollout_state::running)
+      return rolloutConflict(Place->second,
+                             "another rollout of the service is running");
+  }
+  if (Context.DryRun)
+    return {};
+  auto &Rollout = Data.ServiceRollouts[Body.Service];
+  Rollout = {Body.Service,          Body.To, Context.NowMs, Body.DurationMs,
+             rollout_state::running, ""};
+  Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}};
+  touch(Context, Body.Service);
+  return command_result::of(errc::ok, "started", writeValue(Rollout));
+}
+
+auto execute(catalogue_data &Data, command_context &Context,
+             const end_service_rollout &Body) -> command_result {
+  auto *Rollout = findRunning(Data, Body.Service, Body.To);
+  if (Rollout == nullptr)
+    return command_result::of(errc::unknown_entry, Body.Service);
+  if (Body.State != rollout_state::done && Body.State != rollout_state::aborted)
+    return command_result::of(errc::bad_request, "key 'state': done, aborted");
+  if (Rollout->State != rollout_state::running)
+    return Rollout->State == Body.State
+               ? command_result::of(errc::ok, "unchanged", writeValue(*Rollout))
+               : rolloutConflict(*Rollout, "the rollout has ended");
+  if (Context.DryRun)
+    return {};
+  Rollout->State = Body.State;
+  Rollout->Reason = Body.Reason;
+  touch(Context, Body.Service);
+  return command_result::of(errc::ok, "stored", writeValue(*Rollout));
+}
+
+// The sequence drops a report that is sent again.
+auto execute(catalogue_data &Data, command_context &Context,
+             const report_service_evidence &Body) -> command_result {
+  const auto *Rollout = findRunning(Data, Body.Service, Body.To);
+  if (Rollout == nullptr || Rollout->State != rollout_state::running)
+    return command_result::of(errc::unknown_entry, Body.Service);
+  if (Context.DryRun)
+    return {};
+  auto &Evidence = Data.ServiceEvidence[Body.Service];
+  auto &Last = Evidence.Sequences[Body.Source];
+  if (Body.Sequence <= Last)
+    return command_result::of(errc::ok, "duplicate");
+  Last = Body.Sequence;
+  for (const auto &Counters : Body.Counters) {
+    auto &Sum = Evidence.Totals[Counters.Version];
+    Sum.Version = Counters.Version;
+    Sum.Requests += Counters.Requests;
+    Sum.Errors += Counters.Errors;
+    Sum.Slow += Counters.Slow;
+    Sum.FirstTokenUs += Counters.FirstTokenUs;
+  }
+  return command_result::of(errc::ok, "added");
+}
+
+} // namespace acacianotch
--- a/src/catalogue/state_fields.h
+++ b/src/catalogue/state_fields.h
@@ -110,6 +110,9 @@
       required("leases", &body::Leases, {}, "budget leases"),
       required("crashes", &body::Crashes, {}, "crash records"),
       required("changes", &body::Changes, {}, "change ids"),
+      field("routing", &body::Routing, {}, "routing document"),
+      field("service_rollouts", &body::ServiceRollouts, {}, "per service"),
+      field("service_evidence", &body::ServiceEvidence, {}, "per service"),
   };
 };
 
--- a/src/catalogue/update_codec.cpp
+++ b/src/catalogue/update_codec.cpp
@@ -50,8 +50,20 @@
   return shared_value(*State);
 }
 
+template <typename type>
+auto readPlain(const json &Value) -> result<shared_value> {
+  auto Read = readValue<type>(Value);
+  if (!Read)
+    return Read.error();
+  return shared_value(std::move(*Read));
+}
+
 auto readShared(std::string_view Key, const json &Value)
     -> result<shared_value> {
+  if (Key == RoutingKey)
+    return readPlain<routing_document>(Value);
+  if (Key.starts_with(ServiceRolloutPrefix))
+    return readPlain<service_rollout>(Value);
   if (Key.starts_with(RolloutPrefix))
     return readRollout(Key, Value);
   if (Key.starts_with(QuarantinePrefix))
--- a/src/catalogue/update_type.h
+++ b/src/catalogue/update_type.h
@@ -4,6 +4,7 @@
 #include "catalogue/entry_type.h"
 #include "catalogue/quarantine_type.h"
 #include "catalogue/rollout_type.h"
+#include "catalogue/routing_type.h"
 
 #include <string>
 #include <variant>
@@ -11,9 +12,10 @@
 
 namespace acacianotch {
 
-/// What nodes hold: entries, the last rollout of each model, and fingerprints
-/// that are suspect or quarantined.
-using shared_value = std::variant<model_entry, rollout, suspicion>;
+/// What nodes hold: entries, the last rollout of each model and service, the
+/// routing document, and fingerprints that are suspect or quarantined.
+using shared_value = std::variant<model_entry, rollout, suspicion,
+                                  routing_document, service_rollout>;
 
 /// A shared value that changed, or that was removed.
 struct shared_change {
--- a/src/catalogue/view_lookup.cpp
+++ b/src/catalogue/view_lookup.cpp
@@ -162,6 +162,10 @@
       All.push_back({sharedKey(Entry.key()), Entry});
   for (const auto &[Model, Rollout] : Rollouts)
     All.push_back({rolloutKey(Model), Rollout});
+  for (const auto &[Service, Rollout] : ServiceRollouts)
+    All.push_back({std::string(ServiceRolloutPrefix) + Service, Rollout});
+  if (Routing)
+    All.push_back({std::string(RoutingKey), *Routing});
   for (const auto &[Number, State] : Suspicions)
     All.push_back({quarantineKey(fingerprint{Number}), State});
   std::sort(All.begin(), All.end(), [](const auto &Left, const auto &Right) {
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -2,12 +2,18 @@
 #include "control/control_role.h"
 
 #include "control/control_service.h"
+#include "control/group_join.h"
+#include "control/membership_keeper.h"
+#include "core/log_func.h"
 #include "node/admin_server.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
+#include "platform/operator_api.h"
 
 #include <xxhash.h>
 
+#include <csignal>
+#include <optional>
 #include <random>
 
 namespace acacianotch {
@@ -37,6 +43,16 @@
   return Members;
 }
 
+/// A group that forms itself: its first members are the seeds.
+auto withSeedMembers(const settings &Settings) -> settings {
+  auto Formed = Settings;
+  Formed.Control.Peers = seedMembers(Settings);
+  for (const auto &Peer : Formed.Control.Peers)
+    if (Peer.Address == Settings.Rpc.Listen)
+      Formed.Control.ReplicaId = Peer.Id;
+  return Formed;
+}
+
 auto groupOf(const settings &Settings) -> std::uint64_t {
   std::string Text;
   for (const auto &Peer : Settings.Control.Peers)
@@ -67,14 +83,78 @@
                            groupOf(Settings), replica_id{ReplicaId}, {});
 }
 
+namespace {
+
+/// Asks the group for membership under \p Replica, or under a new id if 0.
+auto askGroup(event_loop &Loop, const settings &Settings, std::uint64_t Replica,
+              const bool &Stopped) -> std::optional<join_grant> {
+  std::random_device Random;
+  const auto Token = (std::uint64_t{Random()} << 32U) | Random();
+  group_joiner Joiner(Loop, seedAddresses(Settings), Settings.Rpc.Listen, Token,
+                      Replica, rpcOptions(Settings));
+  return Joiner.wait(Stopped);
+}
+
+/// Gives the data folder an identity if it has none: that of a seed of a new
+/// group, or a new one that the group grants.
+auto findGroup(event_loop &Loop, const settings &Settings,
+               replica_host_options &Options, const bool &Stopped)
+    -> result<void> {
+  const auto Held = replicaOf(Options.DataFolder);
+  if (!Held)
+    return Held.error();
+  if (*Held)
+    return {};
+  if (formsGroup(Settings)) {
+    logInfo(log_category::replication, "forming a new group");
+    return initialiseControl(withSeedMembers(Settings));
+  }
+  logInfo(log_category::replication, "asking the group for membership");
+  const auto Grant = askGroup(Loop, Settings, 0, Stopped);
+  if (!Grant)
+    return failure::of(errc::shutting_down);
+  for (const auto &Member : Grant->Members)
+    Options.Contacts[replica_id{Member.Id}] = Member.Address.text();
+  logInfo(log_category::replication, "membership granted",
+          {{"replica", Grant->Replica}, {"members", Grant->Members.size()}});
+  return initialiseReplica(Options.DataFolder, Grant->Group,
+                           replica_id{Grant->Replica}, {});
+}
+
+} // namespace
+
 auto runControl(const settings &Settings) -> result<void> {
   auto Loop = event_loop::create();
   if (!Loop)
     return Loop.error();
-  auto Opened = control_service::open(**Loop, hostOptions(Settings));
+  auto Options = hostOptions(Settings);
+  const auto FormsItself = !Settings.Control.Seeds.empty();
+  bool Stopped = false;
+  if (FormsItself) {
+    (*Loop)->onSignal(SIGTERM, [&] { Stopped = true; });
+    if (auto Found = findGroup(**Loop, Settings, Options, Stopped); !Found)
+      return Stopped ? result<void>() : Found;
+  }
+  auto Opened = control_service::open(**Loop, Options);
   if (!Opened)
     return Opened.error();
   auto &Service = **Opened;
+  std::optional<membership_keeper> Keeper;
+  if (FormsItself) {
+    Keeper.emplace(**Loop, Service, Settings.Control.Seeds.size());
+    Service.OnJoin = [&](const std::string &Address, std::uint64_t Token,
+                         std::uint64_t Replica) {
+      return Keeper->join(Address, Token, Replica);
+    };
+  }
+  std::unique_ptr<platform::operator_api> Operators;
+  if (Settings.Control.OperatorListen.valid()) {
+    auto Created = platform::operator_api::create(
+        **Loop, Settings.Control.OperatorListen, Service);
+    if (!Created)
+      return Created.error();
+    Operators = std::move(Created).value();
+  }
   const auto Rpc =
       rpc_server::create(**Loop, Settings.Rpc.Listen, controlInterface(Service),
                          rpcOptions(Settings));
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -131,6 +131,7 @@
 
 auto control_service::roleChanged() -> void {
   if (Host->node().role() == raft_role::leader) {
+    LeaderSince = steady_clock::now();
     Nodes->push();
     return;
   }
@@ -201,6 +202,28 @@
     return kj::READY_NOW;
   }
 
+  auto join(JoinContext Context) -> kj::Promise<void> override {
+    const auto Params = Context.getParams();
+    auto Grant = Context.getResults().initGrant();
+    Grant.setLeader(Service.replica().leaderAddress().c_str());
+    if (!Service.OnJoin) {
+      Grant.setError(static_cast<std::uint16_t>(errc::not_allowed));
+      return kj::READY_NOW;
+    }
+    const auto Answer = Service.OnJoin(toString(Params.getAddress()),
+                                       Params.getToken(), Params.getReplica());
+    Grant.setError(static_cast<std::uint16_t>(Answer.Code));
+    Grant.setDetail(Answer.Detail.c_str());
+    Grant.setGroup(Answer.Grant.Group);
+    Grant.setReplica(Answer.Grant.Replica);
+    Grant.setRemoved(Answer.Grant.Removed);
+    const auto &Members = Answer.Grant.Members;
+    auto List = Grant.initMembers(static_cast<unsigned>(Members.size()));
+    for (unsigned Index = 0; Index < List.size(); ++Index)
+      List.set(Index, Members[Index].text().c_str());
+    return kj::READY_NOW;
+  }
+
   auto query(QueryContext Context) -> kj::Promise<void> override {
     const auto Params = Context.getParams();
     const auto Arguments =
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "catalogue/catalogue_state.h"
+#include "control/group_join.h"
 #include "control/replica_host.h"
 #include "control/subscriptions.h"
 
@@ -48,6 +49,15 @@
   /// \return whether this replica is the leader and its state is current.
   [[nodiscard]] auto confirmedEpoch() const -> std::optional<epoch>;
 
+  /// \return when this replica became the leader.
+  [[nodiscard]] auto leaderSince() const -> time_point { return LeaderSince; }
+
+  /// Answers a replica that asks for membership; not set in a group whose
+  /// membership operators change.
+  std::function<join_answer(const std::string &Address, std::uint64_t Token,
+                            std::uint64_t Replica)>
+      OnJoin;
+
   /// \return the answer to a query of the client.
   [[nodiscard]] auto query(std::string_view What, const json &Arguments)
       -> result<json>;
@@ -80,6 +90,7 @@
   std::unique_ptr<subscriptions> Nodes;
   std::map<log_index, proposal> Proposals;
   std::uint64_t LastTimeMs = 0;
+  time_point LeaderSince{};
   control_counters Counters;
 };
 
--- /dev/null
+++ b/src/control/membership_keeper.cpp
@@ -0,0 +1,131 @@
+/// \file Keeps the membership of a group that forms itself.
+#include "control/membership_keeper.h"
+
+#include "core/log_func.h"
+
+#include <algorithm>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr duration TickInterval = std::chrono::milliseconds(100);
+/// A voter that is silent for longer is gone if a successor runs: a restart
+/// takes well under a second, and a cut or freeze of some seconds heals.
+constexpr duration SilenceLimit = std::chrono::seconds(4);
+/// Learners that never became voters are removed after this silence.
+constexpr duration LearnerLimit = std::chrono::seconds(2);
+
+} // namespace
+
+membership_keeper::membership_keeper(event_loop &Loop,
+                                     control_service &TheService,
+                                     std::size_t TheSize)
+    : Service(TheService), Size(TheSize),
+      Timer(Loop.repeating([this] { tick(); })) {
+  Timer->start(TickInterval);
+}
+
+auto membership_keeper::change(std::string_view Action, replica_id Id,
+                               std::string Address) -> result<void> {
+  auto Done = Service.changeMembers(Action, Id, Address);
+  if (Done)
+    logInfo(log_category::replication, "membership change proposed",
+            {{"action", Action},
+             {"replica", static_cast<std::uint64_t>(Id)},
+             {"address", Address},
+             {"term", Service.replica().node().term()}});
+  return Done;
+}
+
+auto membership_keeper::grant(replica_id Id, bool Removed) const
+    -> join_answer {
+  join_answer Answer;
+  Answer.Grant.Group = Service.replica().group();
+  Answer.Grant.Replica = static_cast<std::uint64_t>(Id);
+  Answer.Grant.Removed = Removed;
+  for (const auto &Member : Service.replica().node().members().Members)
+    if (const auto Address = parseAddress(Member.Address))
+      Answer.Grant.Members.push_back(
+          {static_cast<std::uint64_t>(Member.Id), *Address});
+  return Answer;
+}
+
+// A replica at a member's address that has no identity has lost its disk, so
+// that member can never answer again. Its id is not given out a second time.
+auto membership_keeper::join(const std::string &Address, std::uint64_t Token,
+                             std::uint64_t Replica) -> join_answer {
+  const auto &Node = Service.replica().node();
+  const auto Refuse = [&](errc Code, std::string Detail) {
+    join_answer Answer;
+    Answer.Code = Code;
+    Answer.Detail = std::move(Detail);
+    return Answer;
+  };
+  if (!Service.confirmedEpoch())
+    return Refuse(errc::not_leader, "");
+  if (!Node.membersCommitted())
+    return Refuse(errc::not_ready, "a membership change is under way");
+  const auto &Members = Node.members();
+  if (Replica != 0)
+    return grant(replica_id{Replica},
+                 Members.find(replica_id{Replica}) == nullptr);
+  const auto Known = Tickets.find(Token);
+  if (Known != Tickets.end() && Members.find(Known->second.Id) != nullptr)
+    return grant(Known->second.Id, false);
+  for (const auto &Member : Members.Members)
+    if (Member.Address == Address) {
+      const auto Done = change("remove_replica", Member.Id, Address);
+      return Refuse(errc::not_ready, Done ? "the lost member is being removed"
+                                          : Done.error().text());
+    }
+  const auto Id = replica_id{Members.NextId};
+  if (const auto Done = change("add_replica", Id, Address); !Done)
+    return Refuse(errc::not_ready, Done.error().text());
+  Tickets[Token] = {Address, Id};
+  return Refuse(errc::not_ready, "the learner is being added");
+}
+
+auto membership_keeper::tick() -> void {
+  const auto &Node = Service.replica().node();
+  if (Node.role() != raft_role::leader || !Service.confirmedEpoch()) {
+    Tickets.clear();
+    return;
+  }
+  if (!Node.membersCommitted())
+    return;
+  promoteLearners();
+  if (Node.membersCommitted())
+    removeSilent();
+}
+
+auto membership_keeper::promoteLearners() -> void {
+  const auto &Node = Service.replica().node();
+  for (const auto &Member : Node.members().Members) {
+    if (Member.Voter)
+      continue;
+    if (change("promote_replica", Member.Id, Member.Address))
+      return;
+  }
+}
+
+auto membership_keeper::removeSilent() -> void {
+  const auto &Node = Service.replica().node();
+  const auto Now = steady_clock::now();
+  const auto Voters = Node.members().voterCount();
+  for (const auto &Member : Node.members().Members) {
+    const auto Peer = Node.peers().find(Member.Id);
+    if (Peer == Node.peers().end())
+      continue;
+    const auto HeardAt =
+        std::max(Peer->second.AnsweredAt, Service.leaderSince());
+    const auto Limit = Member.Voter ? SilenceLimit : LearnerLimit;
+    const auto Spare = !Member.Voter || Voters > Size;
+    if (!Spare || Now - HeardAt < Limit)
+      continue;
+    if (change("remove_replica", Member.Id, Member.Address))
+      return;
+  }
+}
+
+} // namespace acacianotch
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -61,6 +61,17 @@
                         {Group, static_cast<std::uint64_t>(Id)});
 }
 
+auto replicaOf(const std::string &DataFolder)
+    -> result<std::optional<replica_id>> {
+  posix_file_system Files;
+  const auto Identity = readIdentity(Files, DataFolder);
+  if (!Identity)
+    return Identity.error();
+  if (!Identity->has_value())
+    return std::optional<replica_id>();
+  return std::optional(replica_id{(*Identity)->Replica});
+}
+
 auto replica_host::open(event_loop &Loop, const replica_host_options &Options,
                         replica_callbacks Callbacks)
     -> result<std::unique_ptr<replica_host>> {
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -43,6 +43,10 @@
                                      std::uint64_t Group, replica_id Id,
                                      const membership &Members) -> result<void>;
 
+/// \return the id that the data folder belongs to; nothing if it is empty.
+[[nodiscard]] auto replicaOf(const std::string &DataFolder)
+    -> result<std::optional<replica_id>>;
+
 /// Drives a raft_node: messages over RPC, records to the log file, committed
 /// records to the state machine.
 class replica_host {
@@ -76,6 +80,8 @@
 
   [[nodiscard]] auto node() const -> const raft_node & { return Node; }
 
+  [[nodiscard]] auto group() const -> std::uint64_t { return Group; }
+
   /// \return the RPC address of the leader, if known.
   [[nodiscard]] auto leaderAddress() const -> std::string;
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -45,6 +45,8 @@
   auto Settings = loadSettings(File);
   if (!Settings)
     return Settings;
+  if (Settings->Node.SecretFile.empty())
+    return Settings;
   const auto Secret = readSecretFile(Settings->Node.SecretFile);
   if (!Secret)
     return Secret.error();
@@ -62,7 +64,8 @@
 auto run(const settings &Settings) -> daemon_exit {
   applyLogLevels(Settings);
   logStart(Settings);
-  if (othersMayRead(Settings.Node.SecretFile))
+  if (!Settings.Node.SecretFile.empty() &&
+      othersMayRead(Settings.Node.SecretFile))
     logWarning(log_category::settings, "all users may read the secret file",
                {{"file", Settings.Node.SecretFile.string()}});
   const auto Done = runRole(Settings);
--- a/src/daemon/role.cpp
+++ b/src/daemon/role.cpp
@@ -4,6 +4,7 @@
 #include "agent/agent_role.h"
 #include "control/control_role.h"
 #include "entry/entry_role.h"
+#include "gateway/gateway_role.h"
 
 namespace acacianotch {
 
@@ -15,6 +16,8 @@
     return runAgent(Settings);
   case process_role::control:
     return runControl(Settings);
+  case process_role::gateway:
+    return runGateway(Settings);
   case process_role::invalid:
     break;
   }
--- /dev/null
+++ b/src/gateway/backend_channel.cpp
@@ -0,0 +1,214 @@
+/// \file One connection from a gateway to a backend server.
+#include "gateway/backend_channel.h"
+
+#include "net/http_write.h"
+#include "net/socket_func.h"
+#include "platform/request_codec.h"
+
+namespace acacianotch {
+
+namespace {
+
+/// A connection takes a few milliseconds; a lost opening packet is sent again
+/// only after a second, by when another backend server has answered.
+constexpr duration ConnectLimit = std::chrono::milliseconds(250);
+/// Seconds after which a silent backend server's connection is ended.
+constexpr int SilenceSeconds = 6;
+/// A connection is not used in the last part of the idle time that the backend
+/// server states, because the two ends could cross.
+constexpr duration IdleMargin = std::chrono::seconds(1);
+/// Idle time after which a connection is not used if none is stated.
+constexpr duration DefaultIdleLimit = std::chrono::seconds(4);
+/// Largest head of an answer, bytes.
+constexpr std::size_t MaxHeadBytes = 64ULL * 1024;
+
+auto notRun(std::string Detail) -> failure {
+  return {errc::backend_unreachable, std::move(Detail), verdict::not_run};
+}
+
+} // namespace
+
+auto backend_channel::connect(event_loop &Loop, const address &Address)
+    -> result<std::shared_ptr<backend_channel>> {
+  auto Fd = connectTo(Address);
+  if (!Fd)
+    return notRun(Fd.error().Detail);
+  setLiveness(Fd->fd(), SilenceSeconds);
+  return std::shared_ptr<backend_channel>(
+      new backend_channel(Loop, Fd->release()));
+}
+
+backend_channel::backend_channel(event_loop &TheLoop, int Fd)
+    : Loop(TheLoop),
+      Socket(bufferevent_socket_new(Loop.base(), Fd, BEV_OPT_CLOSE_ON_FREE)),
+      Reader(http_message::answer, MaxHeadBytes,
+             {[this](http_head &&Head) { handleHead(std::move(Head)); },
+              [this](std::string_view Data) { handleBody(Data); },
+              [this] { handleAnswerEnd(); }}),
+      ConnectTimer(Loop.oneShot([this] {
+        const auto Kept = shared_from_this();
+        fail(errc::backend_unreachable, "the connection was not accepted");
+      })) {
+  bufferevent_setcb(Socket.get(), onRead, nullptr, onEvent, this);
+  // Tells libevent that the socket is connecting, so that it reports the end.
+  bufferevent_socket_connect(Socket.get(), nullptr, 0);
+  bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
+  ConnectTimer->start(ConnectLimit);
+}
+
+backend_channel::~backend_channel() = default;
+
+auto backend_channel::start(const channel_call &Call, channel_events TheEvents)
+    -> void {
+  Events = std::move(TheEvents);
+  RequestId = Call.RequestId;
+  HasCall = true;
+  Skipping = false;
+  if (State == state::idle)
+    State = state::busy;
+  auto *Output = bufferevent_get_output(Socket.get());
+  appendText(Output, Call.Method);
+  appendText(Output, " ");
+  appendText(Output, Call.Target);
+  appendText(Output, " HTTP/1.1\r\n");
+  auto Headers = Call.Headers;
+  const auto HasBody = !Call.Body.empty() || Call.Method != "GET";
+  if (HasBody)
+    Headers.emplace_back("Content-Length", std::to_string(Call.Body.size()));
+  appendHeaders(Output, Headers);
+  appendText(Output, Call.Body);
+}
+
+auto backend_channel::cancel() -> void {
+  HasCall = false;
+  Events = {};
+  close();
+}
+
+auto backend_channel::pauseReading() -> void {
+  if (State != state::closed)
+    bufferevent_disable(Socket.get(), EV_READ);
+}
+
+auto backend_channel::resumeReading() -> void {
+  if (State != state::closed)
+    bufferevent_enable(Socket.get(), EV_READ);
+}
+
+auto backend_channel::reusable(time_point Now) const -> bool {
+  const auto Limit = IdleLimit ? std::max(*IdleLimit - IdleMargin, IdleMargin)
+                               : DefaultIdleLimit;
+  return State == state::idle && Now - IdleSince < Limit &&
+         evbuffer_get_length(bufferevent_get_input(Socket.get())) == 0;
+}
+
+auto backend_channel::onRead(bufferevent * /*Event*/, void *Self) -> void {
+  const auto Kept = static_cast<backend_channel *>(Self)->shared_from_this();
+  Kept->process();
+}
+
+auto backend_channel::onEvent(bufferevent * /*Event*/, short What, void *Self)
+    -> void {
+  const auto Kept = static_cast<backend_channel *>(Self)->shared_from_this();
+  if ((What & BEV_EVENT_CONNECTED) != 0) {
+    Kept->Connected = true;
+    Kept->ConnectTimer->stop();
+    Kept->State = Kept->HasCall ? state::busy : state::idle;
+    return;
+  }
+  if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    Kept->handleClosed((What & BEV_EVENT_EOF) != 0);
+}
+
+auto backend_channel::process() -> void {
+  auto *Input = bufferevent_get_input(Socket.get());
+  while (State == state::busy && evbuffer_get_length(Input) > 0) {
+    const auto Before = evbuffer_get_length(Input);
+    if (auto Done = Reader.read(Input); !Done)
+      return fail(errc::protocol_error, Done.error().Detail);
+    if (State == state::closed || evbuffer_get_length(Input) == Before)
+      return;
+  }
+  // Bytes behind a whole answer belong to no request.
+  if (State == state::idle && evbuffer_get_length(Input) > 0)
+    close();
+}
+
+auto backend_channel::handleHead(http_head &&Head) -> void {
+  constexpr int FirstFinalStatus = 200;
+  if (!HasCall)
+    return;
+  if (Head.Status < FirstFinalStatus) {
+    Skipping = true;
+    return;
+  }
+  const auto Facts = platform::decodeAnswer(Head);
+  // An answer that came twice or late bears the id of an earlier request.
+  Skipping = !Facts.RequestId.empty() && Facts.RequestId != RequestId;
+  if (Skipping)
+    return;
+  KeepAlive = Head.KeepAlive && !Head.EndsWithConnection;
+  IdleLimit = Facts.IdleLimit;
+  if (Facts.RequestId.empty() && !Facts.NotRun)
+    return fail(errc::crossed_answer, "the answer states no request");
+  // A copy, because the callback may cancel the call and so replace Events.
+  if (const auto Callback = Events.OnHead)
+    Callback(Facts, std::move(Head));
+}
+
+auto backend_channel::handleBody(std::string_view Data) -> void {
+  if (!HasCall || Skipping)
+    return;
+  if (const auto Callback = Events.OnBody)
+    Callback(Data);
+}
+
+auto backend_channel::handleAnswerEnd() -> void {
+  if (!HasCall || std::exchange(Skipping, false))
+    return;
+  const auto AllSent =
+      evbuffer_get_length(bufferevent_get_output(Socket.get())) == 0;
+  if (KeepAlive && AllSent) {
+    State = state::idle;
+    IdleSince = steady_clock::now();
+  } else {
+    close();
+  }
+  end({});
+}
+
+auto backend_channel::handleClosed(bool Clean) -> void {
+  if (HasCall && Clean && !Skipping && Reader.finish())
+    return;
+  fail(Connected ? errc::incomplete_answer : errc::backend_unreachable,
+       "the backend server closed the connection");
+}
+
+auto backend_channel::fail(errc Code, std::string Detail) -> void {
+  const auto Verdict = Connected ? verdict::may_have_run : verdict::not_run;
+  close();
+  end(failure{Code, std::move(Detail), Verdict});
+}
+
+auto backend_channel::end(result<void> Result) -> void {
+  if (!std::exchange(HasCall, false))
+    return;
+  const auto Ended = std::move(Events.OnEnd);
+  Events = {};
+  if (Ended)
+    Ended(std::move(Result));
+}
+
+auto backend_channel::close() -> void {
+  if (State == state::closed)
+    return;
+  State = state::closed;
+  ConnectTimer->stop();
+  bufferevent_setcb(Socket.get(), nullptr, nullptr, nullptr, nullptr);
+  bufferevent_disable(Socket.get(), EV_READ | EV_WRITE);
+  Loop.defer([Kept = shared_from_this()] { Kept->Socket.reset(); });
+  if (Lost)
+    Loop.defer(std::exchange(Lost, nullptr));
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/backend_directory.cpp
@@ -0,0 +1,217 @@
+/// \file The backend servers that a gateway knows, in pools by service.
+#include "gateway/backend_directory.h"
+
+#include "core/log_func.h"
+
+#include <algorithm>
+#include <set>
+
+namespace acacianotch {
+
+namespace {
+
+/// Time without new work after a failed connection: about the time in which a
+/// crashed backend server starts again.
+constexpr duration Suspension = std::chrono::seconds(1);
+/// Idle connections kept to one backend server.
+constexpr std::size_t MaxIdle = 32;
+
+constexpr std::string_view ServingSuffix = "/serving";
+constexpr std::string_view CandidateSuffix = "/candidate";
+
+auto armKey(const std::string &Service, version_arm Arm) -> std::string {
+  return Service + std::string(Arm == version_arm::candidate ? CandidateSuffix
+                                                             : ServingSuffix);
+}
+
+/// All gateways must agree on where a prompt is cached, so each uses all
+/// backend servers of a service.
+auto placementSettings() -> placement_settings {
+  placement_settings Settings;
+  Settings.Subset.MinSize = 4096;
+  Settings.Subset.SpillSize = 4096;
+  return Settings;
+}
+
+} // namespace
+
+backend_directory::backend_directory(event_loop &TheLoop, node_id TheNode,
+                                     zone_id TheZone, std::uint64_t Seed)
+    : Loop(TheLoop), Node(std::move(TheNode)), Zone(std::move(TheZone)),
+      Random(Seed) {}
+
+auto backend_directory::follow(std::vector<backend_record> Listed) -> void {
+  std::set<std::string> Present;
+  auto Changed = !std::exchange(Known, true);
+  for (auto &Record : Listed) {
+    Present.insert(Record.Id);
+    auto &Place = Backends[Record.Id];
+    const auto NewLife = Place != nullptr &&
+                         (Place->Record.StartedMs != Record.StartedMs ||
+                          Place->Record.Address != Record.Address);
+    if (NewLife)
+      remove(*Place);
+    if (Place == nullptr || NewLife) {
+      Place = std::make_unique<known_backend>();
+      logInfo(log_category::placement, "backend server listed",
+              {{"backend", Record.Id},
+               {"service", Record.Service},
+               {"address", Record.Address.text()},
+               {"version", Record.Version}});
+    } else if (!Place->Record.Leaving && Record.Leaving) {
+      logInfo(log_category::placement, "backend server is leaving",
+              {{"backend", Record.Id}, {"service", Record.Service}});
+    }
+    Record.Leaving = Record.Leaving || (!NewLife && Place->Record.Leaving);
+    if (Place->Record == Record)
+      continue;
+    Changed = true;
+    Place->Record = std::move(Record);
+    const auto &Facts = Place->Record;
+    Place->Handle = Board.put({backend_id(Facts.Id), zone_id(Facts.Zone),
+                               Facts.Slots, Facts.Leaving});
+    ByHandle[Place->Handle] = Place.get();
+  }
+  for (auto Place = Backends.begin(); Place != Backends.end();) {
+    if (Present.contains(Place->first)) {
+      ++Place;
+      continue;
+    }
+    logInfo(log_category::placement, "backend server is no longer listed",
+            {{"backend", Place->first}});
+    remove(*Place->second);
+    Place = Backends.erase(Place);
+    Changed = true;
+  }
+  if (Changed)
+    rebuildPools();
+}
+
+auto backend_directory::remove(known_backend &Backend) -> void {
+  if (Backend.Suspended)
+    Board.restore(Backend.Handle);
+  for (const auto &Channel : Backend.Idle)
+    Channel->cancel();
+  ByHandle.erase(Backend.Handle);
+  Board.remove(backend_id(Backend.Record.Id));
+}
+
+auto backend_directory::followRollouts(const catalogue_view &View) -> void {
+  Rollouts = {View.serviceRollouts().begin(), View.serviceRollouts().end()};
+  rebuildPools();
+}
+
+auto backend_directory::poolKey(const backend_record &Record) const
+    -> std::string {
+  const auto Place = Rollouts.find(Record.Service);
+  if (Place == Rollouts.end())
+    return armKey(Record.Service, version_arm::serving);
+  const auto &Rollout = Place->second;
+  const auto IsTarget = Record.Version == Rollout.To;
+  // After a completed rollout the predecessor is stopped at once; after an
+  // aborted one the new version must get nothing more.
+  if (Rollout.State == rollout_state::done)
+    return IsTarget ? armKey(Record.Service, version_arm::serving) : "";
+  return armKey(Record.Service, IsTarget ? version_arm::candidate
+                                         : version_arm::serving);
+}
+
+auto backend_directory::rebuildPools() -> void {
+  std::map<std::string, std::vector<backend_handle>> Lists;
+  for (const auto &[Key, Pool] : Pools)
+    Lists[Key];
+  for (const auto &[Id, Backend] : Backends)
+    if (const auto Key = poolKey(Backend->Record); !Key.empty())
+      Lists[Key].push_back(Backend->Handle);
+  for (auto &[Key, Members] : Lists) {
+    auto &Pool = Pools[Key];
+    if (Pool == nullptr)
+      Pool = std::make_unique<backend_pool>(Clock, Random, Board, Node, Zone,
+                                            placementSettings());
+    if (Pool->Members == Members)
+      continue;
+    Pool->Members = Members;
+    Pool->Placement.update(std::move(Members));
+  }
+}
+
+auto backend_directory::pool(const std::string &Service, version_arm Arm)
+    -> backend_pool * {
+  const auto Place = Pools.find(armKey(Service, Arm));
+  if (Place == Pools.end() || Place->second->Members.empty())
+    return nullptr;
+  return Place->second.get();
+}
+
+auto backend_directory::runningRollout(const std::string &Service) const
+    -> const service_rollout * {
+  const auto Place = Rollouts.find(Service);
+  const auto Running = Place != Rollouts.end() &&
+                       Place->second.State == rollout_state::running;
+  return Running ? &Place->second : nullptr;
+}
+
+auto backend_directory::find(backend_handle Handle) -> known_backend * {
+  const auto Place = ByHandle.find(Handle);
+  return Place == ByHandle.end() ? nullptr : Place->second;
+}
+
+auto backend_directory::channel(known_backend &Backend)
+    -> result<std::shared_ptr<backend_channel>> {
+  const auto Now = steady_clock::now();
+  while (!Backend.Idle.empty()) {
+    auto Channel = std::move(Backend.Idle.back());
+    Backend.Idle.pop_back();
+    if (Channel->reusable(Now))
+      return Channel;
+    Channel->cancel();
+  }
+  return backend_channel::connect(Loop, Backend.Record.Address);
+}
+
+auto backend_directory::keep(backend_handle Handle,
+                             std::shared_ptr<backend_channel> Channel) -> void {
+  auto *Backend = find(Handle);
+  const auto Useful = Backend != nullptr && Backend->Idle.size() < MaxIdle &&
+                      Channel->reusable(steady_clock::now());
+  if (Useful)
+    Backend->Idle.push_back(std::move(Channel));
+  else
+    Channel->cancel();
+}
+
+auto backend_directory::suspend(backend_handle Handle) -> void {
+  auto *Backend = find(Handle);
+  if (Backend == nullptr)
+    return;
+  Backend->SuspendedUntil = steady_clock::now() + Suspension;
+  for (const auto &Channel : Backend->Idle)
+    Channel->cancel();
+  Backend->Idle.clear();
+  if (std::exchange(Backend->Suspended, true))
+    return;
+  Board.eject(Handle);
+  logWarning(log_category::placement, "backend server is suspended",
+             {{"backend", Backend->Record.Id},
+              {"service", Backend->Record.Service}});
+}
+
+auto backend_directory::tick() -> void {
+  const auto Now = steady_clock::now();
+  for (auto &[Id, Backend] : Backends) {
+    std::erase_if(Backend->Idle, [&](const auto &Channel) {
+      const auto Useless = !Channel->reusable(Now);
+      if (Useless)
+        Channel->cancel();
+      return Useless;
+    });
+    if (!Backend->Suspended || Now < Backend->SuspendedUntil)
+      continue;
+    Backend->Suspended = false;
+    Board.restore(Backend->Handle);
+    logInfo(log_category::placement, "backend server is used again",
+            {{"backend", Id}});
+  }
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/caller_connection.cpp
@@ -0,0 +1,270 @@
+/// \file One caller's connection to a gateway.
+#include "gateway/caller_connection.h"
+
+#include "core/log_func.h"
+#include "net/http_write.h"
+#include "net/socket_func.h"
+#include "platform/request_codec.h"
+
+#include <sys/socket.h>
+
+namespace acacianotch {
+
+namespace {
+
+/// Input kept unread while an answer is under way; a caller that sends more
+/// waits.
+constexpr std::size_t PipelineBytes = 64ULL * 1024;
+/// A closed connection is read for this long, so that the caller can read the
+/// answer before a reset.
+constexpr duration LingerTime = std::chrono::seconds(1);
+/// Seconds after which a silent caller's connection is probed and ended.
+constexpr int SilenceSeconds = 10;
+
+constexpr int BadRequest = 400;
+constexpr int RequestTimeout = 408;
+constexpr int BodyTooLarge = 413;
+constexpr int HeadTooLarge = 431;
+
+} // namespace
+
+caller_connection::caller_connection(event_loop &TheLoop, int Fd,
+                                     const caller_limits &TheLimits,
+                                     caller_events TheEvents)
+    : Loop(TheLoop), Limits(TheLimits), Events(std::move(TheEvents)),
+      Socket(bufferevent_socket_new(Loop.base(), Fd, BEV_OPT_CLOSE_ON_FREE)),
+      Reader(http_message::request, Limits.HeaderBytes,
+             {[this](http_head &&Head) { handleHead(std::move(Head)); },
+              [this](std::string_view Data) { handleBody(Data); },
+              [this] { handleEnd(); }}),
+      Timer(Loop.oneShot([this] { handleTimeout(); })) {
+  setLiveness(Fd, SilenceSeconds);
+  bufferevent_setcb(Socket.get(), onRead, onWritten, onEvent, this);
+}
+
+caller_connection::~caller_connection() = default;
+
+auto caller_connection::start() -> void {
+  bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
+  startTimer();
+}
+
+auto caller_connection::watch(std::function<void()> TheLeft,
+                              std::function<void()> TheDrained) -> void {
+  Left = std::move(TheLeft);
+  Drained = std::move(TheDrained);
+}
+
+auto caller_connection::unsent() const -> std::size_t {
+  return State == state::closed ? 0 : evbuffer_get_length(output());
+}
+
+auto caller_connection::reading() const -> bool {
+  return State == state::reading && Reader.inMessage();
+}
+
+auto caller_connection::onRead(bufferevent * /*Event*/, void *Self) -> void {
+  auto Kept = static_cast<caller_connection *>(Self)->shared_from_this();
+  Kept->process();
+}
+
+auto caller_connection::onWritten(bufferevent * /*Event*/, void *Self) -> void {
+  auto Kept = static_cast<caller_connection *>(Self)->shared_from_this();
+  if (Kept->CloseAfterWrite && Kept->State != state::lingering)
+    return Kept->linger();
+  if (Kept->Drained)
+    Kept->Drained();
+}
+
+auto caller_connection::onEvent(bufferevent * /*Event*/, short What, void *Self)
+    -> void {
+  auto Kept = static_cast<caller_connection *>(Self)->shared_from_this();
+  if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    Kept->handleLeft();
+}
+
+auto caller_connection::handleLeft() -> void {
+  auto Callback = std::exchange(Left, nullptr);
+  Drained = nullptr;
+  close();
+  if (Callback)
+    Callback();
+}
+
+auto caller_connection::process() -> void {
+  auto *Input = bufferevent_get_input(Socket.get());
+  if (State == state::lingering) {
+    evbuffer_drain(Input, evbuffer_get_length(Input));
+    return;
+  }
+  while (State == state::reading && evbuffer_get_length(Input) > 0) {
+    const auto WasReading = Reader.inMessage();
+    const auto Done = Reader.read(Input);
+    if (State != state::reading)
+      return;
+    if (!Done)
+      return refuse(Done.error().Code == errc::body_too_large ? HeadTooLarge
+                                                              : BadRequest,
+                    Done.error().Detail);
+    if (!WasReading && Reader.inMessage())
+      startTimer();
+    if (!Reader.inBody())
+      return;
+    if (evbuffer_get_length(Input) == 0)
+      return;
+  }
+}
+
+auto caller_connection::handleHead(http_head &&Head) -> void {
+  KeepAlive = Head.KeepAlive;
+  const auto Expects = Head.find("Expect") != nullptr;
+  const auto TooLong =
+      Head.Length > 0 &&
+      static_cast<std::uint64_t>(Head.Length) > Limits.BodyBytes;
+  if (TooLong)
+    return refuse(BodyTooLarge, "the body is too large");
+  const auto Length = Head.Length;
+  auto Decoded = platform::decodeRequest(std::move(Head));
+  if (!Decoded)
+    return refuse(BadRequest, Decoded.error().Detail);
+  Request = std::make_unique<caller_request>(std::move(Decoded).value());
+  if (Length > 0)
+    Request->Body.reserve(static_cast<std::size_t>(Length));
+  if (Expects)
+    appendText(output(), "HTTP/1.1 100 Continue\r\n\r\n");
+  startTimer();
+}
+
+auto caller_connection::handleBody(std::string_view Data) -> void {
+  if (State != state::reading || Request == nullptr)
+    return;
+  if (Request->Body.size() + Data.size() > Limits.BodyBytes)
+    return refuse(BodyTooLarge, "the body is too large");
+  Request->Body.append(Data);
+  startTimer();
+}
+
+auto caller_connection::handleEnd() -> void {
+  if (State != state::reading || Request == nullptr)
+    return;
+  State = state::answering;
+  Timer->stop();
+  bufferevent_setwatermark(Socket.get(), EV_READ, 0, PipelineBytes);
+  auto Ready = std::move(*Request);
+  Request.reset();
+  Ready.ReceivedAt = steady_clock::now();
+  Events.OnRequest(shared_from_this(), std::move(Ready));
+}
+
+// The rest of a refused request cannot be told from the next one.
+auto caller_connection::refuse(int Status, std::string_view Reason) -> void {
+  logInfo(log_category::http, "refused a malformed request",
+          {{"status", Status}, {"reason", Reason}});
+  State = state::answering;
+  Closing = true;
+  reply(Status, {}, "");
+}
+
+auto caller_connection::reply(int Status, const http_headers &Headers,
+                              std::string_view Body) -> void {
+  if (State != state::answering)
+    return;
+  auto Sent = Headers;
+  Sent.emplace_back("Content-Length", std::to_string(Body.size()));
+  if (Closing || !KeepAlive)
+    Sent.emplace_back("Connection", "close");
+  appendStatusLine(output(), Status);
+  appendHeaders(output(), Sent);
+  appendText(output(), Body);
+  finishAnswer();
+}
+
+auto caller_connection::startStream(int Status, const http_headers &Headers)
+    -> void {
+  if (State != state::answering)
+    return;
+  auto Sent = Headers;
+  Sent.emplace_back("Transfer-Encoding", "chunked");
+  if (Closing || !KeepAlive)
+    Sent.emplace_back("Connection", "close");
+  appendStatusLine(output(), Status);
+  appendHeaders(output(), Sent);
+}
+
+auto caller_connection::write(std::string_view Data) -> void {
+  if (State == state::answering)
+    appendChunk(output(), Data);
+}
+
+auto caller_connection::endStream() -> void {
+  if (State != state::answering)
+    return;
+  appendLastChunk(output());
+  finishAnswer();
+}
+
+auto caller_connection::finishAnswer() -> void {
+  Left = nullptr;
+  Drained = nullptr;
+  if (Closing || !KeepAlive) {
+    CloseAfterWrite = true;
+    return;
+  }
+  State = state::reading;
+  bufferevent_setwatermark(Socket.get(), EV_READ, 0, 0);
+  startTimer();
+  // The next request may have arrived already.
+  Loop.defer([Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock(); Self && Self->State == state::reading)
+      Self->process();
+  });
+}
+
+auto caller_connection::abort() -> void {
+  Left = nullptr;
+  Drained = nullptr;
+  close();
+}
+
+auto caller_connection::closeIfIdle() -> void {
+  if (State == state::reading && !Reader.inMessage())
+    close();
+}
+
+auto caller_connection::startTimer() -> void {
+  const auto InHead = Reader.inMessage() && !Reader.inBody();
+  Timer->start(InHead ? Limits.HeaderTime : Limits.IdleTime);
+}
+
+auto caller_connection::handleTimeout() -> void {
+  const auto Kept = shared_from_this();
+  if (State == state::lingering)
+    return close();
+  if (State != state::reading)
+    return;
+  if (!Reader.inMessage())
+    return close();
+  refuse(RequestTimeout, "the request did not arrive in time");
+}
+
+auto caller_connection::linger() -> void {
+  State = state::lingering;
+  ::shutdown(bufferevent_getfd(Socket.get()), SHUT_WR);
+  bufferevent_setwatermark(Socket.get(), EV_READ, 0, 0);
+  Timer->start(LingerTime);
+  process();
+}
+
+auto caller_connection::close() -> void {
+  if (State == state::closed)
+    return;
+  State = state::closed;
+  Timer->stop();
+  bufferevent_disable(Socket.get(), EV_READ | EV_WRITE);
+  bufferevent_setcb(Socket.get(), nullptr, nullptr, nullptr, nullptr);
+  // The socket closes now; the object may still be in use further up.
+  Loop.defer([Kept = shared_from_this()] { Kept->Socket.reset(); });
+  Events.OnClosed(*this);
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/caller_connection.h
@@ -0,0 +1,123 @@
+/// \file One caller's connection to a gateway.
+#pragma once
+
+#include "gateway/request_type.h"
+#include "net/event_loop.h"
+#include "net/http_reader.h"
+#include "routing/routing_type.h"
+
+#include <event2/bufferevent.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace acacianotch {
+
+/// Deletes a bufferevent with its socket.
+struct bufferevent_deleter {
+  auto operator()(bufferevent *Event) const -> void { bufferevent_free(Event); }
+};
+using bufferevent_handle = std::unique_ptr<bufferevent, bufferevent_deleter>;
+
+class caller_connection;
+
+/// What the owner of a connection is told.
+struct caller_events {
+  std::function<void(const std::shared_ptr<caller_connection> &,
+                     caller_request &&)>
+      OnRequest;
+  std::function<void(caller_connection &)> OnClosed; ///< The last event.
+};
+
+/// Reads requests one after another and writes their answers. A request is
+/// handed on when its body is whole; the next one is read after its answer.
+class caller_connection final
+    : public std::enable_shared_from_this<caller_connection> {
+public:
+  caller_connection(event_loop &Loop, int Fd, const caller_limits &Limits,
+                    caller_events Events);
+  ~caller_connection();
+  caller_connection(const caller_connection &) = delete;
+  auto operator=(const caller_connection &) -> caller_connection & = delete;
+
+  /// Starts to read.
+  auto start() -> void;
+
+  /// Sends a whole answer to the current request.
+  auto reply(int Status, const http_headers &Headers, std::string_view Body)
+      -> void;
+
+  /// Sends the head of an answer whose body follows in pieces.
+  auto startStream(int Status, const http_headers &Headers) -> void;
+
+  /// Sends one piece of a streamed answer.
+  auto write(std::string_view Data) -> void;
+
+  /// Ends a streamed answer.
+  auto endStream() -> void;
+
+  /// Closes the connection, so that the caller sees an incomplete answer.
+  auto abort() -> void;
+
+  /// Runs \p Left once if the caller leaves before the answer is whole, and
+  /// \p Drained whenever the socket has taken all that was written.
+  auto watch(std::function<void()> Left, std::function<void()> Drained) -> void;
+
+  /// \return bytes that the socket has not taken yet.
+  [[nodiscard]] auto unsent() const -> std::size_t;
+
+  /// \return whether a request waits for the end of its answer.
+  [[nodiscard]] auto busy() const -> bool { return State == state::answering; }
+
+  /// \return whether bytes of a request have come that is not whole yet.
+  [[nodiscard]] auto reading() const -> bool;
+
+  /// Closes the connection after the current answer.
+  auto closeSoon() -> void { Closing = true; }
+
+  /// Closes an idle connection now.
+  auto closeIfIdle() -> void;
+
+  /// Limits for the requests that follow.
+  auto setLimits(const caller_limits &Values) -> void { Limits = Values; }
+
+private:
+  enum class state : std::uint8_t { reading, answering, lingering, closed };
+
+  static auto onRead(bufferevent *, void *Self) -> void;
+  static auto onWritten(bufferevent *, void *Self) -> void;
+  static auto onEvent(bufferevent *, short What, void *Self) -> void;
+
+  auto process() -> void;
+  auto handleHead(http_head &&Head) -> void;
+  auto handleBody(std::string_view Data) -> void;
+  auto handleEnd() -> void;
+  auto refuse(int Status, std::string_view Reason) -> void;
+  auto finishAnswer() -> void;
+  auto handleLeft() -> void;
+  auto startTimer() -> void;
+  auto handleTimeout() -> void;
+  auto linger() -> void;
+  auto close() -> void;
+  [[nodiscard]] auto output() const -> evbuffer * {
+    return bufferevent_get_output(Socket.get());
+  }
+
+  event_loop &Loop;
+  caller_limits Limits;
+  caller_events Events;
+  bufferevent_handle Socket;
+  http_reader Reader;
+  std::unique_ptr<loop_timer> Timer;
+  state State = state::reading;
+  std::unique_ptr<caller_request> Request;
+  bool KeepAlive = false;
+  bool Closing = false;
+  bool CloseAfterWrite = false;
+  std::function<void()> Left;
+  std::function<void()> Drained;
+};
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/forward_task.cpp
@@ -0,0 +1,390 @@
+/// \file Forwards one caller's request to backend servers.
+#include "gateway/forward_task.h"
+
+#include "core/log_func.h"
+#include "platform/request_codec.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace acacianotch {
+
+namespace {
+
+/// Bytes that a slow caller may leave unread before the backend server waits.
+constexpr std::size_t UnsentLimit = 128ULL * 1024;
+/// Time after which a refused caller may come back: about that in which
+/// running requests end on a full backend server.
+constexpr duration RetryAfterTime = std::chrono::milliseconds(200);
+/// Prompts above this many tokens count as long work.
+constexpr std::uint32_t LongPromptTokens = 4096;
+
+constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
+constexpr int BadGateway = 502;
+constexpr int Unavailable = 503;
+constexpr int GatewayTimeout = 504;
+constexpr int ServerError = 500;
+
+} // namespace
+
+forward_task::forward_task(gateway_context &TheContext,
+                           std::shared_ptr<const routing_table> TheTable,
+                           std::shared_ptr<caller_connection> TheCaller,
+                           caller_request TheRequest)
+    : Context(TheContext), Table(std::move(TheTable)),
+      Caller(std::move(TheCaller)), Request(std::move(TheRequest)),
+      Deadline(Context.Loop.oneShot([this] {
+        const auto Kept = shared_from_this();
+        handleDeadline();
+      })) {}
+
+auto forward_task::start() -> void {
+  ++Context.Counters.Requests;
+  Caller->watch(
+      [Weak = weak_from_this()] {
+        if (const auto Self = Weak.lock())
+          Self->handleCallerLeft();
+      },
+      [Weak = weak_from_this()] {
+        if (const auto Self = Weak.lock(); Self && Self->Paused) {
+          Self->Paused = false;
+          if (Self->Attempt)
+            Self->Attempt->Channel->resumeReading();
+        }
+      });
+  if (!admit())
+    return;
+  Context.ExtraAttempts.firstAttempt();
+  chooseService();
+  Model = chooseModel();
+  auto Limit = Route->Timeout;
+  if (Request.TimeLeft)
+    Limit = std::min(Limit, *Request.TimeLeft);
+  Deadline->start(Limit);
+  tryNext();
+}
+
+auto forward_task::admit() -> bool {
+  Route = Table->match(Request.Host, Request.path());
+  if (Route == nullptr) {
+    refuse(NotFound, "no route");
+    return false;
+  }
+  if (!Table->HasAccounts || Route->Anonymous)
+    return true;
+  Account = Table->accountOf(Request.Key);
+  if (Account != nullptr)
+    return true;
+  refuse(Unauthorized, "unknown key");
+  return false;
+}
+
+// The choice depends on the request id, so that a caller's next attempt may go
+// to another service.
+auto forward_task::chooseService() -> void {
+  double Sum = 0;
+  for (const auto &Target : Route->Services)
+    Sum += Target.Weight;
+  constexpr double HashRange = 18446744073709551616.0; // 2^64
+  const auto Hash = XXH3_64bits(Request.Id.data(), Request.Id.size());
+  auto Point = Sum * (static_cast<double>(Hash) / HashRange);
+  for (const auto &Target : Route->Services) {
+    if (Target.Weight <= 0)
+      continue;
+    Service = Target.Service;
+    Point -= Target.Weight;
+    if (Point < 0)
+      return;
+  }
+}
+
+auto forward_task::chooseModel() -> std::string {
+  if (!Request.AnyModel || Route->Models.empty())
+    return Request.Model;
+  return Route->Models.back();
+}
+
+// The last part of a prompt is the request's own; the chain before it is what
+// other requests share.
+auto forward_task::affinityKey() const -> std::optional<std::uint64_t> {
+  const auto &Prompt = Request.Prompt;
+  if (Prompt.empty())
+    return std::nullopt;
+  const auto Shared = Prompt.size() > 1 ? Prompt.size() - 2 : 0;
+  const auto Id = Prompt[Shared].Id;
+  return XXH3_64bits(&Id, sizeof(Id));
+}
+
+auto forward_task::timeLeft() const -> std::optional<duration> {
+  if (!Request.TimeLeft)
+    return std::nullopt;
+  return *Request.TimeLeft - (steady_clock::now() - Request.ReceivedAt);
+}
+
+auto forward_task::chooseBackend() -> result<backend_handle> {
+  auto *Pool = Context.Directory.pool(Service, version_arm::serving);
+  if (Pool == nullptr)
+    return failure::of(errc::no_backend);
+  place_request Place;
+  Place.AffinityKey = affinityKey();
+  Place.Exclude = Tried;
+  return Pool->Placement.pick(Place);
+}
+
+auto forward_task::tryNext() -> void {
+  while (!Done) {
+    if (!attemptsLeft())
+      return refuseNotRun("all attempts were refused");
+    const auto Chosen = chooseBackend();
+    if (!Chosen)
+      return refuseNotRun("no backend server takes it");
+    Tried.push_back(*Chosen);
+    ++Tries;
+    if (send(*Chosen))
+      return;
+  }
+}
+
+auto forward_task::send(backend_handle Chosen) -> bool {
+  auto *Backend = Context.Directory.find(Chosen);
+  if (Backend == nullptr)
+    return false;
+  auto Channel = Context.Directory.channel(*Backend);
+  if (!Channel) {
+    Context.Directory.suspend(Chosen);
+    return false;
+  }
+  Attempt = std::make_unique<attempt>();
+  Attempt->Backend = Chosen;
+  Attempt->BackendId = Backend->Record.Id;
+  Attempt->Channel = *Channel;
+  Attempt->Long = Request.PromptTokens > LongPromptTokens;
+  Context.Directory.board().started(Chosen, Attempt->Long);
+  attempt_terms Terms;
+  Terms.Account = Account == nullptr ? "" : Account->Name;
+  Terms.Instance = Backend->Record.Id;
+  Terms.Model = Model;
+  Terms.LastEvent = Events.lastId().empty() ? Request.LastEvent
+                                            : Events.lastId();
+  Terms.TimeLeft = timeLeft();
+  channel_call Call;
+  Call.RequestId = Request.Id;
+  Call.Method = Request.Method;
+  Call.Target = Request.Target;
+  Call.Headers = platform::attemptHeaders(Request, Terms);
+  Call.Body = Request.Body;
+  channel_events Told;
+  Told.OnHead = [this](const answer_facts &Facts, http_head &&Head) {
+    const auto Kept = shared_from_this();
+    handleHead(Facts, std::move(Head));
+  };
+  Told.OnBody = [this](std::string_view Data) {
+    const auto Kept = shared_from_this();
+    handleBody(Data);
+  };
+  Told.OnEnd = [this](const result<void> &Result) {
+    const auto Kept = shared_from_this();
+    handleEnd(Result);
+  };
+  Attempt->Channel->start(Call, std::move(Told));
+  return true;
+}
+
+auto forward_task::handleHead(const answer_facts &Facts, http_head &&Head)
+    -> void {
+  Attempt->Facts = Facts;
+  Attempt->Head = std::move(Head);
+  if (Route->Kind == route_kind::streaming && Facts.success())
+    beginStream();
+}
+
+auto forward_task::beginStream() -> void {
+  Attempt->Streams = true;
+  if (std::exchange(Streaming, true)) {
+    ++Context.Counters.Resumed;
+    return;
+  }
+  Caller->startStream(Attempt->Facts.Status,
+                      platform::callerHeaders(Attempt->Head));
+}
+
+auto forward_task::handleBody(std::string_view Data) -> void {
+  if (!Attempt->Streams) {
+    Attempt->Body.append(Data);
+    return;
+  }
+  Events.add(Data);
+  passEvents();
+}
+
+auto forward_task::passEvents() -> void {
+  Caller->write(Events.takeEvents());
+  if (!Paused && Caller->unsent() > UnsentLimit) {
+    Paused = true;
+    Attempt->Channel->pauseReading();
+  }
+}
+
+auto forward_task::handleEnd(const result<void> &Result) -> void {
+  if (Done || Attempt == nullptr)
+    return;
+  if (Result)
+    handleAnswer();
+  else
+    handleFailure(Result.error());
+}
+
+// An answer that states that nothing ran leaves the request as it was.
+auto forward_task::handleAnswer() -> void {
+  if (Attempt->Facts.NotRun) {
+    ++Sent;
+    releaseAttempt(true);
+    if (Streaming && !attemptsLeft())
+      return failUnknown(BadGateway, "a broken stream could not go on");
+    if (Sent > 1 && !Context.ExtraAttempts.tryTake())
+      return refuseNotRun("the budget for extra attempts is spent");
+    return tryNext();
+  }
+  ++Sent;
+  MayHaveRun = true;
+  if (Attempt->Streams) {
+    Caller->write(Events.takeRest());
+    releaseAttempt(true);
+    ++Context.Counters.Answered;
+    Caller->endStream();
+    return finish();
+  }
+  const auto Failed = Attempt->Facts.Status >= ServerError;
+  if (Failed && (Streaming || mayRepeat())) {
+    releaseAttempt(true);
+    if (attemptsLeft())
+      return tryNext();
+    return failUnknown(BadGateway, "a broken stream could not go on");
+  }
+  deliver();
+}
+
+auto forward_task::handleFailure(const failure &Failure) -> void {
+  const auto NotRun = Failure.Verdict == verdict::not_run;
+  logInfo(log_category::entry, "attempt failed",
+          {{"request", Request.Id},
+           {"backend", Attempt->BackendId},
+           {"error", errcRow(Failure.Code).Name},
+           {"detail", Failure.Detail},
+           {"not_run", NotRun},
+           {"streaming", Streaming}});
+  const auto Backend = Attempt->Backend;
+  releaseAttempt(false);
+  Events.dropRest();
+  if (NotRun) {
+    Context.Directory.suspend(Backend);
+    return tryNext();
+  }
+  ++Sent;
+  MayHaveRun = true;
+  if (!mayRepeat())
+    return failUnknown(BadGateway, Failure.Detail);
+  tryNext();
+}
+
+/// \return whether a request that may have run may be sent again, and charges
+/// the budget for it.
+auto forward_task::mayRepeat() -> bool {
+  if (!Route->repeatable() || !attemptsLeft() ||
+      !Context.ExtraAttempts.tryTake())
+    return false;
+  ++Context.Counters.Retries;
+  return true;
+}
+
+auto forward_task::deliver() -> void {
+  ++Context.Counters.Answered;
+  auto Kept = std::move(Attempt->Body);
+  const auto Status = Attempt->Facts.Status;
+  const auto Headers = platform::callerHeaders(Attempt->Head);
+  releaseAttempt(true);
+  Caller->reply(Status, Headers, Kept);
+  finish();
+}
+
+auto forward_task::releaseAttempt(bool Clean) -> void {
+  if (Attempt == nullptr)
+    return;
+  std::optional<load_report> Report;
+  if (const auto &Load = Attempt->Facts.Load)
+    Report = {Load->Running, Load->Waiting, 0, Load->Slots, false};
+  Context.Directory.board().finished(Attempt->Backend, Attempt->Long, Report,
+                                     steady_clock::now());
+  if (Clean)
+    Context.Directory.keep(Attempt->Backend, std::move(Attempt->Channel));
+  else
+    Attempt->Channel->cancel();
+  Attempt.reset();
+  Paused = false;
+}
+
+auto forward_task::refuse(int Status, std::string_view Reason,
+                          duration RetryAfter) -> void {
+  ++Context.Counters.Refused;
+  logInfo(log_category::entry, "request refused",
+          {{"request", Request.Id},
+           {"status", Status},
+           {"reason", Reason},
+           {"service", Service},
+           {"attempts", Sent},
+           {"routing", Table->Number}});
+  Caller->reply(Status, platform::ownHeaders(Request.Id, RetryAfter), "");
+  finish();
+}
+
+auto forward_task::refuseNotRun(std::string_view Reason) -> void {
+  if (MayHaveRun)
+    return failUnknown(BadGateway, Reason);
+  refuse(Unavailable, Reason, RetryAfterTime);
+}
+
+auto forward_task::failUnknown(int Status, std::string_view Reason) -> void {
+  ++Context.Counters.Failed;
+  logWarning(log_category::entry, "request failed; it may have run",
+             {{"request", Request.Id},
+              {"status", Status},
+              {"reason", Reason},
+              {"service", Service},
+              {"attempts", Sent},
+              {"streaming", Streaming}});
+  if (Streaming)
+    Caller->abort();
+  else
+    Caller->reply(Status, platform::ownHeaders(Request.Id, {}), "");
+  finish();
+}
+
+auto forward_task::handleDeadline() -> void {
+  if (Done)
+    return;
+  const auto Waiting = Attempt != nullptr;
+  releaseAttempt(false);
+  if (Waiting || MayHaveRun)
+    return failUnknown(GatewayTimeout, "the time for the request is over");
+  refuse(Unavailable, "the time for the request is over");
+}
+
+auto forward_task::handleCallerLeft() -> void {
+  if (Done)
+    return;
+  ++Context.Counters.CallerLeft;
+  logDebug(log_category::entry, "caller left", {{"request", Request.Id}});
+  finish();
+}
+
+auto forward_task::finish() -> void {
+  if (std::exchange(Done, true))
+    return;
+  releaseAttempt(false);
+  Deadline->stop();
+  Context.Loop.defer(std::move(OnDone));
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/forward_task.h
@@ -0,0 +1,116 @@
+/// \file Forwards one caller's request to backend servers.
+#pragma once
+
+#include "controller/traffic_budget.h"
+#include "gateway/backend_directory.h"
+#include "gateway/caller_connection.h"
+#include "gateway/event_splitter.h"
+#include "routing/routing_type.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace acacianotch {
+
+/// Counters of a gateway since its start.
+struct gateway_counters {
+  std::uint64_t Requests = 0;
+  std::uint64_t Answered = 0;   ///< With a backend server's answer.
+  std::uint64_t Refused = 0;    ///< Certainly not run.
+  std::uint64_t Failed = 0;     ///< May have run.
+  std::uint64_t CallerLeft = 0; ///< Before the end of the answer.
+  std::uint64_t Retries = 0;
+  std::uint64_t Resumed = 0;
+  std::uint64_t Escalations = 0;
+};
+
+/// What all tasks of a gateway share; it outlives them.
+struct gateway_context {
+  event_loop &Loop;
+  backend_directory &Directory;
+  traffic_budget &ExtraAttempts;
+  gateway_counters Counters;
+};
+
+/// One request under way. The gateway keeps it until OnDone.
+class forward_task : public std::enable_shared_from_this<forward_task> {
+public:
+  forward_task(gateway_context &Context,
+               std::shared_ptr<const routing_table> Table,
+               std::shared_ptr<caller_connection> Caller,
+               caller_request Request);
+
+  /// Sets what runs after the end of the task.
+  auto onDone(std::function<void()> Callback) -> void {
+    OnDone = std::move(Callback);
+  }
+
+  /// Starts the first attempt, or answers at once.
+  auto start() -> void;
+
+private:
+  struct attempt {
+    backend_handle Backend;
+    std::string BackendId;
+    std::shared_ptr<backend_channel> Channel;
+    answer_facts Facts;
+    http_head Head;
+    std::string Body;
+    bool Long = false;
+    bool Streams = false; ///< Its body goes to the caller as it arrives.
+  };
+
+  auto admit() -> bool;
+  auto chooseService() -> void;
+  auto chooseModel() -> std::string;
+  [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
+  auto tryNext() -> void;
+  auto send(backend_handle Backend) -> bool;
+  auto handleHead(const answer_facts &Facts, http_head &&Head) -> void;
+  auto handleBody(std::string_view Data) -> void;
+  auto handleEnd(const result<void> &Result) -> void;
+  auto handleAnswer() -> void;
+  auto handleFailure(const failure &Failure) -> void;
+  auto beginStream() -> void;
+  auto passEvents() -> void;
+  auto releaseAttempt(bool Clean) -> void;
+  [[nodiscard]] auto mayRepeat() -> bool;
+  auto deliver() -> void;
+  auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
+      -> void;
+  auto refuseNotRun(std::string_view Reason) -> void;
+  auto failUnknown(int Status, std::string_view Reason) -> void;
+  auto handleDeadline() -> void;
+  auto handleCallerLeft() -> void;
+  auto finish() -> void;
+  [[nodiscard]] auto affinityKey() const -> std::optional<std::uint64_t>;
+  [[nodiscard]] auto timeLeft() const -> std::optional<duration>;
+  [[nodiscard]] auto attemptsLeft() const -> bool {
+    return Sent < Route->MaxAttempts && Tries < 2 * Route->MaxAttempts;
+  }
+
+  gateway_context &Context;
+  std::shared_ptr<const routing_table> Table;
+  std::shared_ptr<caller_connection> Caller;
+  caller_request Request;
+  std::function<void()> OnDone;
+  const gateway_route *Route = nullptr;
+  const gateway_account *Account = nullptr;
+  std::string Service;
+  std::string Model;
+  std::unique_ptr<attempt> Attempt;
+  std::vector<backend_handle> Tried;
+  event_splitter Events;
+  std::unique_ptr<loop_timer> Deadline;
+  std::uint32_t Sent = 0;  ///< Attempts that reached a backend server.
+  std::uint32_t Tries = 0; ///< With those that reached none.
+  bool MayHaveRun = false;
+  bool Streaming = false; ///< The caller has the head of a stream.
+  bool Paused = false;
+  bool Done = false;
+};
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/gateway_role.cpp
@@ -0,0 +1,226 @@
+/// \file Wiring of the gateway role.
+#include "gateway/gateway_role.h"
+
+#include "core/log_func.h"
+#include "gateway/caller_server.h"
+#include "gateway/forward_task.h"
+#include "net/http_server.h"
+#include "node/admin_server.h"
+#include "node/log_query.h"
+#include "node/node_link.h"
+#include "node/role_func.h"
+#include "node/shutdown.h"
+#include "platform/configuration_codec.h"
+#include "platform/instance_poller.h"
+
+#include <random>
+#include <unordered_set>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr duration TickInterval = std::chrono::milliseconds(100);
+/// Balancers ask once a second and act on the second failure, so callers still
+/// come for about this long after a process is told to stop.
+constexpr duration DrainTime = std::chrono::milliseconds(2500);
+/// Extra attempts saved up in quiet times; a share of what all gateways have.
+constexpr double SavedAttempts = 8;
+
+constexpr int Success = 200;
+constexpr int Unavailable = 503;
+
+auto addressesOf(const settings &Settings) -> std::vector<address> {
+  auto Addresses = Settings.Control.Addresses;
+  for (auto &Address : Addresses)
+    if (Settings.Control.RpcPort != 0)
+      Address.Port = static_cast<std::uint16_t>(Settings.Control.RpcPort);
+  return Addresses;
+}
+
+/// Everything that one gateway process holds.
+class gateway_process {
+public:
+  gateway_process(event_loop &TheLoop, const settings &Settings)
+      : Loop(TheLoop),
+        Control(TheLoop, addressesOf(Settings), rpcOptions(Settings)),
+        Link(TheLoop, Control, View,
+             {node_id(Settings.Node.Id), "gateway", Settings.Node.Zone, ""}),
+        Directory(TheLoop, node_id(Settings.Node.Id),
+                  zone_id(Settings.Node.Zone), std::random_device{}()),
+        ExtraAttempts(Settings.Gateway.RetryShare, SavedAttempts),
+        Poller(TheLoop, Settings.Gateway.Backends,
+               Settings.Gateway.BackendInterval,
+               [this](std::vector<backend_record> Listed) {
+                 Directory.follow(std::move(Listed));
+               }),
+        Context{TheLoop, Directory, ExtraAttempts, {}},
+        Ticker(TheLoop.repeating([this] { Directory.tick(); })) {
+    Link.onChange([this] { followView(); });
+  }
+
+  auto start(caller_server &TheServer) -> void {
+    Server = &TheServer;
+    Link.start();
+    Poller.start();
+    Ticker->start(TickInterval);
+  }
+
+  auto handle(const std::shared_ptr<caller_connection> &Caller,
+              caller_request &&Request) -> void {
+    if (!Table)
+      return Caller->reply(Unavailable, {}, "");
+    auto Task = std::make_shared<forward_task>(
+        Context, Table, Caller, std::move(Request));
+    Tasks.insert(Task);
+    Task->onDone([this, Raw = std::weak_ptr(Task)] {
+      if (const auto Ended = Raw.lock())
+        Tasks.erase(Ended);
+    });
+    Task->start();
+  }
+
+  auto stop() -> void {
+    Stopping = true;
+    StoppingAt = steady_clock::now();
+    Server->closeAfterAnswers();
+  }
+
+  [[nodiscard]] auto idle() const -> bool {
+    return Stopping && steady_clock::now() - StoppingAt > DrainTime &&
+           Tasks.empty() && Server->busy() == 0;
+  }
+
+  [[nodiscard]] auto ready() const -> result<void> {
+    if (auto Node = nodeReady(View, Stopping); !Node)
+      return Node;
+    if (!Table)
+      return failure::of(errc::not_ready, "no routing document is known");
+    if (!Directory.known())
+      return failure::of(errc::not_ready, "no backend server is known");
+    return {};
+  }
+
+  [[nodiscard]] auto query(std::string_view What, const json &Arguments)
+      -> result<json> {
+    if (What == "log_level")
+      return queryLogLevel(Arguments);
+    if (What != "status" && What != "dump")
+      return failure::of(errc::bad_request,
+                         "unknown query " + std::string(What));
+    const auto &Counters = Context.Counters;
+    json Answer = {
+        {"role", "gateway"},
+        {"revision", static_cast<std::uint64_t>(View.currentRevision())},
+        {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
+        {"routing", Table ? Table->Number : 0},
+        {"ready", ready().ok()},
+        {"fresh", View.fresh(steady_clock::now())},
+        {"open", Tasks.size()},
+        {"callers", Server->connections()},
+        {"requests", Counters.Requests},
+        {"answered", Counters.Answered},
+        {"refused", Counters.Refused},
+        {"failed", Counters.Failed},
+        {"caller_left", Counters.CallerLeft},
+        {"retries", Counters.Retries},
+        {"resumed", Counters.Resumed},
+        {"escalations", Counters.Escalations}};
+    if (What == "dump")
+      Answer["backends"] = backendRows();
+    return Answer;
+  }
+
+private:
+  auto followView() -> void {
+    Directory.followRollouts(View);
+    const auto *Document = View.routing();
+    if (Document == nullptr || (Table && Table->Number >= Document->Number))
+      return;
+    auto Decoded = platform::decodeConfiguration(Document->Text.Bytes);
+    if (!Decoded) {
+      logError(log_category::catalogue, "cannot read the routing document",
+               {{"number", Document->Number},
+                {"error", Decoded.error().text()}});
+      return;
+    }
+    Table = std::make_shared<const routing_table>(std::move(*Decoded));
+    Server->setLimits(Table->Limits);
+    logInfo(log_category::catalogue, "routing document in force",
+            {{"number", Table->Number},
+             {"routes", Table->Routes.size()},
+             {"revision", static_cast<std::uint64_t>(View.currentRevision())}});
+  }
+
+  [[nodiscard]] auto backendRows() -> json {
+    json Rows = json::array();
+    for (const auto &[Id, Backend] : Directory.backends()) {
+      const auto *Row = Directory.board().row(Backend->Handle);
+      Rows.push_back({{"id", Id},
+                      {"service", Backend->Record.Service},
+                      {"address", Backend->Record.Address.text()},
+                      {"version", Backend->Record.Version},
+                      {"leaving", Backend->Record.Leaving},
+                      {"suspended", Backend->Suspended},
+                      {"in_flight", Row == nullptr ? 0 : Row->InFlight},
+                      {"others", Row == nullptr ? 0 : Row->Others}});
+    }
+    return Rows;
+  }
+
+  event_loop &Loop;
+  catalogue_view View;
+  leader_client Control;
+  node_link Link;
+  backend_directory Directory;
+  traffic_budget ExtraAttempts;
+  platform::instance_poller Poller;
+  gateway_context Context;
+  std::unordered_set<std::shared_ptr<forward_task>> Tasks;
+  std::shared_ptr<const routing_table> Table;
+  caller_server *Server = nullptr;
+  std::unique_ptr<loop_timer> Ticker;
+  bool Stopping = false;
+  time_point StoppingAt{};
+};
+
+} // namespace
+
+auto runGateway(const settings &Settings) -> result<void> {
+  auto Loop = event_loop::create();
+  if (!Loop)
+    return Loop.error();
+  gateway_process Process(**Loop, Settings);
+  auto Callers = caller_server::create(
+      **Loop, Settings.Http.Listen,
+      [&](const std::shared_ptr<caller_connection> &Caller,
+          caller_request &&Request) {
+        Process.handle(Caller, std::move(Request));
+      });
+  if (!Callers)
+    return Callers.error();
+  const auto Ready = http_server::create(
+      **Loop, Settings.Gateway.ReadyListen, {},
+      [&](const std::shared_ptr<http_exchange> &Exchange) {
+        Exchange->reply(Process.ready() ? Success : Unavailable, {}, "");
+      });
+  if (!Ready)
+    return Ready.error();
+  admin_callbacks Callbacks;
+  Callbacks.Ready = [&] { return Process.ready(); };
+  Callbacks.Query = [&](std::string_view What, const json &Arguments) {
+    return Process.query(What, Arguments);
+  };
+  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+                                          rpcOptions(Settings), Callbacks);
+  if (!Admin)
+    return Admin.error();
+  const graceful_shutdown Shutdown(
+      **Loop, Settings.ShutdownDeadline, [&] { Process.stop(); },
+      [&] { return Process.idle(); });
+  Process.start(**Callers);
+  (*Loop)->run();
+  return {};
+}
+
+} // namespace acacianotch
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -114,6 +114,16 @@
   query @0 (what :Text, arguments :Text) -> (error :UInt16, json :Text);
 }
 
+struct JoinGrant {
+  error @0 :UInt16;           # acacianotch::errc; 0 is success.
+  detail @1 :Text;
+  leader @2 :Text;            # Address of the leader, if known.
+  group @3 :UInt64;
+  replica @4 :UInt64;         # Id of the replica that joins.
+  members @5 :List(Text);     # ID=IP:PORT of each member.
+  removed @6 :Bool;           # The stated replica is no member any more.
+}
+
 interface Control extends(Admin) {
   subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> ();
   # Returns when the subscription ends.
@@ -121,4 +131,7 @@
   # CBOR command; answered after it is committed and applied.
   replicate @2 (sender :Text, message :Data) -> ();
   # One consensus message; delivery is not confirmed.
+  join @3 (address :Text, token :UInt64, replica :UInt64) -> (grant :JoinGrant);
+  # Asks for membership. A replica without identity sends replica 0; a token,
+  # new with each start, makes a repeated call harmless.
 }
--- a/src/net/wire/acacianotch.capnp.c++
+++ b/src/net/wire/acacianotch.capnp.c++
@@ -1903,7 +1903,145 @@
   0, 2, i_d22eb1af8c0a9f2d, nullptr, nullptr, { &s_d22eb1af8c0a9f2d, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<53> b_fd00c6892a8e2253 = {
+static const ::capnp::_::AlignedData<127> b_9130c04f9655d99c = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    156, 217,  85, 150,  79, 192,  48, 145,
+     18,   0,   0,   0,   1,   0,   3,   0,
+     72,   9, 226, 197, 163, 247, 209, 182,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 226,   0,   0,   0,
+     33,   0,   0,   0,   7,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 143,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  74, 111, 105, 110,  71, 114,
+     97, 110, 116,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   1,   0,   1,   0,
+     28,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    181,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    176,   0,   0,   0,   3,   0,   1,   0,
+    188,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    185,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    180,   0,   0,   0,   3,   0,   1,   0,
+    192,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    189,   0,   0,   0,  58,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    184,   0,   0,   0,   3,   0,   1,   0,
+    196,   0,   0,   0,   2,   0,   1,   0,
+      3,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   3,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    193,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    188,   0,   0,   0,   3,   0,   1,   0,
+    200,   0,   0,   0,   2,   0,   1,   0,
+      4,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   4,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    197,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    192,   0,   0,   0,   3,   0,   1,   0,
+    204,   0,   0,   0,   2,   0,   1,   0,
+      5,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   5,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    201,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    196,   0,   0,   0,   3,   0,   1,   0,
+    224,   0,   0,   0,   2,   0,   1,   0,
+      6,   0,   0,   0,  16,   0,   0,   0,
+      0,   0,   1,   0,   6,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    221,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    216,   0,   0,   0,   3,   0,   1,   0,
+    228,   0,   0,   0,   2,   0,   1,   0,
+    101, 114, 114, 111, 114,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      7,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    100, 101, 116,  97, 105, 108,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    108, 101,  97, 100, 101, 114,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    103, 114, 111, 117, 112,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 112, 108, 105,  99,  97,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    109, 101, 109,  98, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 109, 111, 118, 101, 100,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9130c04f9655d99c = b_9130c04f9655d99c.words;
+#if !CAPNP_LITE
+static const uint16_t m_9130c04f9655d99c[] = {1, 0, 3, 2, 5, 6, 4};
+static const uint16_t i_9130c04f9655d99c[] = {0, 1, 2, 3, 4, 5, 6};
+const ::capnp::_::RawSchema s_9130c04f9655d99c = {
+  0x9130c04f9655d99c, b_9130c04f9655d99c.words, 127, nullptr, m_9130c04f9655d99c,
+  0, 7, i_9130c04f9655d99c, nullptr, nullptr, { &s_9130c04f9655d99c, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_fd00c6892a8e2253 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      83,  34, 142,  42, 137, 198,   0, 253,
      18,   0,   0,   0,   3,   0,   0,   0,
@@ -1913,39 +2051,47 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0, 199,   0,   0,   0,
-    157,   0,   0,   0,  23,   0,   0,   0,
+     29,   0,   0,   0,   7,   1,   0,   0,
+    197,   0,   0,   0,  23,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      97,  99,  97,  99, 105,  97, 110, 111,
     116,  99, 104,  46,  99,  97, 112, 110,
     112,  58,  67, 111, 110, 116, 114, 111,
     108,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     12,   0,   0,   0,   3,   0,   5,   0,
+     16,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      72, 246, 151,  13, 152, 171, 112, 219,
     144,  58,   0, 244, 216, 153,  53, 159,
-     81,   0,   0,   0,  82,   0,   0,   0,
+    113,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     73,   0,   0,   0,   7,   0,   0,   0,
+    105,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     192,  89, 153, 115, 186,  40, 236, 236,
     161, 230, 219, 165, 184,  81,  55, 168,
-     61,   0,   0,   0,  66,   0,   0,   0,
+     93,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     49,   0,   0,   0,   7,   0,   0,   0,
+     81,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      40, 222, 167, 232, 153,  90,  90, 151,
     192,  27,  58,  14, 183, 170, 169, 223,
-     37,   0,   0,   0,  82,   0,   0,   0,
+     69,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   0,   0,   0,
+     61,   0,   0,   0,   7,   0,   0,   0,
+      3,   0,   0,   0,   0,   0,   0,   0,
+    113, 210,   5, 112,  31, 178,  27, 254,
+    236, 165,  90, 187,  74, 186, 187, 155,
+     49,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     37,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 115,  99, 114, 105,  98,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -1954,6 +2100,8 @@
     114, 101, 112, 108, 105,  99,  97, 116,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    106, 111, 105, 110,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   1,   0,
     140,  28, 154, 223,  53,  36, 250, 158,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -1962,17 +2110,19 @@
 #if !CAPNP_LITE
 static const ::capnp::_::RawSchema* const d_fd00c6892a8e2253[] = {
   &s_975a5a99e8a7de28,
+  &s_9bbbba4abb5aa5ec,
   &s_9efa2435df9a1c8c,
   &s_9f3599d8f4003a90,
   &s_a83751b8a5dbe6a1,
   &s_db70ab980d97f648,
   &s_dfa9aab70e3a1bc0,
   &s_ecec28ba739959c0,
+  &s_fe1bb21f7005d271,
 };
-static const uint16_t m_fd00c6892a8e2253[] = {1, 2, 0};
+static const uint16_t m_fd00c6892a8e2253[] = {1, 3, 2, 0};
 const ::capnp::_::RawSchema s_fd00c6892a8e2253 = {
-  0xfd00c6892a8e2253, b_fd00c6892a8e2253.words, 53, d_fd00c6892a8e2253, m_fd00c6892a8e2253,
-  7, 3, nullptr, nullptr, nullptr, { &s_fd00c6892a8e2253, nullptr, nullptr, 0, 0, nullptr }
+  0xfd00c6892a8e2253, b_fd00c6892a8e2253.words, 63, d_fd00c6892a8e2253, m_fd00c6892a8e2253,
+  9, 4, nullptr, nullptr, nullptr, { &s_fd00c6892a8e2253, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<80> b_db70ab980d97f648 = {
@@ -2277,6 +2427,127 @@
   0, 0, nullptr, nullptr, nullptr, { &s_dfa9aab70e3a1bc0, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<63> b_fe1bb21f7005d271 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    113, 210,   5, 112,  31, 178,  27, 254,
+     26,   0,   0,   0,   1,   0,   2,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  50,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 110, 116, 114, 111,
+    108,  46, 106, 111, 105, 110,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+     84,   0,   0,   0,   2,   0,   1,   0,
+     97, 100, 100, 114, 101, 115, 115,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    116, 111, 107, 101, 110,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    114, 101, 112, 108, 105,  99,  97,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      9,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fe1bb21f7005d271 = b_fe1bb21f7005d271.words;
+#if !CAPNP_LITE
+static const uint16_t m_fe1bb21f7005d271[] = {0, 2, 1};
+static const uint16_t i_fe1bb21f7005d271[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_fe1bb21f7005d271 = {
+  0xfe1bb21f7005d271, b_fe1bb21f7005d271.words, 63, nullptr, m_fe1bb21f7005d271,
+  0, 3, i_fe1bb21f7005d271, nullptr, nullptr, { &s_fe1bb21f7005d271, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<33> b_9bbbba4abb5aa5ec = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+    236, 165,  90, 187,  74, 186, 187, 155,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0,  58,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     29,   0,   0,   0,  63,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 110, 116, 114, 111,
+    108,  46, 106, 111, 105, 110,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+      4,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     13,   0,   0,   0,  50,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      8,   0,   0,   0,   3,   0,   1,   0,
+     20,   0,   0,   0,   2,   0,   1,   0,
+    103, 114,  97, 110, 116,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+    156, 217,  85, 150,  79, 192,  48, 145,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     16,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_9bbbba4abb5aa5ec = b_9bbbba4abb5aa5ec.words;
+#if !CAPNP_LITE
+static const ::capnp::_::RawSchema* const d_9bbbba4abb5aa5ec[] = {
+  &s_9130c04f9655d99c,
+};
+static const uint16_t m_9bbbba4abb5aa5ec[] = {0};
+static const uint16_t i_9bbbba4abb5aa5ec[] = {0};
+const ::capnp::_::RawSchema s_9bbbba4abb5aa5ec = {
+  0x9bbbba4abb5aa5ec, b_9bbbba4abb5aa5ec.words, 33, d_9bbbba4abb5aa5ec, m_9bbbba4abb5aa5ec,
+  1, 1, i_9bbbba4abb5aa5ec, nullptr, nullptr, { &s_9bbbba4abb5aa5ec, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -2621,6 +2892,14 @@
 constexpr ::capnp::_::RawSchema const* Admin::QueryResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// JoinGrant
+constexpr uint16_t JoinGrant::_capnpPrivate::dataWordSize;
+constexpr uint16_t JoinGrant::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind JoinGrant::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* JoinGrant::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 ::capnp::Request< ::acacianotch::wire::Control::SubscribeParams,  ::acacianotch::wire::Control::SubscribeResults>
 Control::Client::subscribeRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
@@ -2652,6 +2931,16 @@
       "acacianotch.capnp:Control", "replicate",
       0xfd00c6892a8e2253ull, 2);
 }
+::capnp::Request< ::acacianotch::wire::Control::JoinParams,  ::acacianotch::wire::Control::JoinResults>
+Control::Client::joinRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::acacianotch::wire::Control::JoinParams,  ::acacianotch::wire::Control::JoinResults>(
+      0xfd00c6892a8e2253ull, 3, sizeHint);
+}
+::kj::Promise<void> Control::Server::join(JoinContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "acacianotch.capnp:Control", "join",
+      0xfd00c6892a8e2253ull, 3);
+}
 ::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -2686,6 +2975,12 @@
              ::acacianotch::wire::Control::ReplicateParams,  ::acacianotch::wire::Control::ReplicateResults>(context)),
         false
       };
+    case 3:
+      return {
+        join(::capnp::Capability::Server::internalGetTypedContext<
+             ::acacianotch::wire::Control::JoinParams,  ::acacianotch::wire::Control::JoinResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -2749,6 +3044,22 @@
 constexpr ::capnp::_::RawSchema const* Control::ReplicateResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Control::JoinParams
+constexpr uint16_t Control::JoinParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::JoinParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::JoinParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::JoinParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Control::JoinResults
+constexpr uint16_t Control::JoinResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::JoinResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::JoinResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::JoinResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -40,6 +40,7 @@
 CAPNP_DECLARE_SCHEMA(9efa2435df9a1c8c);
 CAPNP_DECLARE_SCHEMA(83f2ae246d045a33);
 CAPNP_DECLARE_SCHEMA(d22eb1af8c0a9f2d);
+CAPNP_DECLARE_SCHEMA(9130c04f9655d99c);
 CAPNP_DECLARE_SCHEMA(fd00c6892a8e2253);
 CAPNP_DECLARE_SCHEMA(db70ab980d97f648);
 CAPNP_DECLARE_SCHEMA(9f3599d8f4003a90);
@@ -47,6 +48,8 @@
 CAPNP_DECLARE_SCHEMA(a83751b8a5dbe6a1);
 CAPNP_DECLARE_SCHEMA(975a5a99e8a7de28);
 CAPNP_DECLARE_SCHEMA(dfa9aab70e3a1bc0);
+CAPNP_DECLARE_SCHEMA(fe1bb21f7005d271);
+CAPNP_DECLARE_SCHEMA(9bbbba4abb5aa5ec);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -387,6 +390,21 @@
   };
 };
 
+struct JoinGrant {
+  JoinGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9130c04f9655d99c, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Control {
   Control() = delete;
 
@@ -401,6 +419,8 @@
   struct ExecuteResults;
   struct ReplicateParams;
   struct ReplicateResults;
+  struct JoinParams;
+  struct JoinResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -500,6 +520,36 @@
   };
 };
 
+struct Control::JoinParams {
+  JoinParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe1bb21f7005d271, 2, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::JoinResults {
+  JoinResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(9bbbba4abb5aa5ec, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class LoadReport::Reader {
@@ -2509,6 +2559,128 @@
 };
 #endif  // !CAPNP_LITE
 
+class JoinGrant::Reader {
+public:
+  typedef JoinGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getError() const;
+
+  inline bool hasDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
+
+  inline bool hasLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
+
+  inline  ::uint64_t getGroup() const;
+
+  inline  ::uint64_t getReplica() const;
+
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getMembers() const;
+
+  inline bool getRemoved() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class JoinGrant::Builder {
+public:
+  typedef JoinGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint16_t getError();
+  inline void setError( ::uint16_t value);
+
+  inline bool hasDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
+
+  inline bool hasLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+
+  inline  ::uint64_t getGroup();
+  inline void setGroup( ::uint64_t value);
+
+  inline  ::uint64_t getReplica();
+  inline void setReplica( ::uint64_t value);
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownMembers();
+
+  inline bool getRemoved();
+  inline void setRemoved(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class JoinGrant::Pipeline {
+public:
+  typedef JoinGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Control::Client
     : public virtual ::capnp::Capability::Client,
@@ -2535,6 +2707,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::acacianotch::wire::Control::ReplicateParams,  ::acacianotch::wire::Control::ReplicateResults> replicateRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::acacianotch::wire::Control::JoinParams,  ::acacianotch::wire::Control::JoinResults> joinRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -2564,6 +2738,10 @@
   typedef  ::acacianotch::wire::Control::ReplicateResults ReplicateResults;
   typedef ::capnp::CallContext<ReplicateParams, ReplicateResults> ReplicateContext;
   virtual ::kj::Promise<void> replicate(ReplicateContext context);
+  typedef  ::acacianotch::wire::Control::JoinParams JoinParams;
+  typedef  ::acacianotch::wire::Control::JoinResults JoinResults;
+  typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
+  virtual ::kj::Promise<void> join(JoinContext context);
 
   inline  ::acacianotch::wire::Control::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3079,6 +3257,179 @@
 };
 #endif  // !CAPNP_LITE
 
+class Control::JoinParams::Reader {
+public:
+  typedef JoinParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline  ::uint64_t getToken() const;
+
+  inline  ::uint64_t getReplica() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::JoinParams::Builder {
+public:
+  typedef JoinParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
+  inline  ::uint64_t getReplica();
+  inline void setReplica( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::JoinParams::Pipeline {
+public:
+  typedef JoinParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::JoinResults::Reader {
+public:
+  typedef JoinResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGrant() const;
+  inline  ::acacianotch::wire::JoinGrant::Reader getGrant() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::JoinResults::Builder {
+public:
+  typedef JoinResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasGrant();
+  inline  ::acacianotch::wire::JoinGrant::Builder getGrant();
+  inline void setGrant( ::acacianotch::wire::JoinGrant::Reader value);
+  inline  ::acacianotch::wire::JoinGrant::Builder initGrant();
+  inline void adoptGrant(::capnp::Orphan< ::acacianotch::wire::JoinGrant>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::JoinGrant> disownGrant();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::JoinResults::Pipeline {
+public:
+  typedef JoinResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::acacianotch::wire::JoinGrant::Pipeline getGrant();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint32_t LoadReport::Reader::getRunning() const {
@@ -5029,6 +5380,168 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint16_t JoinGrant::Reader::getError() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t JoinGrant::Builder::getError() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void JoinGrant::Builder::setError( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JoinGrant::Reader::hasDetail() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool JoinGrant::Builder::hasDetail() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JoinGrant::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JoinGrant::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void JoinGrant::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JoinGrant::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void JoinGrant::Builder::adoptDetail(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JoinGrant::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool JoinGrant::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool JoinGrant::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader JoinGrant::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder JoinGrant::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void JoinGrant::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder JoinGrant::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void JoinGrant::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> JoinGrant::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t JoinGrant::Reader::getGroup() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JoinGrant::Builder::getGroup() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void JoinGrant::Builder::setGroup( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t JoinGrant::Reader::getReplica() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t JoinGrant::Builder::getReplica() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void JoinGrant::Builder::setReplica( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool JoinGrant::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool JoinGrant::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader JoinGrant::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JoinGrant::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void JoinGrant::Builder::setMembers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void JoinGrant::Builder::setMembers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder JoinGrant::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void JoinGrant::Builder::adoptMembers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> JoinGrant::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool JoinGrant::Reader::getRemoved() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool JoinGrant::Builder::getRemoved() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void JoinGrant::Builder::setRemoved(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Control::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -5300,6 +5813,107 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Control::JoinParams::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::JoinParams::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::JoinParams::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::JoinParams::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::JoinParams::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::JoinParams::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::JoinParams::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::JoinParams::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Control::JoinParams::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Control::JoinParams::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::JoinParams::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Control::JoinParams::Reader::getReplica() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Control::JoinParams::Builder::getReplica() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Control::JoinParams::Builder::setReplica( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Control::JoinResults::Reader::hasGrant() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::JoinResults::Builder::hasGrant() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::acacianotch::wire::JoinGrant::Reader Control::JoinResults::Reader::getGrant() const {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::JoinGrant>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::acacianotch::wire::JoinGrant::Builder Control::JoinResults::Builder::getGrant() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::JoinGrant>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::acacianotch::wire::JoinGrant::Pipeline Control::JoinResults::Pipeline::getGrant() {
+  return  ::acacianotch::wire::JoinGrant::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void Control::JoinResults::Builder::setGrant( ::acacianotch::wire::JoinGrant::Reader value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::JoinGrant>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::acacianotch::wire::JoinGrant::Builder Control::JoinResults::Builder::initGrant() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::JoinGrant>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::JoinResults::Builder::adoptGrant(
+    ::capnp::Orphan< ::acacianotch::wire::JoinGrant>&& value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::JoinGrant>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::acacianotch::wire::JoinGrant> Control::JoinResults::Builder::disownGrant() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::JoinGrant>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/src/platform/instance_codec.cpp
@@ -0,0 +1,88 @@
+/// \file Reading of the platform's list of backend servers.
+#include "platform/instance_codec.h"
+
+#include "catalogue/value_codec.h"
+
+#include <event2/http.h>
+
+#include <cstdlib>
+#include <memory>
+
+namespace acacianotch::platform {
+
+namespace {
+
+auto textOf(const json &Entry, const char *Key) -> std::string {
+  const auto Place = Entry.find(Key);
+  return Place != Entry.end() && Place->is_string()
+             ? Place->get<std::string>()
+             : std::string();
+}
+
+auto numberOf(const json &Entry, const char *Key) -> std::uint64_t {
+  const auto Place = Entry.find(Key);
+  return Place != Entry.end() && Place->is_number_unsigned()
+             ? Place->get<std::uint64_t>()
+             : 0;
+}
+
+auto decodeEntry(const json &Entry) -> std::optional<backend_record> {
+  if (!Entry.is_object())
+    return std::nullopt;
+  backend_record Record;
+  Record.Id = textOf(Entry, "id");
+  Record.Service = textOf(Entry, "service");
+  Record.Zone = textOf(Entry, "zone");
+  Record.Version = textOf(Entry, "version");
+  const auto Address = parseAddress(textOf(Entry, "address"));
+  const auto State = textOf(Entry, "state");
+  const auto Slots = numberOf(Entry, "slots");
+  const auto Known = State == "ready" || State == "draining";
+  if (!Address || !Known || Record.Id.empty() || Record.Service.empty() ||
+      Slots == 0)
+    return std::nullopt;
+  Record.Address = *Address;
+  Record.Leaving = State == "draining";
+  Record.Slots = static_cast<std::uint32_t>(Slots);
+  Record.Warmup = std::chrono::milliseconds(
+      static_cast<std::int64_t>(numberOf(Entry, "cold-remaining-ms")));
+  Record.StartedMs = numberOf(Entry, "born");
+  return Record;
+}
+
+} // namespace
+
+auto decodeInstancePage(std::string_view Text) -> result<instance_page> {
+  // Another writer's entry may hold bytes that are not UTF-8; they spoil the
+  // page for a strict reader, so they are replaced first.
+  auto Clean = std::string(Text);
+  if (!validUtf8(Clean))
+    for (auto &Byte : Clean)
+      if (static_cast<unsigned char>(Byte) >= 0x80)
+        Byte = '?';
+  const auto Page = json::parse(Clean, nullptr, false);
+  if (!Page.is_object() || !Page.contains("instances") ||
+      !Page["instances"].is_array())
+    return failure::of(errc::bad_request, "not a page of backend servers");
+  instance_page Result;
+  for (const auto &Entry : Page["instances"]) {
+    if (auto Record = decodeEntry(Entry))
+      Result.Backends.push_back(std::move(*Record));
+    else
+      ++Result.Skipped;
+  }
+  if (auto Next = textOf(Page, "next"); !Next.empty())
+    Result.Next = std::move(Next);
+  return Result;
+}
+
+auto instancePageTarget(const std::string &Token) -> std::string {
+  if (Token.empty())
+    return "/instances";
+  const std::unique_ptr<char, decltype(&std::free)> Escaped(
+      evhttp_uriencode(Token.data(), static_cast<ev_ssize_t>(Token.size()), 0),
+      &std::free);
+  return "/instances?page-token=" + std::string(Escaped.get());
+}
+
+} // namespace acacianotch::platform
--- /dev/null
+++ b/src/platform/instance_poller.cpp
@@ -0,0 +1,84 @@
+/// \file Reads the platform's list of backend servers again and again.
+#include "platform/instance_poller.h"
+
+#include "core/log_func.h"
+#include "platform/instance_codec.h"
+
+namespace acacianotch::platform {
+
+namespace {
+
+/// A page comes within milliseconds; a call that is cut off must not hold up
+/// the next one for long.
+constexpr duration PageLimit = std::chrono::milliseconds(700);
+constexpr int Success = 200;
+
+} // namespace
+
+instance_poller::instance_poller(event_loop &TheLoop, const address &Address,
+                                 duration TheInterval, list_callback TheOnList)
+    : Loop(TheLoop), Client(TheLoop, Address), Interval(TheInterval),
+      OnList(std::move(TheOnList)), Timer(TheLoop.oneShot([this] {
+        Token.clear();
+        Collected.clear();
+        requestPage();
+      })) {}
+
+auto instance_poller::start() -> void { Timer->start(duration::zero()); }
+
+auto instance_poller::requestPage() -> void {
+  http_call_options Options;
+  Options.Method = "GET";
+  Options.Target = instancePageTarget(Token);
+  Options.SilenceLimit = PageLimit;
+  http_call_events Events;
+  Body.clear();
+  Status = 0;
+  Events.OnHead = [this](int Code, const http_headers &) { Status = Code; };
+  Events.OnData = [this](std::string_view Data) { Body.append(Data); };
+  Events.OnEnd = [this](const result<void> &Result) {
+    // The call must not be replaced while it reports its end.
+    Loop.defer([this, Result] { handleEnd(Result); });
+  };
+  Call = Client.start(std::move(Options), std::move(Events));
+}
+
+auto instance_poller::handleEnd(const result<void> &Result) -> void {
+  Call.reset();
+  if (!Result)
+    return fail(Result.error().text());
+  if (Status != Success)
+    return fail("status " + std::to_string(Status));
+  handlePage();
+}
+
+auto instance_poller::handlePage() -> void {
+  auto Page = decodeInstancePage(Body);
+  if (!Page)
+    return fail(Page.error().text());
+  if (Page->Skipped > 0)
+    logWarning(log_category::placement, "skipped unreadable list entries",
+               {{"entries", Page->Skipped}});
+  std::move(Page->Backends.begin(), Page->Backends.end(),
+            std::back_inserter(Collected));
+  if (Page->Next) {
+    Token = std::move(*Page->Next);
+    return requestPage();
+  }
+  ListedAt = steady_clock::now();
+  if (!std::exchange(Reachable, true))
+    logInfo(log_category::placement, "the list of backend servers is back");
+  OnList(std::move(Collected));
+  Collected.clear();
+  Timer->start(Interval);
+}
+
+auto instance_poller::fail(const std::string &Reason) -> void {
+  if (std::exchange(Reachable, false))
+    logWarning(log_category::placement,
+               "cannot read the list of backend servers; the last one holds",
+               {{"reason", Reason}});
+  Timer->start(Interval);
+}
+
+} // namespace acacianotch::platform
--- /dev/null
+++ b/src/platform/instance_poller.h
@@ -0,0 +1,51 @@
+/// \file Reads the platform's list of backend servers again and again.
+#pragma once
+
+#include "net/event_loop.h"
+#include "net/http_client.h"
+#include "routing/backend_type.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace acacianotch::platform {
+
+/// Polls the list page by page. The last complete list holds while the platform
+/// does not answer.
+class instance_poller {
+public:
+  using list_callback = std::function<void(std::vector<backend_record>)>;
+
+  /// \p Interval is the time between two reads of the whole list.
+  instance_poller(event_loop &Loop, const address &Address, duration Interval,
+                  list_callback OnList);
+
+  /// Starts to poll.
+  auto start() -> void;
+
+  /// \return when the last complete list came; the epoch before the first.
+  [[nodiscard]] auto listedAt() const -> time_point { return ListedAt; }
+
+private:
+  auto requestPage() -> void;
+  auto handleEnd(const result<void> &Result) -> void;
+  auto handlePage() -> void;
+  auto fail(const std::string &Reason) -> void;
+
+  event_loop &Loop;
+  http_client Client;
+  duration Interval;
+  list_callback OnList;
+  std::unique_ptr<loop_timer> Timer;
+  std::unique_ptr<http_call> Call;
+  int Status = 0;
+  std::string Body;
+  std::string Token; ///< Of the page that is read; empty for the first.
+  std::vector<backend_record> Collected;
+  time_point ListedAt{};
+  bool Reachable = true;
+};
+
+} // namespace acacianotch::platform
--- /dev/null
+++ b/src/platform/request_codec.cpp
@@ -0,0 +1,256 @@
+/// \file Requests and answers on the platform's wire.
+#include "platform/request_codec.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace acacianotch::platform {
+
+namespace {
+
+constexpr std::string_view RequestIdName = "X-Acacianotch-Request-Id";
+constexpr std::string_view TimeLeftName = "X-Acacianotch-Deadline-Ms";
+constexpr std::string_view KeyName = "X-Api-Key";
+constexpr std::string_view AccountName = "X-Acacianotch-Tenant";
+constexpr std::string_view InstanceName = "X-Acacianotch-Expect-Instance";
+constexpr std::string_view ModelName = "X-Acacianotch-Model";
+constexpr std::string_view TokensName = "X-Acacianotch-Token-Counts";
+constexpr std::string_view PromptName = "X-Acacianotch-Prompt-Prefix";
+constexpr std::string_view LengthName = "X-Acacianotch-Length-Hint";
+constexpr std::string_view LastEventName = "Last-Event-Id";
+constexpr std::string_view UrgencyName = "X-Acacianotch-Request-Urgency";
+constexpr std::string_view SealName = "X-Acacianotch-Response-Seal";
+constexpr std::string_view NotRunName = "X-Acacianotch-Not-Executed";
+constexpr std::string_view LoadName = "X-Acacianotch-Engine-Load";
+constexpr std::string_view ConfidenceName = "X-Acacianotch-Confidence";
+/// A caller that writes this as the model leaves the choice to the gateway.
+constexpr std::string_view AnyModelText = "*";
+
+/// Headers that the gateway sets or that callers may not set.
+constexpr std::array<std::string_view, 15> OwnNames{
+    TimeLeftName,
+    KeyName,
+    AccountName,
+    InstanceName,
+    ModelName,
+    LastEventName,
+    UrgencyName,
+    "X-Acacianotch-Expect-Version",
+    "X-Acacianotch-Pin-Ms",
+    "X-Acacianotch-Hold",
+    "X-Acacianotch-Kv-Backup",
+    "Kv-From",
+    "Kv-Fetch",
+    "Content-Length",
+    "Host",
+};
+
+auto oneOf(std::string_view Name, const auto &Names) -> bool {
+  return std::any_of(Names.begin(), Names.end(), [&](std::string_view Each) {
+    return sameHeaderName(Each, Name);
+  });
+}
+
+template <typename number>
+auto parseNumber(std::string_view Text, int Base = 10)
+    -> std::optional<number> {
+  while (!Text.empty() && Text.front() == ' ')
+    Text.remove_prefix(1);
+  while (!Text.empty() && Text.back() == ' ')
+    Text.remove_suffix(1);
+  number Value{};
+  const auto *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Value, Base);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return Value;
+}
+
+/// Calls \p Visit with each part of a comma-separated list.
+auto eachPart(std::string_view Text, const auto &Visit) -> void {
+  while (!Text.empty()) {
+    const auto Comma = std::min(Text.find(','), Text.size());
+    Visit(Text.substr(0, Comma));
+    Text.remove_prefix(std::min(Comma + 1, Text.size()));
+  }
+}
+
+auto parsePrompt(std::string_view Text) -> std::vector<prompt_part> {
+  std::vector<prompt_part> Parts;
+  eachPart(Text, [&](std::string_view Part) {
+    const auto Colon = Part.find(':');
+    if (Colon == std::string_view::npos)
+      return;
+    constexpr int Hexadecimal = 16;
+    const auto Id =
+        parseNumber<std::uint64_t>(Part.substr(0, Colon), Hexadecimal);
+    const auto Tokens = parseNumber<std::uint32_t>(Part.substr(Colon + 1));
+    if (Id && Tokens)
+      Parts.push_back({*Id, *Tokens});
+  });
+  return Parts;
+}
+
+auto parseNumbers(std::string_view Text) -> std::vector<std::uint32_t> {
+  std::vector<std::uint32_t> Numbers;
+  eachPart(Text, [&](std::string_view Part) {
+    Numbers.push_back(parseNumber<std::uint32_t>(Part).value_or(0));
+  });
+  return Numbers;
+}
+
+/// \return the names that the Connection header lists as its own.
+auto connectionOptions(const http_head &Head) -> std::vector<std::string> {
+  std::vector<std::string> Names;
+  if (const auto *Value = Head.find("Connection"))
+    eachPart(*Value, [&](std::string_view Part) {
+      while (!Part.empty() && Part.front() == ' ')
+        Part.remove_prefix(1);
+      Names.emplace_back(Part);
+    });
+  return Names;
+}
+
+auto copyModel(const http_head &Head, caller_request &Request) -> void {
+  const auto *Model = Head.find(ModelName);
+  if (Model == nullptr)
+    return;
+  Request.AnyModel = *Model == AnyModelText;
+  if (!Request.AnyModel)
+    Request.Model = *Model;
+}
+
+auto copyPrompt(const http_head &Head, caller_request &Request) -> void {
+  if (const auto *Tokens = Head.find(TokensName)) {
+    const auto Numbers = parseNumbers(*Tokens);
+    Request.PromptTokens = Numbers.empty() ? 0 : Numbers[0];
+    Request.MaxOutputTokens = Numbers.size() < 2 ? 0 : Numbers[1];
+  }
+  if (const auto *Prompt = Head.find(PromptName))
+    Request.Prompt = parsePrompt(*Prompt);
+  if (const auto *Length = Head.find(LengthName))
+    Request.LikelyOutputTokens = parseNumber<std::uint32_t>(*Length);
+}
+
+auto millisecondsText(duration Time) -> std::string {
+  const auto Count =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+  return std::to_string(std::max<std::int64_t>(Count, 1));
+}
+
+} // namespace
+
+auto decodeRequest(http_head Head) -> result<caller_request> {
+  caller_request Request;
+  const auto *Id = Head.find(RequestIdName);
+  const auto *Host = Head.find("Host");
+  const auto Hosts = std::count_if(
+      Head.Headers.begin(), Head.Headers.end(),
+      [](const auto &Row) { return sameHeaderName(Row.first, "Host"); });
+  if (Host == nullptr || Hosts != 1)
+    return failure::of(errc::bad_request, "exactly one Host is expected");
+  if (Id == nullptr || Id->empty())
+    return failure::of(errc::bad_request, "the request id is missing");
+  Request.Id = *Id;
+  Request.Host = *Host;
+  if (const auto *Key = Head.find(KeyName))
+    Request.Key = *Key;
+  if (const auto *Event = Head.find(LastEventName))
+    Request.LastEvent = *Event;
+  if (const auto *Time = Head.find(TimeLeftName))
+    if (const auto Count = parseNumber<std::uint32_t>(*Time))
+      Request.TimeLeft = std::chrono::milliseconds(*Count);
+  copyModel(Head, Request);
+  copyPrompt(Head, Request);
+  const auto Options = connectionOptions(Head);
+  for (auto &Row : Head.Headers)
+    if (!isConnectionHeader(Row.first) && !oneOf(Row.first, OwnNames) &&
+        !oneOf(Row.first, Options))
+      Request.Forwarded.push_back(std::move(Row));
+  Request.Method = std::move(Head.Method);
+  Request.Target = std::move(Head.Target);
+  return Request;
+}
+
+auto attemptHeaders(const caller_request &Request, const attempt_terms &Terms)
+    -> http_headers {
+  http_headers Headers;
+  Headers.reserve(Request.Forwarded.size() + OwnNames.size());
+  Headers.emplace_back("Host", Request.Host);
+  for (const auto &Row : Request.Forwarded)
+    Headers.push_back(Row);
+  const auto Add = [&](std::string_view Name, std::string Value) {
+    if (!Value.empty())
+      Headers.emplace_back(Name, std::move(Value));
+  };
+  Add(InstanceName, Terms.Instance);
+  Add(AccountName, Terms.Account);
+  Add(ModelName, Terms.Model);
+  Add(LastEventName, Terms.LastEvent);
+  if (Terms.TimeLeft)
+    Add(TimeLeftName, millisecondsText(*Terms.TimeLeft));
+  if (Terms.Urgency)
+    Add(UrgencyName, std::to_string(*Terms.Urgency));
+  return Headers;
+}
+
+auto decodeAnswer(const http_head &Head) -> answer_facts {
+  constexpr int Misdirected = 421;
+  answer_facts Facts;
+  Facts.Status = Head.Status;
+  Facts.NotRun =
+      Head.find(NotRunName) != nullptr || Head.Status == Misdirected;
+  Facts.Sealed = Head.find(SealName) != nullptr;
+  if (const auto *Id = Head.find(RequestIdName))
+    Facts.RequestId = *Id;
+  if (const auto *Confidence = Head.find(ConfidenceName))
+    Facts.Confidence = parseNumber<std::uint32_t>(*Confidence);
+  if (const auto *Load = Head.find(LoadName)) {
+    constexpr double UsualPace = 100;
+    const auto Numbers = parseNumbers(*Load);
+    if (Numbers.size() >= 3)
+      Facts.Load = {Numbers[0], Numbers[1], Numbers[2],
+                    Numbers.size() > 3 ? Numbers[3] / UsualPace : 1};
+  }
+  constexpr std::string_view TimeoutOption = "timeout=";
+  if (const auto *Option = Head.find("Keep-Alive"))
+    if (const auto At = Option->find(TimeoutOption); At != std::string::npos) {
+      const auto Text =
+          std::string_view(*Option).substr(At + TimeoutOption.size());
+      if (const auto Limit =
+              parseNumber<std::uint32_t>(Text.substr(0, Text.find(','))))
+        Facts.IdleLimit = std::chrono::seconds(*Limit);
+    }
+  return Facts;
+}
+
+auto callerHeaders(const http_head &Head) -> http_headers {
+  const auto Options = connectionOptions(Head);
+  http_headers Headers;
+  for (const auto &Row : Head.Headers)
+    if (!isConnectionHeader(Row.first) && !oneOf(Row.first, Options) &&
+        !sameHeaderName(Row.first, "Content-Length") &&
+        !sameHeaderName(Row.first, LoadName))
+      Headers.push_back(Row);
+  return Headers;
+}
+
+auto ownHeaders(const std::string &RequestId, duration RetryAfter)
+    -> http_headers {
+  http_headers Headers;
+  if (!RequestId.empty())
+    Headers.emplace_back(RequestIdName, RequestId);
+  if (RetryAfter > duration::zero()) {
+    std::array<char, 32> Text{};
+    const auto Size = std::snprintf(
+        Text.data(), Text.size(), "%.3f",
+        std::chrono::duration<double>(RetryAfter).count());
+    Headers.emplace_back("Retry-After",
+                         std::string(Text.data(), static_cast<size_t>(Size)));
+  }
+  return Headers;
+}
+
+} // namespace acacianotch::platform
--- /dev/null
+++ b/src/routing/routing_table.cpp
@@ -0,0 +1,41 @@
+/// \file Look-ups in a routing table.
+#include "routing/routing_type.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace acacianotch {
+
+namespace {
+
+auto sameHost(std::string_view Stored, std::string_view Sent) -> bool {
+  const auto Colon = Sent.find(':');
+  const auto Name = Sent.substr(0, Colon);
+  return std::equal(Stored.begin(), Stored.end(), Name.begin(), Name.end(),
+                    [](unsigned char Left, unsigned char Right) {
+                      return Left == std::tolower(Right);
+                    });
+}
+
+} // namespace
+
+auto routing_table::match(std::string_view Host, std::string_view Path) const
+    -> const gateway_route * {
+  const gateway_route *Best = nullptr;
+  for (const auto &Route : Routes) {
+    const auto Longer =
+        Best == nullptr || Route.PathPrefix.size() > Best->PathPrefix.size();
+    if (Longer && Path.starts_with(Route.PathPrefix) &&
+        sameHost(Route.Host, Host))
+      Best = &Route;
+  }
+  return Best;
+}
+
+auto routing_table::accountOf(std::string_view Key) const
+    -> const gateway_account * {
+  const auto Place = AccountOfKey.find(Key);
+  return Place == AccountOfKey.end() ? nullptr : &Place->second;
+}
+
+} // namespace acacianotch
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -34,7 +34,8 @@
   entry = 1,
   agent = 2,
   control = 4,
-  all = 7,
+  gateway = 8,
+  all = 15,
 };
 
 constexpr auto operator|(required_for Left, required_for Right)
@@ -66,6 +67,12 @@
   bool Strict; ///< Equal values are refused too.
 };
 
+/// A setting that is not needed if another one is set.
+struct setting_alternative {
+  std::string_view Key;
+  std::string_view Alternative;
+};
+
 /// One fault of a settings file.
 struct settings_fault {
   std::string File;
@@ -90,6 +97,10 @@
 /// \return the rules between settings.
 [[nodiscard]] auto settingOrders() -> std::span<const setting_order>;
 
+/// \return the settings that stand in for others.
+[[nodiscard]] auto settingAlternatives()
+    -> std::span<const setting_alternative>;
+
 /// \return the row called \p Key, or null.
 [[nodiscard]] auto findSettingRow(std::string_view Key) -> const setting_row *;
 
--- a/src/table/settings_parse.cpp
+++ b/src/table/settings_parse.cpp
@@ -94,11 +94,18 @@
     for (const auto &Row : settingRows()) {
       const auto Needed = Row.Required == required_for::all ||
                           includes(Row.Required, Settings.Role);
-      if (Needed && !Lines.contains(Row.Key))
+      if (Needed && !Lines.contains(Row.Key) && !replaced(Row.Key))
         add(0, Row.Key, "nothing", allowedText(Row));
     }
   }
 
+  [[nodiscard]] auto replaced(std::string_view Key) const -> bool {
+    const auto Rows = settingAlternatives();
+    return std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
+      return Row.Key == Key && Lines.contains(Row.Alternative);
+    });
+  }
+
   /// Compares settings in their own unit; both sides of a rule share it.
   auto checkOrders() -> void {
     if (!Faults.empty())
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -32,9 +32,12 @@
 using admin = admin_settings;
 using agent = agent_settings;
 using entry = entry_settings;
+using gateway = gateway_settings;
 using need = required_for;
 
-constexpr auto NodeRoles = need::entry | need::agent;
+constexpr auto NodeRoles = need::entry | need::agent | need::gateway;
+constexpr auto SecretRoles = need::entry | need::agent | need::control;
+constexpr auto HttpRoles = need::entry | need::gateway;
 constexpr auto RpcRoles = need::agent | need::control;
 constexpr double MaxPort = 65535;
 constexpr double MaxName = 128;
@@ -51,7 +54,7 @@
     setting_row{"node.zone", in<&all::Node, &node::Zone>(), "", 1, MaxName,
                 need::all, "", "availability zone of this process"},
     setting_row{"node.secret_file", in<&all::Node, &node::SecretFile>(), "", 1,
-                MaxPath, need::all, "",
+                MaxPath, SecretRoles, "",
                 "file with the cluster secret, the same in all processes"},
 
     setting_row{"control.addresses", in<&all::Control, &ctl::Addresses>(), "",
@@ -84,6 +87,24 @@
                 in<&all::Control, &ctl::SnapshotEvery>(), "10000", 10, 1e7,
                 need::none, "records", "log records between two snapshots"},
 
+    setting_row{"control.rpc_port", in<&all::Control, &ctl::RpcPort>(), "0", 0,
+                MaxPort, need::none, "",
+                "RPC port of control in place of the ports of "
+                "`control.addresses` and `control.seeds`; 0 keeps those"},
+    setting_row{"control.seeds", in<&all::Control, &ctl::Seeds>(), "", 1,
+                MaxPort, need::none, "",
+                "addresses of replicas through which this one forms or joins "
+                "a group by itself; replaces `control.peers`"},
+    setting_row{"control.bootstrap", in<&all::Control, &ctl::Bootstrap>(),
+                "false", 0, 0, need::none, "",
+                "whether the seeds form a new group if their data folders are "
+                "empty"},
+    setting_row{"control.operator_listen",
+                in<&all::Control, &ctl::OperatorListen>(), "", 1, MaxPort,
+                need::none, "",
+                "HTTP address of the platform's operator interface; not served "
+                "if not set"},
+
     setting_row{"rpc.listen", in<&all::Rpc, &rpc::Listen>(), "", 0, MaxPort,
                 RpcRoles, "", "RPC address of this agent or control VM"},
     setting_row{"rpc.window_calls", in<&all::Rpc, &rpc::WindowCalls>(), "16", 1,
@@ -97,7 +118,7 @@
                 "idle time before a connection is probed"},
 
     setting_row{"http.listen", in<&all::Http, &http::Listen>(), "", 0, MaxPort,
-                need::entry, "", "HTTP address for callers"},
+                HttpRoles, "", "HTTP address for callers"},
     setting_row{"http.max_body_bytes", in<&all::Http, &http::MaxBodyBytes>(),
                 "4194304", 1024, 1073741824, need::none, "bytes",
                 "largest request body"},
@@ -159,6 +180,23 @@
                 need::none, "of the responses",
                 "share of responses that are sent for rating"},
 
+    setting_row{"gateway.ready_listen",
+                in<&all::Gateway, &gateway::ReadyListen>(), "", 1, MaxPort,
+                need::gateway, "",
+                "HTTP address where the balancer asks whether callers may "
+                "come"},
+    setting_row{"gateway.backends", in<&all::Gateway, &gateway::Backends>(),
+                "", 1, MaxPort, need::gateway, "",
+                "HTTP address of the platform's list of backend servers"},
+    setting_row{"gateway.backend_interval_ms",
+                in<&all::Gateway, &gateway::BackendInterval>(), "1000", 50,
+                60000, need::none, "milliseconds",
+                "time between two reads of that list"},
+    setting_row{"gateway.retry_budget_share",
+                in<&all::Gateway, &gateway::RetryShare>(), "0.5", 0, 1,
+                need::none, "of the requests",
+                "budget of attempts beyond the first of a request"},
+
     setting_row{"catalogue.lease_ms", top<&all::CatalogueLease>(), "2000", 600,
                 60000, need::none, "milliseconds",
                 "time after the last confirmation in which a node accepts new "
@@ -210,8 +248,19 @@
                   "control.election_timeout_max_ms", false},
 };
 
+// A replica that finds its group through seeds gets its id there.
+constexpr std::array Alternatives{
+    setting_alternative{"control.replica_id", "control.seeds"},
+    setting_alternative{"control.peers", "control.seeds"},
+    setting_alternative{"node.secret_file", "control.seeds"},
+};
+
 } // namespace
 
+auto settingAlternatives() -> std::span<const setting_alternative> {
+  return Alternatives;
+}
+
 auto settingRows() -> std::span<const setting_row> { return Rows; }
 
 auto settingOrders() -> std::span<const setting_order> { return Orders; }
@@ -232,6 +281,8 @@
       return required_for::agent;
     case process_role::control:
       return required_for::control;
+    case process_role::gateway:
+      return required_for::gateway;
     case process_role::invalid:
       return required_for::none;
     }
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -18,13 +18,20 @@
 using std::chrono::seconds;
 
 /// What a process of acacianotchd does.
-enum class process_role : std::uint8_t { invalid, entry, agent, control };
+enum class process_role : std::uint8_t {
+  invalid,
+  entry,
+  agent,
+  control,
+  gateway
+};
 
 /// Names of roles in settings and logs; the invalid value is not in the table.
-inline constexpr enum_table<process_role, 3> ProcessRoleNames{{{
+inline constexpr enum_table<process_role, 4> ProcessRoleNames{{{
     {process_role::entry, "entry"},
     {process_role::agent, "agent"},
     {process_role::control, "control"},
+    {process_role::gateway, "gateway"},
 }}};
 
 /// Settings under `node`.
@@ -45,6 +52,10 @@
   milliseconds ElectionTimeoutMax{};
   milliseconds Lease{};
   std::uint64_t SnapshotEvery = 0; ///< Log records between snapshots.
+  std::uint64_t RpcPort = 0; ///< In place of the port of addresses; 0 if not.
+  std::vector<address> Seeds; ///< A group that forms itself starts from these.
+  bool Bootstrap = false;     ///< The seeds may form a new group.
+  address OperatorListen;     ///< Invalid without the operators' interface.
 };
 
 /// Settings under `rpc`.
@@ -89,6 +100,14 @@
   double RatingSampleShare = 0;
 };
 
+/// Settings under `gateway`.
+struct gateway_settings {
+  address ReadyListen;
+  address Backends;
+  milliseconds BackendInterval{};
+  double RetryShare = 0;
+};
+
 /// Settings under `log`.
 struct log_settings {
   log_level Level = log_level::invalid;
@@ -113,6 +132,7 @@
   admin_settings Admin;
   agent_settings Agent;
   entry_settings Entry;
+  gateway_settings Gateway;
   milliseconds CatalogueLease{};
   log_settings Log;
   seconds ShutdownDeadline{};
