--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -56,12 +56,14 @@
       });
   if (!Http)
     return Http.error();
+  Server->Http = std::move(Http).value();
+  if (!Settings.RpcListen.valid())
+    return Server;
   auto Rpc = rpc_server::create(Loop, Settings.RpcListen,
                                 kj::heap<admin_interface>(Server->Callbacks),
                                 RpcOptions);
   if (!Rpc)
     return Rpc.error();
-  Server->Http = std::move(Http).value();
   Server->Rpc = std::move(Rpc).value();
   return Server;
 }
