Feature: [Gateway] a ladder of models: the smallest first, the largest if unsure

Cause: the largest model for every request filled the engines, so that streams ran into their deadlines, and cost most of the price of models.

--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -58,7 +58,7 @@
     return;
   Context.ExtraAttempts.firstAttempt();
   chooseService();
-  Model = chooseModel();
+  chooseModel();
   auto Limit = Route->Timeout;
   if (Request.TimeLeft)
     Limit = std::min(Limit, *Request.TimeLeft);
@@ -100,10 +100,48 @@
   }
 }
 
-auto forward_task::chooseModel() -> std::string {
+auto forward_task::chooseModel() -> void {
+  Model = Request.Model;
   if (!Request.AnyModel || Route->Models.empty())
-    return Request.Model;
-  return Route->Models.back();
+    return;
+  Step = model_ladder::first(Route->Models.size());
+  Model = Route->Models[Step];
+}
+
+/// \return the step that should answer in place of the one that does, and
+/// charges the budget for it.
+auto forward_task::largerModel() -> std::optional<std::size_t> {
+  if (!Request.AnyModel || Streaming || !Route->repeatable())
+    return std::nullopt;
+  const auto Elapsed =
+      std::chrono::duration<double>(steady_clock::now() - Request.ReceivedAt);
+  ladder_answer Answer;
+  Answer.Step = Step;
+  Answer.Steps = Route->Models.size();
+  Answer.Confidence = Attempt->Facts.Confidence;
+  Answer.ObjectiveShare =
+      Elapsed / std::chrono::duration<double>(Route->TargetLatency);
+  Answer.MayRepeat = Sent + 1 < Route->MaxAttempts;
+  const auto Next = Context.Ladder.next(Answer);
+  if (!Next || !Context.ExtraAttempts.tryTake())
+    return std::nullopt;
+  return Next;
+}
+
+// The answer is dropped before the caller has any of it.
+auto forward_task::escalate(std::size_t Next) -> void {
+  ++Context.Counters.Escalations;
+  ++Sent;
+  logDebug(log_category::entry, "a larger model is asked",
+           {{"request", Request.Id},
+            {"confidence", Attempt->Facts.Confidence.value_or(0)},
+            {"step", Step},
+            {"next", Next}});
+  releaseAttempt(false);
+  Tried.clear();
+  Step = Next;
+  Model = Route->Models[Step];
+  tryNext();
 }
 
 // The last part of a prompt is the request's own; the chain before it is what
@@ -196,8 +234,11 @@
     -> void {
   Attempt->Facts = Facts;
   Attempt->Head = std::move(Head);
-  if (Route->Kind == route_kind::streaming && Facts.success())
-    beginStream();
+  if (Route->Kind != route_kind::streaming || !Facts.success())
+    return;
+  if (const auto Next = largerModel())
+    return escalate(*Next);
+  beginStream();
 }
 
 auto forward_task::beginStream() -> void {
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -1,6 +1,7 @@
 /// \file Forwards one caller's request to backend servers.
 #pragma once
 
+#include "controller/model_ladder.h"
 #include "controller/traffic_budget.h"
 #include "gateway/backend_directory.h"
 #include "gateway/caller_connection.h"
@@ -32,6 +33,7 @@
   event_loop &Loop;
   backend_directory &Directory;
   traffic_budget &ExtraAttempts;
+  model_ladder Ladder;
   gateway_counters Counters;
 };
 
@@ -65,7 +67,9 @@
 
   auto admit() -> bool;
   auto chooseService() -> void;
-  auto chooseModel() -> std::string;
+  auto chooseModel() -> void;
+  [[nodiscard]] auto largerModel() -> std::optional<std::size_t>;
+  auto escalate(std::size_t Step) -> void;
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   auto tryNext() -> void;
   auto send(backend_handle Backend) -> bool;
@@ -101,6 +105,7 @@
   const gateway_account *Account = nullptr;
   std::string Service;
   std::string Model;
+  std::size_t Step = 0; ///< Position of the model on the route's ladder.
   std::unique_ptr<attempt> Attempt;
   std::vector<backend_handle> Tried;
   event_splitter Events;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -54,7 +54,7 @@
                [this](std::vector<backend_record> Listed) {
                  Directory.follow(std::move(Listed));
                }),
-        Context{TheLoop, Directory, ExtraAttempts, {}},
+        Context{TheLoop, Directory, ExtraAttempts, model_ladder(), {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })) {
     Link.onChange([this] { followView(); });
   }
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -24,6 +24,7 @@
   std::string Method;
   std::string Target; ///< Path and query as received.
   std::string Host;
+  std::string Session;     ///< Requests that belong together; may be empty.
   std::string Key;         ///< Of the client account; empty if none.
   std::string Model;       ///< Model that the caller names; empty if none.
   bool AnyModel = false;   ///< The gateway chooses the model.
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view AccountName = "X-Acacianotch-Tenant";
 constexpr std::string_view InstanceName = "X-Acacianotch-Expect-Instance";
 constexpr std::string_view ModelName = "X-Acacianotch-Model";
+constexpr std::string_view SessionName = "Session";
 constexpr std::string_view TokensName = "X-Acacianotch-Token-Counts";
 constexpr std::string_view PromptName = "X-Acacianotch-Prompt-Prefix";
 constexpr std::string_view LengthName = "X-Acacianotch-Length-Hint";
@@ -157,6 +158,8 @@
   Request.Host = *Host;
   if (const auto *Key = Head.find(KeyName))
     Request.Key = *Key;
+  if (const auto *Session = Head.find(SessionName))
+    Request.Session = *Session;
   if (const auto *Event = Head.find(LastEventName))
     Request.LastEvent = *Event;
   if (const auto *Time = Head.find(TimeLeftName))
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -193,7 +193,7 @@
                 60000, need::none, "milliseconds",
                 "time between two reads of that list"},
     setting_row{"gateway.retry_budget_share",
-                in<&all::Gateway, &gateway::RetryShare>(), "0.5", 0, 1,
+                in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
                 "budget of attempts beyond the first of a request"},
 
