Feature: [Gateway] rollouts of services: canary, shift, complete or stop

Cause: rollouts were never driven, so good ones missed their duty and bad ones were not measured. Change: gateways count outcomes by arm and route, the leader judges them and orders the next step; log time runs on the steady clock.

--- a/src/catalogue/command_codec.cpp
+++ b/src/catalogue/command_codec.cpp
@@ -73,7 +73,8 @@
       std::holds_alternative<publish_routing>(Command.Body) ||
       std::holds_alternative<start_service_rollout>(Command.Body) ||
       std::holds_alternative<end_service_rollout>(Command.Body) ||
-      std::holds_alternative<report_service_evidence>(Command.Body);
+      std::holds_alternative<report_service_evidence>(Command.Body) ||
+      std::holds_alternative<shift_service_rollout>(Command.Body);
   return !HasOwnKey;
 }
 
--- a/src/catalogue/command_fields.h
+++ b/src/catalogue/command_fields.h
@@ -219,7 +219,15 @@
       required("to", &body::To, {1, 256}, "new version"),
       required("source", &body::Source, {1, 128}, "node and its start"),
       required("sequence", &body::Sequence, {1, 1e15}, "grows per report"),
-      required("counters", &body::Counters, {1, 16}, "counts per version"),
+      required("counts", &body::Counts, {1, 4096}, "per arm and route"),
+  };
+};
+
+template <> struct field_table<shift_service_rollout> {
+  using body = shift_service_rollout;
+  static constexpr auto Fields = std::tuple{
+      required("service", &body::Service, {1, 256}, "service"),
+      required("to", &body::To, {1, 256}, "new version"),
   };
 };
 
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -207,7 +207,13 @@
   std::string To;
   std::string Source;         ///< Node and its start; one counter each.
   std::uint64_t Sequence = 0; ///< Grows with each report of the source.
-  std::vector<version_counters> Counters;
+  std::vector<arm_counts> Counts; ///< Since the last report.
+};
+
+/// Sends all new work of a service to the version that a rollout brings in.
+struct shift_service_rollout {
+  std::string Service;
+  std::string To;
 };
 
 using command_body =
@@ -216,7 +222,7 @@
                  claim_request, settle_request, record_usage, lease_budget,
                  report_crash, lift_quarantine, report_version_evidence,
                  publish_routing, start_service_rollout, end_service_rollout,
-                 report_service_evidence>;
+                 report_service_evidence, shift_service_rollout>;
 
 /// Names of the command bodies in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<command_body>>
@@ -227,7 +233,7 @@
         "record_usage",    "lease_budget",           "report_crash",
         "lift_quarantine", "report_version_evidence",
         "publish_routing", "start_service_rollout", "end_service_rollout",
-        "report_service_evidence"};
+        "report_service_evidence", "shift_service_rollout"};
 
 /// One command of the log.
 struct command {
--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -25,6 +25,21 @@
   return Found ? &Place->second : nullptr;
 }
 
+auto addCounts(std::vector<arm_counts> &Rows, const arm_counts &More) -> void {
+  const auto Place =
+      std::find_if(Rows.begin(), Rows.end(), [&](const arm_counts &Row) {
+        return Row.Arm == More.Arm && Row.Route == More.Route;
+      });
+  if (Place == Rows.end()) {
+    Rows.push_back(More);
+    return;
+  }
+  Place->Requests += More.Requests;
+  Place->Errors += More.Errors;
+  Place->Timed += More.Timed;
+  Place->LogTime += More.LogTime;
+}
+
 } // namespace
 
 // A lower number was overtaken, and other content under the number held must
@@ -55,7 +70,7 @@
     return {};
   auto &Rollout = Data.ServiceRollouts[Body.Service];
   Rollout = {Body.Service,          Body.To, Context.NowMs, Body.DurationMs,
-             rollout_state::running, ""};
+             rollout_state::running, false,   ""};
   Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}};
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "started", writeValue(Rollout));
@@ -93,15 +108,21 @@
   if (Body.Sequence <= Last)
     return command_result::of(errc::ok, "duplicate");
   Last = Body.Sequence;
-  for (const auto &Counters : Body.Counters) {
-    auto &Sum = Evidence.Totals[Counters.Version];
-    Sum.Version = Counters.Version;
-    Sum.Requests += Counters.Requests;
-    Sum.Errors += Counters.Errors;
-    Sum.Slow += Counters.Slow;
-    Sum.FirstTokenUs += Counters.FirstTokenUs;
-  }
+  for (const auto &Counts : Body.Counts)
+    addCounts(Evidence.Counts, Counts);
   return command_result::of(errc::ok, "added");
 }
 
+auto execute(catalogue_data &Data, command_context &Context,
+             const shift_service_rollout &Body) -> command_result {
+  auto *Rollout = findRunning(Data, Body.Service, Body.To);
+  if (Rollout == nullptr || Rollout->State != rollout_state::running)
+    return command_result::of(errc::unknown_entry, Body.Service);
+  if (Context.DryRun || Rollout->Shifted)
+    return {};
+  Rollout->Shifted = true;
+  touch(Context, Body.Service);
+  return command_result::of(errc::ok, "stored", writeValue(*Rollout));
+}
+
 } // namespace acacianotch
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -3,11 +3,45 @@
 
 #include "catalogue/rollout_type.h"
 
+#include <map>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace acacianotch {
 
+/// Which part of a service's backend servers a request may use.
+enum class version_arm : std::uint8_t {
+  invalid,
+  serving,   ///< The version that serves, or the predecessor in a rollout.
+  candidate, ///< The version that a rollout brings in.
+};
+
+inline constexpr enum_table<version_arm, 2> VersionArmNames{{{
+    {version_arm::serving, "serving"},
+    {version_arm::candidate, "candidate"},
+}}};
+constexpr auto namesOf(version_arm) -> const auto & { return VersionArmNames; }
+
+/// Counts of one arm on one route.
+struct arm_counts {
+  version_arm Arm = version_arm::invalid;
+  std::string Route;
+  std::uint64_t Requests = 0;
+  std::uint64_t Errors = 0;
+  std::uint64_t Timed = 0; ///< Whole answers whose time was measured.
+  double LogTime = 0; ///< Sum of their natural logarithms of microseconds.
+
+  auto operator==(const arm_counts &) const -> bool = default;
+};
+
+/// Evidence on a service's rollout, merged from all gateways.
+struct service_evidence {
+  std::string To;
+  std::map<std::string, std::uint64_t> Sequences; ///< Last one per source.
+  std::vector<arm_counts> Counts; ///< One row for each arm and route.
+};
+
 /// Key of the routing document among the shared values.
 inline constexpr std::string_view RoutingKey = "routing/current";
 
@@ -30,11 +64,33 @@
   std::uint64_t StartedMs = 0;  ///< Log time.
   std::uint32_t DurationMs = 0; ///< Time in which it should complete.
   rollout_state State = rollout_state::running;
-  std::string Reason; ///< Why it ended.
+  bool Shifted = false; ///< All new work goes to the new version.
+  std::string Reason;   ///< Why it ended.
 
   auto operator==(const service_rollout &) const -> bool = default;
 };
 
+template <> struct field_table<arm_counts> {
+  using body = arm_counts;
+  static constexpr auto Fields = std::tuple{
+      required("arm", &body::Arm, {}, "arm"),
+      field("route", &body::Route, {0, 256}, "route"),
+      required("requests", &body::Requests, {0, 1e15}, "requests"),
+      field("errors", &body::Errors, {0, 1e15}, "failed requests"),
+      field("timed", &body::Timed, {0, 1e15}, "requests with a time"),
+      field("log_time", &body::LogTime, {-1e15, 1e15}, "sum of logarithms"),
+  };
+};
+
+template <> struct field_table<service_evidence> {
+  using body = service_evidence;
+  static constexpr auto Fields = std::tuple{
+      required("to", &body::To, {1, 256}, "new version"),
+      required("sequences", &body::Sequences, {}, "per source"),
+      required("counts", &body::Counts, {}, "per arm and route"),
+  };
+};
+
 template <> struct field_table<routing_document> {
   static constexpr auto Fields = std::tuple{
       required("number", &routing_document::Number, {}, "number"),
@@ -50,6 +106,7 @@
       required("started_ms", &body::StartedMs, {}, "log time of the start"),
       required("duration_ms", &body::DurationMs, {}, "time to complete"),
       required("state", &body::State, {}, "state"),
+      field("shifted", &body::Shifted, {}, "new work goes to the new version"),
       field("reason", &body::Reason, {0, 1024}, "why it ended"),
   };
 };
--- a/src/catalogue/state_type.h
+++ b/src/catalogue/state_type.h
@@ -133,7 +133,7 @@
   std::map<std::string, remembered_change> Changes;
   std::optional<routing_document> Routing;
   std::map<std::string, service_rollout> ServiceRollouts; ///< By service.
-  std::map<std::string, rollout_evidence> ServiceEvidence; ///< By service.
+  std::map<std::string, service_evidence> ServiceEvidence; ///< By service.
 
   /// Digest of each bearer key to its account. Derived from the entries and not
   /// stored, so that a put need not search all accounts for a duplicate.
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -4,6 +4,7 @@
 #include "control/control_service.h"
 #include "control/group_join.h"
 #include "control/membership_keeper.h"
+#include "control/rollout_keeper.h"
 #include "core/log_func.h"
 #include "node/admin_server.h"
 #include "node/role_func.h"
@@ -147,6 +148,7 @@
       return Keeper->join(Address, Token, Replica);
     };
   }
+  const rollout_keeper Rollouts(**Loop, Service);
   std::unique_ptr<platform::operator_api> Operators;
   if (Settings.Control.OperatorListen.valid()) {
     auto Created = platform::operator_api::create(
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -49,13 +49,21 @@
 }
 
 // Time in the state machine comes from commands, so it must not go back when
-// another replica with a slower clock becomes leader.
+// another replica with a slower clock becomes leader. While a replica leads,
+// the steady clock measures it, because the time of day may jump.
 auto control_service::nextTimeMs() -> std::uint64_t {
+  const auto Led = steady_clock::now() - LeaderSince;
+  const auto NowMs =
+      StartMs + static_cast<std::uint64_t>(Led / std::chrono::milliseconds(1));
+  return std::max(State.data().LogTimeMs, NowMs);
+}
+
+auto control_service::startLogClock() -> void {
   const auto Now = std::chrono::system_clock::now().time_since_epoch();
   const auto NowMs =
       static_cast<std::uint64_t>(Now / std::chrono::milliseconds(1));
-  LastTimeMs = std::max({LastTimeMs, State.data().LogTimeMs, NowMs});
-  return LastTimeMs;
+  LeaderSince = steady_clock::now();
+  StartMs = std::max(State.data().LogTimeMs, NowMs);
 }
 
 auto control_service::confirmedEpoch() const -> std::optional<epoch> {
@@ -131,7 +139,7 @@
 
 auto control_service::roleChanged() -> void {
   if (Host->node().role() == raft_role::leader) {
-    LeaderSince = steady_clock::now();
+    startLogClock();
     Nodes->push();
     return;
   }
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -49,6 +49,9 @@
   /// \return whether this replica is the leader and its state is current.
   [[nodiscard]] auto confirmedEpoch() const -> std::optional<epoch>;
 
+  /// \return the log time of a command that the leader issues now.
+  [[nodiscard]] auto nowMs() -> std::uint64_t { return nextTimeMs(); }
+
   /// \return when this replica became the leader.
   [[nodiscard]] auto leaderSince() const -> time_point { return LeaderSince; }
 
@@ -82,6 +85,7 @@
   auto answer(const log_record &Record, command_result Result) -> void;
   auto roleChanged() -> void;
   auto nextTimeMs() -> std::uint64_t;
+  auto startLogClock() -> void;
   [[nodiscard]] auto refuse(errc Code) const -> command_result;
 
   event_loop &Loop;
@@ -89,7 +93,7 @@
   std::unique_ptr<replica_host> Host;
   std::unique_ptr<subscriptions> Nodes;
   std::map<log_index, proposal> Proposals;
-  std::uint64_t LastTimeMs = 0;
+  std::uint64_t StartMs = 0; ///< Log time when this replica began to lead.
   time_point LeaderSince{};
   control_counters Counters;
 };
--- /dev/null
+++ b/src/controller/rollout_judge.cpp
@@ -0,0 +1,115 @@
+/// \file When a service's rollout shifts, completes or stops.
+#include "controller/rollout_judge.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <map>
+
+namespace acacianotch {
+
+namespace {
+
+/// Both arms on one route.
+struct arm_pair {
+  arm_counts Serving;
+  arm_counts Candidate;
+};
+
+auto add(arm_counts &Sum, const arm_counts &More) -> void {
+  Sum.Requests += More.Requests;
+  Sum.Errors += More.Errors;
+  Sum.Timed += More.Timed;
+  Sum.LogTime += More.LogTime;
+}
+
+auto errorsStop(const rollout_judge_settings &Settings, const arm_pair &Pair)
+    -> bool {
+  const auto &New = Pair.Candidate;
+  if (New.Errors < Settings.MinErrors)
+    return false;
+  const auto &Old = Pair.Serving;
+  const auto Known = static_cast<double>(Old.Errors + 1) /
+                     static_cast<double>(Old.Requests + 2);
+  const auto Rate = std::min(0.95, Known + Settings.ErrorMargin);
+  return binomialTail(New.Requests, New.Errors, Rate) < Settings.FalseStop;
+}
+
+auto slownessStops(const rollout_judge_settings &Settings, const arm_pair &Pair)
+    -> bool {
+  const auto &New = Pair.Candidate;
+  const auto &Old = Pair.Serving;
+  if (New.Timed < Settings.MinTimed || Old.Timed < Settings.MinTimed)
+    return false;
+  const auto Difference = New.LogTime / static_cast<double>(New.Timed) -
+                          Old.LogTime / static_cast<double>(Old.Timed);
+  return Difference > std::log(Settings.SlowFactor);
+}
+
+auto reasonText(const char *Measure, const std::string &Route,
+                const arm_pair &Pair) -> std::string {
+  return std::string(Measure) + " on " + (Route.empty() ? "all" : Route) +
+         ": " + std::to_string(Pair.Candidate.Errors) + " of " +
+         std::to_string(Pair.Candidate.Requests) + " failed, predecessor " +
+         std::to_string(Pair.Serving.Errors) + " of " +
+         std::to_string(Pair.Serving.Requests);
+}
+
+} // namespace
+
+auto binomialTail(std::uint64_t Requests, std::uint64_t Errors, double Rate)
+    -> double {
+  if (Errors == 0)
+    return 1;
+  if (Rate <= 0)
+    return 0;
+  const auto Count = static_cast<double>(Requests);
+  double Sum = 0;
+  for (auto Failures = Errors; Failures <= Requests; ++Failures) {
+    const auto Each = static_cast<double>(Failures);
+    const auto LogWays = std::lgamma(Count + 1) - std::lgamma(Each + 1) -
+                         std::lgamma(Count - Each + 1);
+    Sum += std::exp(LogWays + Each * std::log(Rate) +
+                    (Count - Each) * std::log1p(-Rate));
+  }
+  return std::min(Sum, 1.0);
+}
+
+auto judgeRollout(const rollout_judge_settings &Settings,
+                  const service_rollout &Rollout,
+                  const service_evidence &Evidence, std::uint64_t NowMs)
+    -> rollout_judgement {
+  std::map<std::string, arm_pair> Pairs;
+  auto &All = Pairs[""];
+  for (const auto &Row : Evidence.Counts) {
+    const auto IsNew = Row.Arm == version_arm::candidate;
+    add(IsNew ? All.Candidate : All.Serving, Row);
+    if (Row.Route.empty())
+      continue;
+    auto &Pair = Pairs[Row.Route];
+    add(IsNew ? Pair.Candidate : Pair.Serving, Row);
+  }
+  for (const auto &[Route, Pair] : Pairs) {
+    if (errorsStop(Settings, Pair))
+      return {rollout_step::stop, reasonText("errors", Route, Pair)};
+    // Routes differ in their answers, so times are compared within one.
+    if (!Route.empty() && slownessStops(Settings, Pair))
+      return {rollout_step::stop, reasonText("slow answers", Route, Pair)};
+  }
+  const auto Duration = static_cast<double>(
+      Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
+                              : Rollout.DurationMs);
+  const auto Elapsed =
+      static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
+  if (!Rollout.Shifted) {
+    const auto Due = Elapsed >= Settings.ShiftAt * Duration;
+    if (Due && All.Candidate.Requests >= Settings.MinRequests)
+      return {rollout_step::shift, "the evidence is clean"};
+    return {};
+  }
+  if (Elapsed >= Settings.CompleteAt * Duration)
+    return {rollout_step::complete, "the evidence is clean"};
+  return {};
+}
+
+} // namespace acacianotch
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -151,6 +151,14 @@
   return Running ? &Place->second : nullptr;
 }
 
+auto backend_directory::armOf(const known_backend &Backend) const
+    -> version_arm {
+  const auto Place = Rollouts.find(Backend.Record.Service);
+  const auto IsNew = Place != Rollouts.end() &&
+                     Place->second.To == Backend.Record.Version;
+  return IsNew ? version_arm::candidate : version_arm::serving;
+}
+
 auto backend_directory::find(backend_handle Handle) -> known_backend * {
   const auto Place = ByHandle.find(Handle);
   return Place == ByHandle.end() ? nullptr : Place->second;
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -27,13 +27,6 @@
   std::vector<backend_handle> Members;
 };
 
-/// Which part of a service's backend servers a request may use.
-enum class version_arm : std::uint8_t {
-  invalid,
-  serving,   ///< The version that serves, or the predecessor in a rollout.
-  candidate, ///< The version that a rollout brings in.
-};
-
 /// One backend server and its connections.
 struct known_backend {
   backend_record Record;
@@ -67,6 +60,9 @@
   [[nodiscard]] auto runningRollout(const std::string &Service) const
       -> const service_rollout *;
 
+  /// \return the arm that a backend server belongs to.
+  [[nodiscard]] auto armOf(const known_backend &Backend) const -> version_arm;
+
   [[nodiscard]] auto find(backend_handle Handle) -> known_backend *;
 
   /// \return an idle or a new connection; `backend_unreachable` if refused.
--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -38,6 +38,9 @@
 
 auto event_splitter::noteIds(std::string_view Events) -> void {
   constexpr std::string_view Field = "id:";
+  for (auto At = Events.find("\n\n"); At != std::string_view::npos;
+       At = Events.find("\n\n", At + 2))
+    ++Count;
   const auto Later = Events.rfind("\nid:");
   if (Later == std::string_view::npos && !Events.starts_with(Field))
     return;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -1,6 +1,7 @@
 /// \file Whole events of an event stream.
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -26,11 +27,15 @@
   /// \return the id of the last whole event taken; empty if it had none.
   [[nodiscard]] auto lastId() const -> const std::string & { return LastId; }
 
+  /// \return the number of whole events taken.
+  [[nodiscard]] auto count() const -> std::uint32_t { return Count; }
+
 private:
   auto noteIds(std::string_view Events) -> void;
 
   std::string Pending;
   std::string LastId;
+  std::uint32_t Count = 0;
 };
 
 } // namespace acacianotch
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -58,6 +58,7 @@
     return;
   Context.ExtraAttempts.firstAttempt();
   chooseService();
+  chooseArm();
   chooseModel();
   auto Limit = Route->Timeout;
   if (Request.TimeLeft)
@@ -161,8 +162,35 @@
   return *Request.TimeLeft - (steady_clock::now() - Request.ReceivedAt);
 }
 
+// Without a listed backend server of the new version a rollout has not begun.
+auto forward_task::chooseArm() -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Context.Directory.pool(Service, version_arm::candidate) == nullptr)
+    Rollout = nullptr;
+  Arm = Context.Rollouts.arm(Rollout, Request.Session, Request.Id);
+}
+
+auto forward_task::recordOutcome(bool Failed) -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Rollout == nullptr || Attempt == nullptr)
+    return;
+  arm_outcome Outcome;
+  Outcome.Arm = Attempt->Arm;
+  Outcome.Route = Route->Name + "/" + std::to_string(Step);
+  Outcome.Failed = Failed;
+  if (!Failed) {
+    const auto Whole =
+        Attempt->Streams ? Events.count() - Attempt->EventsBefore : 0U;
+    Outcome.Time = (steady_clock::now() - Attempt->SentAt) /
+                   static_cast<std::int64_t>(std::max(Whole, 1U));
+  }
+  Context.Rollouts.record(*Rollout, Outcome);
+}
+
 auto forward_task::chooseBackend() -> result<backend_handle> {
-  auto *Pool = Context.Directory.pool(Service, version_arm::serving);
+  auto *Pool = Context.Directory.pool(Service, Arm);
+  if (Pool == nullptr)
+    Pool = Context.Directory.pool(Service, version_arm::serving);
   if (Pool == nullptr)
     return failure::of(errc::no_backend);
   place_request Place;
@@ -198,6 +226,9 @@
   Attempt->Backend = Chosen;
   Attempt->BackendId = Backend->Record.Id;
   Attempt->Channel = *Channel;
+  Attempt->SentAt = steady_clock::now();
+  Attempt->EventsBefore = Events.count();
+  Attempt->Arm = Context.Directory.armOf(*Backend);
   Attempt->Long = Request.PromptTokens > LongPromptTokens;
   Context.Directory.board().started(Chosen, Attempt->Long);
   attempt_terms Terms;
@@ -290,6 +321,7 @@
   }
   ++Sent;
   MayHaveRun = true;
+  recordOutcome(Attempt->Facts.Status >= ServerError);
   if (Attempt->Streams) {
     Caller->write(Events.takeRest());
     releaseAttempt(true);
@@ -317,6 +349,7 @@
            {"not_run", NotRun},
            {"streaming", Streaming}});
   const auto Backend = Attempt->Backend;
+  recordOutcome(true);
   releaseAttempt(false);
   Events.dropRest();
   if (NotRun) {
@@ -406,6 +439,7 @@
   if (Done)
     return;
   const auto Waiting = Attempt != nullptr;
+  recordOutcome(true);
   releaseAttempt(false);
   if (Waiting || MayHaveRun)
     return failUnknown(GatewayTimeout, "the time for the request is over");
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -6,6 +6,7 @@
 #include "gateway/backend_directory.h"
 #include "gateway/caller_connection.h"
 #include "gateway/event_splitter.h"
+#include "gateway/rollout_recorder.h"
 #include "routing/routing_type.h"
 
 #include <functional>
@@ -33,6 +34,7 @@
   event_loop &Loop;
   backend_directory &Directory;
   traffic_budget &ExtraAttempts;
+  rollout_recorder &Rollouts;
   model_ladder Ladder;
   gateway_counters Counters;
 };
@@ -61,6 +63,9 @@
     answer_facts Facts;
     http_head Head;
     std::string Body;
+    time_point SentAt{};
+    std::uint32_t EventsBefore = 0;
+    version_arm Arm = version_arm::serving;
     bool Long = false;
     bool Streams = false; ///< Its body goes to the caller as it arrives.
   };
@@ -70,8 +75,10 @@
   auto chooseModel() -> void;
   [[nodiscard]] auto largerModel() -> std::optional<std::size_t>;
   auto escalate(std::size_t Step) -> void;
+  auto chooseArm() -> void;
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   auto tryNext() -> void;
+  auto recordOutcome(bool Failed) -> void;
   auto send(backend_handle Backend) -> bool;
   auto handleHead(const answer_facts &Facts, http_head &&Head) -> void;
   auto handleBody(std::string_view Data) -> void;
@@ -104,6 +111,7 @@
   const gateway_route *Route = nullptr;
   const gateway_account *Account = nullptr;
   std::string Service;
+  version_arm Arm = version_arm::serving;
   std::string Model;
   std::size_t Step = 0; ///< Position of the model on the route's ladder.
   std::unique_ptr<attempt> Attempt;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -38,6 +38,11 @@
   return Addresses;
 }
 
+auto secondsOf(double Count) -> duration {
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Count));
+}
+
 /// Everything that one gateway process holds.
 class gateway_process {
 public:
@@ -54,7 +59,10 @@
                [this](std::vector<backend_record> Listed) {
                  Directory.follow(std::move(Listed));
                }),
-        Context{TheLoop, Directory, ExtraAttempts, model_ladder(), {}},
+        Rollouts(TheLoop, Control, Settings.Node.Id,
+                 secondsOf(Settings.Gateway.SessionSeconds)),
+        Context{TheLoop,  Directory,      ExtraAttempts,
+                Rollouts, model_ladder(), {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })) {
     Link.onChange([this] { followView(); });
   }
@@ -175,6 +183,7 @@
   backend_directory Directory;
   traffic_budget ExtraAttempts;
   platform::instance_poller Poller;
+  rollout_recorder Rollouts;
   gateway_context Context;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
   std::shared_ptr<const routing_table> Table;
--- /dev/null
+++ b/src/gateway/rollout_recorder.cpp
@@ -0,0 +1,136 @@
+/// \file Evidence of one gateway on rollouts, and sessions' versions.
+#include "gateway/rollout_recorder.h"
+
+#include "controller/version_test.h"
+#include "core/log_func.h"
+
+#include <algorithm>
+#include <cmath>
+#include <random>
+
+namespace acacianotch {
+
+namespace {
+
+/// A bad version must be stopped within seconds, so reports come often.
+constexpr duration ReportInterval = std::chrono::milliseconds(400);
+constexpr duration ReportLimit = std::chrono::seconds(2);
+/// Share of requests on the new version before it takes all. A bad version may
+/// get 0.15 of a service's requests at most; the rest of that is left for the
+/// time that a stop takes.
+constexpr double CandidateShare = 0.08;
+/// Sessions remembered at most; the oldest ones go first.
+constexpr std::size_t MaxSessions = 20'000;
+
+auto addCounts(std::vector<arm_counts> &Rows, const arm_outcome &Outcome)
+    -> void {
+  auto Place =
+      std::find_if(Rows.begin(), Rows.end(), [&](const arm_counts &Row) {
+        return Row.Arm == Outcome.Arm && Row.Route == Outcome.Route;
+      });
+  if (Place == Rows.end()) {
+    arm_counts Row;
+    Row.Arm = Outcome.Arm;
+    Row.Route = Outcome.Route;
+    Place = Rows.insert(Rows.end(), std::move(Row));
+  }
+  ++Place->Requests;
+  Place->Errors += Outcome.Failed ? 1U : 0U;
+  if (!Outcome.Time || Outcome.Time->count() <= 0)
+    return;
+  ++Place->Timed;
+  Place->LogTime += std::log(static_cast<double>(Outcome.Time->count()));
+}
+
+} // namespace
+
+rollout_recorder::rollout_recorder(event_loop &Loop, leader_client &TheControl,
+                                   std::string Node, duration TheSessionTime)
+    : Control(TheControl),
+      Source(std::move(Node) + "/" + std::to_string(std::random_device{}())),
+      SessionTime(TheSessionTime), Timer(Loop.repeating([this] { tick(); })) {
+  Timer->start(ReportInterval);
+}
+
+auto rollout_recorder::record(const service_rollout &Rollout,
+                              const arm_outcome &Outcome) -> void {
+  auto &Batch = Batches[Rollout.Service];
+  if (Batch.To != Rollout.To) {
+    Batch = {};
+    Batch.To = Rollout.To;
+  }
+  addCounts(Batch.Next, Outcome);
+}
+
+// A session that is under way keeps its version until all work shifts.
+auto rollout_recorder::arm(const service_rollout *Rollout,
+                           const std::string &Session,
+                           const std::string &RequestId) -> version_arm {
+  const auto Now = steady_clock::now();
+  auto Arm = version_arm::serving;
+  const auto Known = Session.empty() ? Sessions.end() : Sessions.find(Session);
+  const auto UnderWay =
+      Known != Sessions.end() && Now - Known->second.LastAt <= SessionTime;
+  if (Rollout != nullptr) {
+    const auto &Key = Session.empty() ? RequestId : Session;
+    if (Rollout->Shifted)
+      Arm = version_arm::candidate;
+    else if (UnderWay)
+      Arm = Known->second.Arm;
+    else if (selectsCanary(Rollout->To, Key, CandidateShare))
+      Arm = version_arm::candidate;
+  }
+  if (!Session.empty())
+    Sessions[Session] = {Arm, Now};
+  return Arm;
+}
+
+auto rollout_recorder::tick() -> void {
+  const auto Now = steady_clock::now();
+  std::erase_if(Sessions, [&](const auto &Row) {
+    return Now - Row.second.LastAt > SessionTime;
+  });
+  if (Sessions.size() > MaxSessions) {
+    logWarning(log_category::version, "forgot the versions of all sessions",
+               {{"sessions", Sessions.size()}});
+    Sessions.clear();
+  }
+  for (auto &[Service, Batch] : Batches) {
+    if (Batch.Busy)
+      continue;
+    if (Batch.Sending.empty()) {
+      Batch.Sending = std::exchange(Batch.Next, {});
+      ++Batch.Sequence;
+    }
+    if (!Batch.Sending.empty())
+      send(Service, Batch);
+  }
+}
+
+auto rollout_recorder::send(const std::string &Service, batch &Batch) -> void {
+  Batch.Busy = true;
+  command Command;
+  Command.Issuer = Source;
+  Command.Body = report_service_evidence{Service, Batch.To, Source,
+                                         Batch.Sequence, Batch.Sending};
+  Control.execute(Command, ReportLimit)
+      .then([this, Service, Guard = std::weak_ptr<bool>(Alive)](
+                const command_result &Result) {
+        if (!Guard.lock())
+          return;
+        auto &Sent = Batches[Service];
+        Sent.Busy = false;
+        // A rollout that has ended takes no evidence any more.
+        if (Result.ok() || Result.Code == errc::unknown_entry)
+          Sent.Sending.clear();
+      })
+      .detach([this, Service, Guard = std::weak_ptr<bool>(Alive)](
+                  kj::Exception &&Exception) {
+        logWarning(log_category::version, "a report of evidence failed",
+                   {{"error", Exception.getDescription().cStr()}});
+        if (Guard.lock())
+          Batches[Service].Busy = false;
+      });
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/gateway/rollout_recorder.h
@@ -0,0 +1,66 @@
+/// \file Evidence of one gateway on rollouts, and sessions' versions.
+#pragma once
+
+#include "catalogue/routing_type.h"
+#include "core/clock_type.h"
+#include "net/event_loop.h"
+#include "node/leader_client.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace acacianotch {
+
+/// What a gateway saw of one request on one arm.
+struct arm_outcome {
+  version_arm Arm = version_arm::invalid;
+  std::string Route;
+  bool Failed = false;
+  std::optional<duration> Time; ///< Of an answer, or of each of its events.
+};
+
+/// Counts outcomes while a service's rollout runs and reports them to control.
+class rollout_recorder {
+public:
+  rollout_recorder(event_loop &Loop, leader_client &Control, std::string Node,
+                   duration SessionTime);
+
+  /// Counts an outcome of the service's running rollout.
+  auto record(const service_rollout &Rollout, const arm_outcome &Outcome)
+      -> void;
+
+  /// \return the arm that a request uses: its session's, or a stable choice.
+  [[nodiscard]] auto arm(const service_rollout *Rollout,
+                         const std::string &Session,
+                         const std::string &RequestId) -> version_arm;
+
+private:
+  struct batch {
+    std::string To;
+    std::uint64_t Sequence = 0;
+    std::vector<arm_counts> Sending; ///< Not confirmed; sent again unchanged.
+    std::vector<arm_counts> Next;
+    bool Busy = false;
+  };
+  struct seen_session {
+    version_arm Arm = version_arm::serving;
+    time_point LastAt{};
+  };
+
+  auto tick() -> void;
+  auto send(const std::string &Service, batch &Batch) -> void;
+
+  leader_client &Control;
+  std::string Source;
+  duration SessionTime;
+  std::map<std::string, batch> Batches; ///< By service.
+  std::unordered_map<std::string, seen_session> Sessions;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::unique_ptr<loop_timer> Timer;
+};
+
+} // namespace acacianotch
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -192,6 +192,11 @@
                 in<&all::Gateway, &gateway::BackendInterval>(), "1000", 50,
                 60000, need::none, "milliseconds",
                 "time between two reads of that list"},
+    setting_row{"gateway.session_s",
+                in<&all::Gateway, &gateway::SessionSeconds>(), "5.0", 0, 86400,
+                need::none, "seconds",
+                "time after a request in which the next one belongs to its "
+                "session"},
     setting_row{"gateway.retry_budget_share",
                 in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -106,6 +106,7 @@
   address Backends;
   milliseconds BackendInterval{};
   double RetryShare = 0;
+  double SessionSeconds = 0;
 };
 
 /// Settings under `log`.
