--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -12,6 +12,7 @@
 #include "node/shutdown.h"
 #include "platform/configuration_codec.h"
 #include "platform/instance_poller.h"
+#include "platform/request_codec.h"
 
 #include <random>
 #include <unordered_set>
@@ -22,8 +23,11 @@
 
 constexpr duration TickInterval = std::chrono::milliseconds(100);
 /// Balancers ask once a second and act on the second failure, so callers still
-/// come for about this long after a process is told to stop.
+/// come for about this long after a process is told to stop. Later requests are
+/// refused, because they could not end in time.
 constexpr duration DrainTime = std::chrono::milliseconds(2500);
+/// Refused callers come back at once; another gateway answers them.
+constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
 /// Extra attempts saved up in quiet times; a share of what all gateways have.
 constexpr double SavedAttempts = 8;
 
@@ -63,7 +67,8 @@
                  secondsOf(Settings.Gateway.SessionSeconds)),
         Context{TheLoop,  Directory,      ExtraAttempts,
                 Rollouts, model_ladder(), {}},
-        Ticker(TheLoop.repeating([this] { Directory.tick(); })) {
+        Ticker(TheLoop.repeating([this] { Directory.tick(); })),
+        DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.onChange([this] { followView(); });
   }
 
@@ -76,8 +81,9 @@
 
   auto handle(const std::shared_ptr<caller_connection> &Caller,
               caller_request &&Request) -> void {
-    if (!Table)
-      return Caller->reply(Unavailable, {}, "");
+    if (!Table || draining())
+      return Caller->reply(Unavailable,
+                           platform::ownHeaders(Request.Id, ElsewhereTime), "");
     auto Task = std::make_shared<forward_task>(
         Context, Table, Caller, std::move(Request));
     Tasks.insert(Task);
@@ -92,11 +98,12 @@
     Stopping = true;
     StoppingAt = steady_clock::now();
     Server->closeAfterAnswers();
+    Server->closeIdle();
+    DrainTimer->start(DrainTime);
   }
 
   [[nodiscard]] auto idle() const -> bool {
-    return Stopping && steady_clock::now() - StoppingAt > DrainTime &&
-           Tasks.empty() && Server->busy() == 0;
+    return draining() && Tasks.empty() && Server->busy() == 0;
   }
 
   [[nodiscard]] auto ready() const -> result<void> {
@@ -140,6 +147,10 @@
   }
 
 private:
+  [[nodiscard]] auto draining() const -> bool {
+    return Stopping && steady_clock::now() - StoppingAt >= DrainTime;
+  }
+
   auto followView() -> void {
     Directory.followRollouts(View);
     const auto *Document = View.routing();
@@ -189,6 +200,7 @@
   std::shared_ptr<const routing_table> Table;
   caller_server *Server = nullptr;
   std::unique_ptr<loop_timer> Ticker;
+  std::unique_ptr<loop_timer> DrainTimer;
   bool Stopping = false;
   time_point StoppingAt{};
 };
--- a/src/node/shutdown.cpp
+++ b/src/node/shutdown.cpp
@@ -23,6 +23,11 @@
       Idle(std::move(TheIdle)), Timer(TheLoop.repeating([this] { check(); })) {
   Loop.onSignal(SIGTERM, [this] { begin(); });
   Loop.onSignal(SIGINT, [this] { begin(); });
+  // Settings are read at start only; the signal must not end the process.
+  Loop.onSignal(SIGHUP, [] {
+    logInfo(log_category::settings,
+            "settings changed; they take effect at the next start");
+  });
 }
 
 auto graceful_shutdown::begin() -> void {
