Fix: [Control] a new learner gets time to answer before it counts as silent

Attempts that stay silent are repeated elsewhere where a route allows it, and rows of failures suspend a backend server.

--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -52,9 +52,6 @@
   /// \return the log time of a command that the leader issues now.
   [[nodiscard]] auto nowMs() -> std::uint64_t { return nextTimeMs(); }
 
-  /// \return when this replica became the leader.
-  [[nodiscard]] auto leaderSince() const -> time_point { return LeaderSince; }
-
   /// Answers a replica that asks for membership; not set in a group whose
   /// membership operators change.
   std::function<join_answer(const std::string &Address, std::uint64_t Token,
--- a/src/control/membership_keeper.cpp
+++ b/src/control/membership_keeper.cpp
@@ -90,8 +90,10 @@
   const auto &Node = Service.replica().node();
   if (Node.role() != raft_role::leader || !Service.confirmedEpoch()) {
     Tickets.clear();
+    SeenAt.clear();
     return;
   }
+  noteMembers();
   if (!Node.membersCommitted())
     return;
   promoteLearners();
@@ -99,6 +101,15 @@
     removeSilent();
 }
 
+auto membership_keeper::noteMembers() -> void {
+  const auto &Members = Service.replica().node().members();
+  std::erase_if(SeenAt, [&](const auto &Row) {
+    return Members.find(Row.first) == nullptr;
+  });
+  for (const auto &Member : Members.Members)
+    SeenAt.try_emplace(Member.Id, steady_clock::now());
+}
+
 auto membership_keeper::promoteLearners() -> void {
   const auto &Node = Service.replica().node();
   for (const auto &Member : Node.members().Members) {
@@ -118,7 +129,7 @@
     if (Peer == Node.peers().end())
       continue;
     const auto HeardAt =
-        std::max(Peer->second.AnsweredAt, Service.leaderSince());
+        std::max(Peer->second.AnsweredAt, SeenAt.at(Member.Id));
     const auto Limit = Member.Voter ? SilenceLimit : LearnerLimit;
     const auto Spare = !Member.Voter || Voters > Size;
     if (!Spare || Now - HeardAt < Limit)
--- a/src/control/membership_keeper.h
+++ b/src/control/membership_keeper.h
@@ -30,6 +30,7 @@
   };
 
   auto tick() -> void;
+  auto noteMembers() -> void;
   auto promoteLearners() -> void;
   auto removeSilent() -> void;
   [[nodiscard]] auto grant(replica_id Id, bool Removed) const -> join_answer;
@@ -39,6 +40,9 @@
   control_service &Service;
   std::size_t Size;
   std::map<std::uint64_t, ticket> Tickets; ///< By token; lost with the leader.
+  /// When this leader first saw each member; one that has just been added has
+  /// not had time to answer.
+  std::map<replica_id, time_point> SeenAt;
   std::unique_ptr<loop_timer> Timer;
 };
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -10,6 +10,7 @@
 
 #include <CLI/CLI.hpp>
 
+#include <csignal>
 #include <iostream>
 #include <string>
 
@@ -63,6 +64,8 @@
 
 auto run(const settings &Settings) -> daemon_exit {
   applyLogLevels(Settings);
+  // Its default action would end a process that has not set its own yet.
+  std::signal(SIGHUP, SIG_IGN);
   logStart(Settings);
   if (!Settings.Node.SecretFile.empty() &&
       othersMayRead(Settings.Node.SecretFile))
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -10,9 +10,13 @@
 
 namespace {
 
-/// Time without new work after a failed connection: about the time in which a
-/// crashed backend server starts again.
-constexpr duration Suspension = std::chrono::seconds(1);
+/// First time without new work after a failed connection; it doubles up to the
+/// longest, which is about what a crashed backend server needs to start again.
+constexpr duration FirstSuspension = std::chrono::milliseconds(500);
+constexpr duration MaxSuspension = std::chrono::seconds(4);
+/// Attempts without a whole answer in a row that suspend a backend server; lost
+/// answers are spread, those of a dark server follow each other.
+constexpr std::uint32_t MaxFailures = 3;
 /// Idle connections kept to one backend server.
 constexpr std::size_t MaxIdle = 32;
 
@@ -192,7 +196,12 @@
   auto *Backend = find(Handle);
   if (Backend == nullptr)
     return;
-  Backend->SuspendedUntil = steady_clock::now() + Suspension;
+  auto Time = FirstSuspension;
+  for (std::uint32_t Step = 0; Step < Backend->Suspensions; ++Step)
+    Time = std::min(2 * Time, MaxSuspension);
+  ++Backend->Suspensions;
+  Backend->Failures = 0;
+  Backend->SuspendedUntil = steady_clock::now() + Time;
   for (const auto &Channel : Backend->Idle)
     Channel->cancel();
   Backend->Idle.clear();
@@ -204,6 +213,19 @@
               {"service", Backend->Record.Service}});
 }
 
+auto backend_directory::noteFailure(backend_handle Handle) -> void {
+  auto *Backend = find(Handle);
+  if (Backend != nullptr && ++Backend->Failures >= MaxFailures)
+    suspend(Handle);
+}
+
+auto backend_directory::noteSuccess(backend_handle Handle) -> void {
+  if (auto *Backend = find(Handle)) {
+    Backend->Failures = 0;
+    Backend->Suspensions = 0;
+  }
+}
+
 auto backend_directory::tick() -> void {
   const auto Now = steady_clock::now();
   for (auto &[Id, Backend] : Backends) {
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -34,6 +34,8 @@
   std::vector<std::shared_ptr<backend_channel>> Idle;
   time_point SuspendedUntil{}; ///< After a failed connection.
   bool Suspended = false;
+  std::uint32_t Failures = 0;    ///< In a row.
+  std::uint32_t Suspensions = 0; ///< In a row.
 };
 
 /// Follows the platform's list and the rollouts with one pool for each service
@@ -73,9 +75,16 @@
   auto keep(backend_handle Handle, std::shared_ptr<backend_channel> Channel)
       -> void;
 
-  /// Sends no new work to a backend server for a moment.
+  /// Sends no new work to a backend server for a moment, which grows with each
+  /// time in a row.
   auto suspend(backend_handle Handle) -> void;
 
+  /// Counts an attempt that got no whole answer; several in a row suspend.
+  auto noteFailure(backend_handle Handle) -> void;
+
+  /// Ends a row of failures.
+  auto noteSuccess(backend_handle Handle) -> void;
+
   /// Ends suspensions that are over and drops connections idle for too long.
   auto tick() -> void;
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -17,6 +17,11 @@
 /// Time after which a refused caller may come back: about that in which
 /// running requests end on a full backend server.
 constexpr duration RetryAfterTime = std::chrono::milliseconds(200);
+/// Share of the latency objective without an answer after which another backend
+/// server is asked: the rest is what that one needs.
+constexpr double SilentShare = 0.6;
+/// Less silence than this is usual on a loaded backend server.
+constexpr duration LeastSilence = std::chrono::milliseconds(100);
 /// Prompts above this many tokens count as long work.
 constexpr std::uint32_t LongPromptTokens = 4096;
 
@@ -38,6 +43,10 @@
       Deadline(Context.Loop.oneShot([this] {
         const auto Kept = shared_from_this();
         handleDeadline();
+      })),
+      Silence(Context.Loop.oneShot([this] {
+        const auto Kept = shared_from_this();
+        handleSilence();
       })) {}
 
 auto forward_task::start() -> void {
@@ -258,9 +267,49 @@
     handleEnd(Result);
   };
   Attempt->Channel->start(Call, std::move(Told));
+  watchSilence();
   return true;
 }
 
+// A backend server that is dark or that lost the answer sends nothing more, and
+// no reset tells so. Work that may be repeated goes on elsewhere.
+auto forward_task::watchSilence() -> void {
+  if (!Route->repeatable() || Sent + 1 >= Route->MaxAttempts)
+    return Silence->stop();
+  const auto InStream = Streaming && Attempt != nullptr && Attempt->Streams;
+  const auto Limit =
+      InStream ? Route->TargetGap
+               : std::chrono::duration_cast<duration>(Route->TargetLatency *
+                                                      SilentShare);
+  if (Limit > duration::zero())
+    Silence->start(std::max(Limit, LeastSilence));
+}
+
+auto forward_task::handleSilence() -> void {
+  if (Done || Attempt == nullptr || !Context.ExtraAttempts.tryTake())
+    return;
+  ++Context.Counters.Retries;
+  Context.Directory.noteFailure(Attempt->Backend);
+  giveUpAttempt(failure::of(errc::deadline_exceeded,
+                            "the backend server was silent for too long"));
+  ++Sent;
+  MayHaveRun = true;
+  tryNext();
+}
+
+auto forward_task::giveUpAttempt(const failure &Failure) -> void {
+  logInfo(log_category::entry, "attempt failed",
+          {{"request", Request.Id},
+           {"backend", Attempt->BackendId},
+           {"error", errcRow(Failure.Code).Name},
+           {"detail", Failure.Detail},
+           {"not_run", Failure.Verdict == verdict::not_run},
+           {"streaming", Streaming}});
+  recordOutcome(true);
+  releaseAttempt(false);
+  Events.dropRest();
+}
+
 auto forward_task::handleHead(const answer_facts &Facts, http_head &&Head)
     -> void {
   Attempt->Facts = Facts;
@@ -289,6 +338,7 @@
   }
   Events.add(Data);
   passEvents();
+  watchSilence();
 }
 
 auto forward_task::passEvents() -> void {
@@ -321,6 +371,7 @@
   }
   ++Sent;
   MayHaveRun = true;
+  Context.Directory.noteSuccess(Attempt->Backend);
   recordOutcome(Attempt->Facts.Status >= ServerError);
   if (Attempt->Streams) {
     Caller->write(Events.takeRest());
@@ -340,22 +391,13 @@
 }
 
 auto forward_task::handleFailure(const failure &Failure) -> void {
-  const auto NotRun = Failure.Verdict == verdict::not_run;
-  logInfo(log_category::entry, "attempt failed",
-          {{"request", Request.Id},
-           {"backend", Attempt->BackendId},
-           {"error", errcRow(Failure.Code).Name},
-           {"detail", Failure.Detail},
-           {"not_run", NotRun},
-           {"streaming", Streaming}});
   const auto Backend = Attempt->Backend;
-  recordOutcome(true);
-  releaseAttempt(false);
-  Events.dropRest();
-  if (NotRun) {
+  giveUpAttempt(Failure);
+  if (Failure.Verdict == verdict::not_run) {
     Context.Directory.suspend(Backend);
     return tryNext();
   }
+  Context.Directory.noteFailure(Backend);
   ++Sent;
   MayHaveRun = true;
   if (!mayRepeat())
@@ -396,6 +438,7 @@
   else
     Attempt->Channel->cancel();
   Attempt.reset();
+  Silence->stop();
   Paused = false;
 }
 
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -79,6 +79,9 @@
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   auto tryNext() -> void;
   auto recordOutcome(bool Failed) -> void;
+  auto watchSilence() -> void;
+  auto handleSilence() -> void;
+  auto giveUpAttempt(const failure &Failure) -> void;
   auto send(backend_handle Backend) -> bool;
   auto handleHead(const answer_facts &Facts, http_head &&Head) -> void;
   auto handleBody(std::string_view Data) -> void;
@@ -118,6 +121,7 @@
   std::vector<backend_handle> Tried;
   event_splitter Events;
   std::unique_ptr<loop_timer> Deadline;
+  std::unique_ptr<loop_timer> Silence;
   std::uint32_t Sent = 0;  ///< Attempts that reached a backend server.
   std::uint32_t Tries = 0; ///< With those that reached none.
   bool MayHaveRun = false;
