--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -17,6 +17,12 @@
   Service->Nodes = std::make_unique<subscriptions>(
       Loop, Service->State,
       [Raw = Service.get()] { return Raw->confirmedEpoch(); });
+  Service->Nodes->Members = [Raw = Service.get()] {
+    std::vector<std::string> Addresses;
+    for (const auto &Member : Raw->Host->node().members().Members)
+      Addresses.push_back(Member.Address);
+    return Addresses;
+  };
   return Service;
 }
 
--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -99,7 +99,14 @@
   // A chunk is only a part of a state, so only the last one confirms.
   Update.Confirmed = Update.Chunks == 0 || Update.Chunk + 1 == Update.Chunks;
   auto Request = Subscriber.Sink.updateRequest();
-  fill(Request.initUpdate(), Update);
+  auto Body = Request.initUpdate();
+  fill(Body, Update);
+  if (Members) {
+    const auto Addresses = Members();
+    auto List = Body.initControl(static_cast<unsigned>(Addresses.size()));
+    for (unsigned Index = 0; Index < List.size(); ++Index)
+      List.set(Index, Addresses[Index].c_str());
+  }
   Subscriber.Waiting = true;
   Subscriber.Call = Request.send()
                         .then(
--- a/src/control/subscriptions.h
+++ b/src/control/subscriptions.h
@@ -35,6 +35,9 @@
   /// nothing; asked right before each update is sent.
   using confirmation = std::function<std::optional<epoch>()>;
 
+  /// \return the RPC addresses of the members of control; told to nodes.
+  std::function<std::vector<std::string>()> Members;
+
   subscriptions(event_loop &Loop, const catalogue_state &State,
                 confirmation Confirm);
   ~subscriptions();
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -121,7 +121,8 @@
 /// \return the step that should answer in place of the one that does, and
 /// charges the budget for it.
 auto forward_task::largerModel() -> std::optional<std::size_t> {
-  if (!Request.AnyModel || Streaming || !Route->repeatable())
+  if (!Request.AnyModel || Streaming || !Route->repeatable() ||
+      Context.Stopping)
     return std::nullopt;
   const auto Elapsed =
       std::chrono::duration<double>(steady_clock::now() - Request.ReceivedAt);
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -36,6 +36,7 @@
   traffic_budget &ExtraAttempts;
   rollout_recorder &Rollouts;
   model_ladder Ladder;
+  bool Stopping = false; ///< The process ends soon; answers must be quick.
   gateway_counters Counters;
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -26,6 +26,8 @@
 /// come for about this long after a process is told to stop. Later requests are
 /// refused, because they could not end in time.
 constexpr duration DrainTime = std::chrono::milliseconds(2500);
+/// Time in which a process ends by itself before it is killed.
+constexpr duration KillMargin = std::chrono::milliseconds(300);
 /// Refused callers come back at once; another gateway answers them.
 constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
 /// Extra attempts saved up in quiet times; a share of what all gateways have.
@@ -47,6 +49,14 @@
       std::chrono::duration<double>(Count));
 }
 
+/// \return how long a shutdown may take.
+auto shutdownLimit(const settings &Settings) -> duration {
+  const auto Grace = secondsOf(Settings.Gateway.GraceSeconds);
+  if (Grace > KillMargin)
+    return Grace - KillMargin;
+  return Settings.ShutdownDeadline;
+}
+
 /// Everything that one gateway process holds.
 class gateway_process {
 public:
@@ -66,7 +76,7 @@
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  secondsOf(Settings.Gateway.SessionSeconds)),
         Context{TheLoop,  Directory,      ExtraAttempts,
-                Rollouts, model_ladder(), {}},
+                Rollouts, model_ladder(), false, {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.onChange([this] { followView(); });
@@ -96,6 +106,7 @@
 
   auto stop() -> void {
     Stopping = true;
+    Context.Stopping = true;
     StoppingAt = steady_clock::now();
     Server->closeAfterAnswers();
     Server->closeIdle();
@@ -237,7 +248,7 @@
   if (!Admin)
     return Admin.error();
   const graceful_shutdown Shutdown(
-      **Loop, Settings.ShutdownDeadline, [&] { Process.stop(); },
+      **Loop, shutdownLimit(Settings), [&] { Process.stop(); },
       [&] { return Process.idle(); });
   Process.start(**Callers);
   (*Loop)->run();
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -88,6 +88,7 @@
   chunks @4 :UInt32;         # Number of chunks; 0 in a delta.
   confirmed @5 :Bool;        # The leader held its lease at this revision.
   payload @6 :Data;          # CBOR: changed and removed entries.
+  control @7 :List(Text);    # RPC addresses of the members of control.
 }
 
 struct NodeAck {
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -255,7 +255,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c99be5f57556dd76, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c99be5f57556dd76, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1820,6 +1820,9 @@
   inline bool hasPayload() const;
   inline  ::capnp::Data::Reader getPayload() const;
 
+  inline bool hasControl() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getControl() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1873,6 +1876,14 @@
   inline void adoptPayload(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPayload();
 
+  inline bool hasControl();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getControl();
+  inline void setControl( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setControl(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initControl(unsigned int size);
+  inline void adoptControl(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownControl();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4907,6 +4918,44 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool NodeUpdate::Reader::hasControl() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeUpdate::Builder::hasControl() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader NodeUpdate::Reader::getControl() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeUpdate::Builder::getControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void NodeUpdate::Builder::setControl( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void NodeUpdate::Builder::setControl(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder NodeUpdate::Builder::initControl(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void NodeUpdate::Builder::adoptControl(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> NodeUpdate::Builder::disownControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t NodeAck::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -35,12 +35,40 @@
 
 leader_client::leader_client(event_loop &TheLoop,
                              const std::vector<address> &Addresses,
-                             const rpc_options &Options)
-    : Loop(TheLoop) {
+                             const rpc_options &TheOptions)
+    : Loop(TheLoop), Options(TheOptions) {
   for (const auto &Address : Addresses)
     Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
 }
 
+auto leader_client::follow(const std::vector<address> &Members) -> void {
+  const auto Known = [&](const address &Address) {
+    return std::any_of(Peers.begin(), Peers.end(), [&](const auto &Peer) {
+      return Peer->peerAddress() == Address;
+    });
+  };
+  const auto Same = Members.size() == Peers.size() &&
+                    std::all_of(Members.begin(), Members.end(), Known);
+  if (Members.empty() || Same)
+    return;
+  auto Old = std::exchange(Peers, {});
+  for (const auto &Address : Members) {
+    const auto Place = std::find_if(Old.begin(), Old.end(), [&](auto &Peer) {
+      return Peer != nullptr && Peer->peerAddress() == Address;
+    });
+    if (Place != Old.end())
+      Peers.push_back(std::move(*Place));
+    else
+      Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
+  }
+  for (auto &Peer : Old)
+    if (Peer != nullptr)
+      Retired.push_back(std::move(Peer));
+  Current = 0;
+  logInfo(log_category::catalogue, "control has other members",
+          {{"members", Peers.size()}});
+}
+
 auto leader_client::execute(const command &Command, duration Limit)
     -> kj::Promise<command_result> {
   auto Call = std::make_shared<call>();
--- a/src/node/leader_client.h
+++ b/src/node/leader_client.h
@@ -29,6 +29,10 @@
     return Peers;
   }
 
+  /// Replaces the peers by the members that control names. Peers that stay
+  /// keep their connections.
+  auto follow(const std::vector<address> &Members) -> void;
+
 private:
   struct call;
 
@@ -38,6 +42,9 @@
 
   event_loop &Loop;
   std::vector<std::unique_ptr<rpc_peer>> Peers;
+  /// Calls that are under way may still refer to these.
+  std::vector<std::unique_ptr<rpc_peer>> Retired;
+  rpc_options Options;
   std::size_t Current = 0;
 };
 
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -14,7 +14,9 @@
 // Updates come every 500 ms. Two missed ones are enough to try another control
 // VM, and that still leaves time before the catalogue lease ends.
 constexpr duration SilenceLimit = std::chrono::milliseconds(1200);
-constexpr duration WatchInterval = std::chrono::milliseconds(200);
+// A replica that leads answers a subscription at once.
+constexpr duration FirstLimit = std::chrono::milliseconds(500);
+constexpr duration WatchInterval = std::chrono::milliseconds(100);
 
 auto wallClockMs() -> std::uint64_t {
   const auto Now = std::chrono::system_clock::now().time_since_epoch();
@@ -34,6 +36,14 @@
   return Result;
 }
 
+auto readMembers(wire::NodeUpdate::Reader Update) -> std::vector<address> {
+  std::vector<address> Members;
+  for (const auto Text : Update.getControl())
+    if (auto Address = parseAddress(toString(Text)))
+      Members.push_back(*Address);
+  return Members;
+}
+
 } // namespace
 
 /// Receives the updates of one subscription; one that has been replaced is
@@ -46,7 +56,8 @@
   auto update(UpdateContext Context) -> kj::Promise<void> override {
     if (Own != *Current)
       return KJ_EXCEPTION(DISCONNECTED, "the subscription was replaced");
-    Link.handle(readUpdate(Context.getParams().getUpdate()));
+    const auto Update = Context.getParams().getUpdate();
+    Link.handle(readUpdate(Update), readMembers(Update));
     auto Ack = Context.getResults().initAck();
     Ack.setRevision(static_cast<std::uint64_t>(Link.View.currentRevision()));
     Ack.setEpoch(static_cast<std::uint64_t>(Link.View.currentEpoch()));
@@ -88,8 +99,9 @@
   ++*Generation;
   HeardAt = steady_clock::now();
   AckedAt = HeardAt;
-  auto &Chosen = *Client.peers()[Peer];
-  auto Control = Chosen.as<wire::Control>();
+  Heard = false;
+  Chosen = Client.peers()[Peer % Client.peers().size()].get();
+  auto Control = Chosen->as<wire::Control>();
   if (!Control) {
     subscribeAgain();
     return;
@@ -123,7 +135,8 @@
   Retry->start(RetryPause);
 }
 
-auto node_link::handle(const node_update &Update) -> void {
+auto node_link::handle(const node_update &Update,
+                       const std::vector<address> &Members) -> void {
   const auto Before = View.currentRevision();
   const auto Outcome = View.apply(Update, AckedAt);
   if (!Outcome) {
@@ -134,7 +147,9 @@
   if (*Outcome == update_outcome::stale_epoch)
     return;
   HeardAt = steady_clock::now();
-  Client.peers()[Peer]->confirm();
+  Heard = true;
+  Chosen->confirm();
+  Client.follow(Members);
   if (View.currentRevision() == Before)
     return;
   logDebug(log_category::catalogue, "catalogue updated",
@@ -147,10 +162,11 @@
 // the only sign of it.
 auto node_link::checkSilence() -> void {
   const auto Waiting = Subscription != nullptr;
-  if (Waiting && steady_clock::now() - HeardAt > SilenceLimit) {
+  const auto Limit = Heard ? SilenceLimit : FirstLimit;
+  if (Waiting && steady_clock::now() - HeardAt > Limit) {
     logWarning(log_category::catalogue,
                "no update from control; subscribing to another replica",
-               {{"control", Client.peers()[Peer]->peerAddress().text()}});
+               {{"control", Chosen->peerAddress().text()}});
     subscribeAgain();
   }
 }
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -192,6 +192,10 @@
                 in<&all::Gateway, &gateway::BackendInterval>(), "1000", 50,
                 60000, need::none, "milliseconds",
                 "time between two reads of that list"},
+    setting_row{"gateway.grace_s", in<&all::Gateway, &gateway::GraceSeconds>(),
+                "0.0", 0, 86400, need::none, "seconds",
+                "time after which the platform kills a process that it told "
+                "to stop; 0 if it does not"},
     setting_row{"gateway.session_s",
                 in<&all::Gateway, &gateway::SessionSeconds>(), "5.0", 0, 86400,
                 need::none, "seconds",
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -107,6 +107,7 @@
   milliseconds BackendInterval{};
   double RetryShare = 0;
   double SessionSeconds = 0;
+  double GraceSeconds = 0;
 };
 
 /// Settings under `log`.
