--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -205,8 +205,8 @@
 struct report_service_evidence {
   std::string Service;
   std::string To;
-  std::string Source;         ///< Node and its start; one counter each.
-  std::uint64_t Sequence = 0; ///< Grows with each report of the source.
+  std::string Source;             ///< Node and its start; one counter each.
+  std::uint64_t Sequence = 0;     ///< Grows with each report of the source.
   std::vector<arm_counts> Counts; ///< Since the last report.
 };
 
@@ -226,14 +226,25 @@
 
 /// Names of the command bodies in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<command_body>>
-    CommandNames{
-        "put_entry",       "remove_entry",           "withdraw_version",
-        "start_rollout",   "set_rollout_state",      "advance_rollout",
-        "drain_backend",   "claim_request",          "settle_request",
-        "record_usage",    "lease_budget",           "report_crash",
-        "lift_quarantine", "report_version_evidence",
-        "publish_routing", "start_service_rollout", "end_service_rollout",
-        "report_service_evidence", "shift_service_rollout"};
+    CommandNames{"put_entry",
+                 "remove_entry",
+                 "withdraw_version",
+                 "start_rollout",
+                 "set_rollout_state",
+                 "advance_rollout",
+                 "drain_backend",
+                 "claim_request",
+                 "settle_request",
+                 "record_usage",
+                 "lease_budget",
+                 "report_crash",
+                 "lift_quarantine",
+                 "report_version_evidence",
+                 "publish_routing",
+                 "start_service_rollout",
+                 "end_service_rollout",
+                 "report_service_evidence",
+                 "shift_service_rollout"};
 
 /// One command of the log.
 struct command {
--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -69,8 +69,13 @@
   if (Context.DryRun)
     return {};
   auto &Rollout = Data.ServiceRollouts[Body.Service];
-  Rollout = {Body.Service,          Body.To, Context.NowMs, Body.DurationMs,
-             rollout_state::running, false,   ""};
+  Rollout = {Body.Service,
+             Body.To,
+             Context.NowMs,
+             Body.DurationMs,
+             rollout_state::running,
+             false,
+             ""};
   Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}};
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "started", writeValue(Rollout));
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -30,7 +30,7 @@
   std::uint64_t Requests = 0;
   std::uint64_t Errors = 0;
   std::uint64_t Timed = 0; ///< Whole answers whose time was measured.
-  double LogTime = 0; ///< Sum of their natural logarithms of microseconds.
+  double LogTime = 0;      ///< Sum of their natural logarithms of microseconds.
 
   auto operator==(const arm_counts &) const -> bool = default;
 };
--- a/src/catalogue/state_type.h
+++ b/src/catalogue/state_type.h
@@ -132,7 +132,7 @@
   std::map<fingerprint, crash_record> Crashes;
   std::map<std::string, remembered_change> Changes;
   std::optional<routing_document> Routing;
-  std::map<std::string, service_rollout> ServiceRollouts; ///< By service.
+  std::map<std::string, service_rollout> ServiceRollouts;  ///< By service.
   std::map<std::string, service_evidence> ServiceEvidence; ///< By service.
 
   /// Digest of each bearer key to its account. Derived from the entries and not
--- a/src/control/group_join.cpp
+++ b/src/control/group_join.cpp
@@ -93,11 +93,11 @@
     Grant = std::move(Given);
   });
   // The promise is replaced by the next call, so that does not happen in it.
-  Call = Answer.exclusiveJoin(Loop.delay(AnswerLimit).then([this] {
-                 askAgain("");
-               }))
-             .catch_([this](kj::Exception &&) { askAgain(""); })
-             .eagerlyEvaluate(nullptr);
+  Call =
+      Answer
+          .exclusiveJoin(Loop.delay(AnswerLimit).then([this] { askAgain(""); }))
+          .catch_([this](kj::Exception &&) { askAgain(""); })
+          .eagerlyEvaluate(nullptr);
 }
 
 } // namespace acacianotch
--- a/src/control/rollout_keeper.h
+++ b/src/control/rollout_keeper.h
@@ -16,8 +16,8 @@
 
 private:
   auto tick() -> void;
-  auto order(const service_rollout &Rollout,
-             const rollout_judgement &Judgement) -> void;
+  auto order(const service_rollout &Rollout, const rollout_judgement &Judgement)
+      -> void;
 
   control_service &Service;
   rollout_judge_settings Settings;
--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -18,8 +18,8 @@
 
 /// What is known when the head of an answer arrives.
 struct ladder_answer {
-  std::size_t Step = 0;     ///< Model that answers; 0 is the smallest.
-  std::size_t Steps = 1;    ///< Models of the route.
+  std::size_t Step = 0;  ///< Model that answers; 0 is the smallest.
+  std::size_t Steps = 1; ///< Models of the route.
   std::optional<std::uint32_t> Confidence;
   double ObjectiveShare = 0; ///< Share of the latency objective that is over.
   bool MayRepeat = false;    ///< Attempts and budget allow another run.
--- a/src/controller/rollout_judge.cpp
+++ b/src/controller/rollout_judge.cpp
@@ -96,9 +96,9 @@
     if (!Route.empty() && slownessStops(Settings, Pair))
       return {rollout_step::stop, reasonText("slow answers", Route, Pair)};
   }
-  const auto Duration = static_cast<double>(
-      Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
-                              : Rollout.DurationMs);
+  const auto Duration =
+      static_cast<double>(Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
+                                                  : Rollout.DurationMs);
   const auto Elapsed =
       static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
   if (!Rollout.Shifted) {
--- a/src/controller/rollout_judge.h
+++ b/src/controller/rollout_judge.h
@@ -20,8 +20,9 @@
   std::uint32_t DefaultDurationMs = 20'000;
   std::uint64_t MinRequests = 25; ///< On the new version before the shift.
   std::uint64_t MinErrors = 4;    ///< Failures that can stop a rollout.
-  double ErrorMargin = 0.05; ///< Error rate above the predecessor's that passes.
-  double FalseStop = 1e-5;   ///< Probability of each false stop for errors.
+  double ErrorMargin =
+      0.05;                ///< Error rate above the predecessor's that passes.
+  double FalseStop = 1e-4; ///< Probability of each false stop for errors.
   std::uint64_t MinTimed = 12; ///< Timed answers that can stop a rollout.
   double SlowFactor = 2.5;     ///< Geometric mean over the predecessor's.
 };
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -50,9 +50,9 @@
   for (auto &Record : Listed) {
     Present.insert(Record.Id);
     auto &Place = Backends[Record.Id];
-    const auto NewLife = Place != nullptr &&
-                         (Place->Record.StartedMs != Record.StartedMs ||
-                          Place->Record.Address != Record.Address);
+    const auto NewLife =
+        Place != nullptr && (Place->Record.StartedMs != Record.StartedMs ||
+                             Place->Record.Address != Record.Address);
     if (NewLife)
       remove(*Place);
     if (Place == nullptr || NewLife) {
@@ -116,8 +116,8 @@
   // aborted one the new version must get nothing more.
   if (Rollout.State == rollout_state::done)
     return IsTarget ? armKey(Record.Service, version_arm::serving) : "";
-  return armKey(Record.Service, IsTarget ? version_arm::candidate
-                                         : version_arm::serving);
+  return armKey(Record.Service,
+                IsTarget ? version_arm::candidate : version_arm::serving);
 }
 
 auto backend_directory::rebuildPools() -> void {
@@ -150,16 +150,16 @@
 auto backend_directory::runningRollout(const std::string &Service) const
     -> const service_rollout * {
   const auto Place = Rollouts.find(Service);
-  const auto Running = Place != Rollouts.end() &&
-                       Place->second.State == rollout_state::running;
+  const auto Running =
+      Place != Rollouts.end() && Place->second.State == rollout_state::running;
   return Running ? &Place->second : nullptr;
 }
 
 auto backend_directory::armOf(const known_backend &Backend) const
     -> version_arm {
   const auto Place = Rollouts.find(Backend.Record.Service);
-  const auto IsNew = Place != Rollouts.end() &&
-                     Place->second.To == Backend.Record.Version;
+  const auto IsNew =
+      Place != Rollouts.end() && Place->second.To == Backend.Record.Version;
   return IsNew ? version_arm::candidate : version_arm::serving;
 }
 
@@ -208,9 +208,9 @@
   if (std::exchange(Backend->Suspended, true))
     return;
   Board.eject(Handle);
-  logWarning(log_category::placement, "backend server is suspended",
-             {{"backend", Backend->Record.Id},
-              {"service", Backend->Record.Service}});
+  logWarning(
+      log_category::placement, "backend server is suspended",
+      {{"backend", Backend->Record.Id}, {"service", Backend->Record.Service}});
 }
 
 auto backend_directory::noteFailure(backend_handle Handle) -> void {
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -118,9 +118,8 @@
 auto caller_connection::handleHead(http_head &&Head) -> void {
   KeepAlive = Head.KeepAlive;
   const auto Expects = Head.find("Expect") != nullptr;
-  const auto TooLong =
-      Head.Length > 0 &&
-      static_cast<std::uint64_t>(Head.Length) > Limits.BodyBytes;
+  const auto TooLong = Head.Length > 0 && static_cast<std::uint64_t>(
+                                              Head.Length) > Limits.BodyBytes;
   if (TooLong)
     return refuse(BodyTooLarge, "the body is too large");
   const auto Length = Head.Length;
--- a/src/gateway/caller_server.cpp
+++ b/src/gateway/caller_server.cpp
@@ -27,6 +27,10 @@
 
 caller_server::~caller_server() = default;
 
+auto caller_server::port() const -> std::uint16_t {
+  return boundPort(evconnlistener_get_fd(Listener.get()));
+}
+
 auto caller_server::onAccept(evconnlistener * /*Listener*/, evutil_socket_t Fd,
                              sockaddr * /*Peer*/, int /*Length*/, void *Self)
     -> void {
@@ -42,8 +46,8 @@
   Events.OnClosed = [this](caller_connection &Closed) {
     Connections.erase(&Closed);
   };
-  auto Connection = std::make_shared<caller_connection>(Loop, Fd, Limits,
-                                                        std::move(Events));
+  auto Connection =
+      std::make_shared<caller_connection>(Loop, Fd, Limits, std::move(Events));
   Connections.emplace(Connection.get(), Connection);
   if (Closing)
     Connection->closeSoon();
@@ -71,8 +75,8 @@
 }
 
 auto caller_server::busy() const -> std::size_t {
-  return static_cast<std::size_t>(
-      std::count_if(Connections.begin(), Connections.end(), [](const auto &Row) {
+  return static_cast<std::size_t>(std::count_if(
+      Connections.begin(), Connections.end(), [](const auto &Row) {
         return Row.second->busy() || Row.second->reading();
       }));
 }
--- a/src/gateway/caller_server.h
+++ b/src/gateway/caller_server.h
@@ -28,6 +28,9 @@
   caller_server(const caller_server &) = delete;
   auto operator=(const caller_server &) -> caller_server & = delete;
 
+  /// \return the port that the server listens on.
+  [[nodiscard]] auto port() const -> std::uint16_t;
+
   /// Limits for requests that begin later.
   auto setLimits(const caller_limits &Limits) -> void;
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -245,8 +245,8 @@
   Terms.Account = Account == nullptr ? "" : Account->Name;
   Terms.Instance = Backend->Record.Id;
   Terms.Model = Model;
-  Terms.LastEvent = Events.lastId().empty() ? Request.LastEvent
-                                            : Events.lastId();
+  Terms.LastEvent =
+      Events.lastId().empty() ? Request.LastEvent : Events.lastId();
   Terms.TimeLeft = timeLeft();
   channel_call Call;
   Call.RequestId = Request.Id;
@@ -278,10 +278,9 @@
   if (!Route->repeatable() || Sent + 1 >= Route->MaxAttempts)
     return Silence->stop();
   const auto InStream = Streaming && Attempt != nullptr && Attempt->Streams;
-  const auto Limit =
-      InStream ? Route->TargetGap
-               : std::chrono::duration_cast<duration>(Route->TargetLatency *
-                                                      SilentShare);
+  const auto Limit = InStream ? Route->TargetGap
+                              : std::chrono::duration_cast<duration>(
+                                    Route->TargetLatency * SilentShare);
   if (Limit > duration::zero())
     Silence->start(std::max(Limit, LeastSilence));
 }
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -75,8 +75,8 @@
                }),
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  secondsOf(Settings.Gateway.SessionSeconds)),
-        Context{TheLoop,  Directory,      ExtraAttempts,
-                Rollouts, model_ladder(), false, {}},
+        Context{TheLoop, Directory, ExtraAttempts, Rollouts, model_ladder(),
+                false,   {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.onChange([this] { followView(); });
@@ -94,8 +94,8 @@
     if (!Table || draining())
       return Caller->reply(Unavailable,
                            platform::ownHeaders(Request.Id, ElsewhereTime), "");
-    auto Task = std::make_shared<forward_task>(
-        Context, Table, Caller, std::move(Request));
+    auto Task = std::make_shared<forward_task>(Context, Table, Caller,
+                                               std::move(Request));
     Tasks.insert(Task);
     Task->onDone([this, Raw = std::weak_ptr(Task)] {
       if (const auto Ended = Raw.lock())
@@ -169,9 +169,9 @@
       return;
     auto Decoded = platform::decodeConfiguration(Document->Text.Bytes);
     if (!Decoded) {
-      logError(log_category::catalogue, "cannot read the routing document",
-               {{"number", Document->Number},
-                {"error", Decoded.error().text()}});
+      logError(
+          log_category::catalogue, "cannot read the routing document",
+          {{"number", Document->Number}, {"error", Decoded.error().text()}});
       return;
     }
     Table = std::make_shared<const routing_table>(std::move(*Decoded));
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -24,11 +24,11 @@
   std::string Method;
   std::string Target; ///< Path and query as received.
   std::string Host;
-  std::string Session;     ///< Requests that belong together; may be empty.
-  std::string Key;         ///< Of the client account; empty if none.
-  std::string Model;       ///< Model that the caller names; empty if none.
-  bool AnyModel = false;   ///< The gateway chooses the model.
-  std::string LastEvent;   ///< Event after which a stream goes on, if any.
+  std::string Session;   ///< Requests that belong together; may be empty.
+  std::string Key;       ///< Of the client account; empty if none.
+  std::string Model;     ///< Model that the caller names; empty if none.
+  bool AnyModel = false; ///< The gateway chooses the model.
+  std::string LastEvent; ///< Event after which a stream goes on, if any.
   std::optional<duration> TimeLeft; ///< How long the caller waits.
   std::uint32_t PromptTokens = 0;
   std::uint32_t MaxOutputTokens = 0;
@@ -61,7 +61,7 @@
   bool Sealed = false; ///< It is the answer of a backend server's work.
   std::optional<backend_load> Load;
   std::optional<std::uint32_t> Confidence; ///< 0 to 100.
-  std::optional<duration> IdleLimit; ///< Idle time of the connection.
+  std::optional<duration> IdleLimit;       ///< Idle time of the connection.
 
   [[nodiscard]] auto success() const -> bool {
     return Status >= 200 && Status < 300;
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -73,11 +73,10 @@
       Known != Sessions.end() && Now - Known->second.LastAt <= SessionTime;
   if (Rollout != nullptr) {
     const auto &Key = Session.empty() ? RequestId : Session;
-    if (Rollout->Shifted)
-      Arm = version_arm::candidate;
-    else if (UnderWay)
+    if (UnderWay && !Rollout->Shifted)
       Arm = Known->second.Arm;
-    else if (selectsCanary(Rollout->To, Key, CandidateShare))
+    else if (Rollout->Shifted ||
+             selectsCanary(Rollout->To, Key, CandidateShare))
       Arm = version_arm::candidate;
   }
   if (!Session.empty())
@@ -114,8 +113,8 @@
   Command.Body = report_service_evidence{Service, Batch.To, Source,
                                          Batch.Sequence, Batch.Sending};
   Control.execute(Command, ReportLimit)
-      .then([this, Service, Guard = std::weak_ptr<bool>(Alive)](
-                const command_result &Result) {
+      .then([this, Service,
+             Guard = std::weak_ptr<bool>(Alive)](const command_result &Result) {
         if (!Guard.lock())
           return;
         auto &Sent = Batches[Service];
@@ -124,8 +123,8 @@
         if (Result.ok() || Result.Code == errc::unknown_entry)
           Sent.Sending.clear();
       })
-      .detach([this, Service, Guard = std::weak_ptr<bool>(Alive)](
-                  kj::Exception &&Exception) {
+      .detach([this, Service,
+               Guard = std::weak_ptr<bool>(Alive)](kj::Exception &&Exception) {
         logWarning(log_category::version, "a report of evidence failed",
                    {{"error", Exception.getDescription().cStr()}});
         if (Guard.lock())
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -18,30 +18,34 @@
     "trailer",    "transfer-encoding", "upgrade",          "expect",
 };
 
+/// \return whether a header line has a name that ends in its colon.
+auto wellFormedName(std::string_view Line) -> bool {
+  const auto Name = Line.substr(0, Line.find(':'));
+  return Name.size() < Line.size() && !Name.empty() &&
+         Name.find_first_of(" \t") == std::string_view::npos;
+}
+
 /// \return whether each line of a request's head, complete or not, ends in CR
-/// LF and none continues the line before. Readers that differ on such lines
-/// could see different requests.
+/// LF, none continues the line before, and none has a space before its colon.
+/// Readers that differ on such lines could see different requests.
 auto wellFormedLines(std::string_view Head) -> bool {
-  for (std::size_t At = 0; At < Head.size(); ++At) {
-    const auto Byte = Head[At];
-    if (Byte == '\0')
-      return false;
-    if (Byte == '\n' && (At == 0 || Head[At - 1] != '\r'))
-      return false;
-    const auto LineStart = At > 0 && Head[At - 1] == '\n';
-    if (LineStart && (Byte == ' ' || Byte == '\t'))
+  if (Head.find('\0') != std::string_view::npos)
+    return false;
+  for (auto First = true; !Head.empty(); First = false) {
+    const auto End = Head.find_first_of("\r\n");
+    if (End == std::string_view::npos || End + 1 == Head.size())
+      return End == std::string_view::npos || Head[End] == '\r';
+    if (Head.substr(End, 2) != "\r\n")
       return false;
-    const auto LoneReturn =
-        Byte == '\r' && At + 1 < Head.size() && Head[At + 1] != '\n';
-    if (LoneReturn)
+    if (!First && End > 0 && !wellFormedName(Head.substr(0, End)))
       return false;
+    Head.remove_prefix(End + 2);
   }
   return true;
 }
 
 auto viewOf(evbuffer *Input, std::size_t Size) -> std::string_view {
-  const auto *Bytes =
-      evbuffer_pullup(Input, static_cast<ev_ssize_t>(Size));
+  const auto *Bytes = evbuffer_pullup(Input, static_cast<ev_ssize_t>(Size));
   return {reinterpret_cast<const char *>(Bytes), Size};
 }
 
@@ -72,16 +76,16 @@
 }
 
 struct http_reader::state {
-  state(http_message TheKind, std::size_t TheLimit, http_reader_events TheEvents)
+  state(http_message TheKind, std::size_t TheLimit,
+        http_reader_events TheEvents)
       : Kind(TheKind), MaxHeadBytes(TheLimit), Events(std::move(TheEvents)) {
     Parser.data = this;
     restart();
   }
 
   auto restart() -> void {
-    http_parser_init(&Parser,
-                     Kind == http_message::request ? HTTP_REQUEST
-                                                   : HTTP_RESPONSE);
+    http_parser_init(&Parser, Kind == http_message::request ? HTTP_REQUEST
+                                                            : HTTP_RESPONSE);
     Head = {};
     Begun = HeadDone = Ended = false;
     LastWasValue = true;
@@ -128,8 +132,7 @@
     if ((Parser->flags & F_CONTENTLENGTH) != 0)
       Head.Length = static_cast<std::int64_t>(Parser->content_length);
     if (Self.Kind == http_message::request)
-      Head.Method =
-          http_method_str(static_cast<http_method>(Parser->method));
+      Head.Method = http_method_str(static_cast<http_method>(Parser->method));
     else
       Head.EndsWithConnection = needsEndOfFile(*Parser);
     Self.Events.OnHead(std::move(Head));
@@ -198,8 +201,8 @@
       if (Size == 0)
         return {};
       const auto Bytes = viewOf(Input, Size);
-      const auto Used = http_parser_execute(&Parser, &callbacks(),
-                                            Bytes.data(), Bytes.size());
+      const auto Used = http_parser_execute(&Parser, &callbacks(), Bytes.data(),
+                                            Bytes.size());
       const auto Error = HTTP_PARSER_ERRNO(&Parser);
       if (Error != HPE_OK && Error != HPE_PAUSED)
         return failure::of(errc::bad_request, http_errno_description(Error));
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -24,10 +24,10 @@
   std::string Method; ///< Requests only.
   std::string Target; ///< Requests only: path and query as received.
   http_headers Headers;
-  bool KeepAlive = false;         ///< Another message may follow.
-  bool Chunked = false;           ///< The body is in chunks.
+  bool KeepAlive = false;          ///< Another message may follow.
+  bool Chunked = false;            ///< The body is in chunks.
   bool EndsWithConnection = false; ///< Answers only: a body without length.
-  std::int64_t Length = -1;       ///< Bytes of the body; -1 if not stated.
+  std::int64_t Length = -1;        ///< Bytes of the body; -1 if not stated.
 
   /// \return the first header of this name, or null; names ignore case.
   [[nodiscard]] auto find(std::string_view Name) const -> const std::string *;
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -51,9 +51,9 @@
   catalogue_view &View;
   node_facts Facts;
   std::function<void()> Changed;
-  std::size_t Peer = 0; ///< Position of the peer to try next.
+  std::size_t Peer = 0;       ///< Position of the peer to try next.
   rpc_peer *Chosen = nullptr; ///< Peer of the current subscription.
-  bool Heard = false; ///< The current subscription has sent an update.
+  bool Heard = false;         ///< The current subscription has sent an update.
   /// Counts subscriptions; shared with sinks, which can outlive the link.
   std::shared_ptr<std::uint64_t> Generation =
       std::make_shared<std::uint64_t>(0);
--- a/src/platform/configuration_codec.cpp
+++ b/src/platform/configuration_codec.cpp
@@ -73,9 +73,9 @@
 
   auto time(const char *Key, duration Default) -> duration {
     constexpr double Microseconds = 1000;
-    const auto Count = number(
-        Key, static_cast<double>(Default.count()) / Microseconds,
-        MaxMilliseconds);
+    const auto Count =
+        number(Key, static_cast<double>(Default.count()) / Microseconds,
+               MaxMilliseconds);
     return duration(std::llround(Count * Microseconds));
   }
 
--- a/src/platform/instance_codec.cpp
+++ b/src/platform/instance_codec.cpp
@@ -14,9 +14,8 @@
 
 auto textOf(const json &Entry, const char *Key) -> std::string {
   const auto Place = Entry.find(Key);
-  return Place != Entry.end() && Place->is_string()
-             ? Place->get<std::string>()
-             : std::string();
+  return Place != Entry.end() && Place->is_string() ? Place->get<std::string>()
+                                                    : std::string();
 }
 
 auto numberOf(const json &Entry, const char *Key) -> std::uint64_t {
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -86,8 +86,8 @@
     return replyFault(Exchange, Unavailable, "no leader is known");
   const auto Target = address{Leader->Ip, Port};
   Exchange->reply(
-      SeeLeader,
-      {{"Location", "http://" + Target.text() + Exchange->target()}}, "");
+      SeeLeader, {{"Location", "http://" + Target.text() + Exchange->target()}},
+      "");
 }
 
 auto operator_api::putConfiguration(const exchange &Exchange) -> void {
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -203,8 +203,7 @@
   constexpr int Misdirected = 421;
   answer_facts Facts;
   Facts.Status = Head.Status;
-  Facts.NotRun =
-      Head.find(NotRunName) != nullptr || Head.Status == Misdirected;
+  Facts.NotRun = Head.find(NotRunName) != nullptr || Head.Status == Misdirected;
   Facts.Sealed = Head.find(SealName) != nullptr;
   if (const auto *Id = Head.find(RequestIdName))
     Facts.RequestId = *Id;
@@ -247,9 +246,9 @@
     Headers.emplace_back(RequestIdName, RequestId);
   if (RetryAfter > duration::zero()) {
     std::array<char, 32> Text{};
-    const auto Size = std::snprintf(
-        Text.data(), Text.size(), "%.3f",
-        std::chrono::duration<double>(RetryAfter).count());
+    const auto Size =
+        std::snprintf(Text.data(), Text.size(), "%.3f",
+                      std::chrono::duration<double>(RetryAfter).count());
     Headers.emplace_back("Retry-After",
                          std::string(Text.data(), static_cast<size_t>(Size)));
   }
--- a/src/routing/backend_type.h
+++ b/src/routing/backend_type.h
@@ -18,8 +18,8 @@
   std::string Zone;    ///< Availability zone.
   std::string Version; ///< Of its software.
   std::uint32_t Slots = 1;
-  bool Leaving = false;       ///< No new work.
-  duration Warmup{};          ///< How much longer it is slow after its start.
+  bool Leaving = false;        ///< No new work.
+  duration Warmup{};           ///< How much longer it is slow after its start.
   std::uint64_t StartedMs = 0; ///< Wall clock; tells two lives of an id apart.
 
   auto operator==(const backend_record &) const -> bool = default;
--- a/src/routing/routing_type.h
+++ b/src/routing/routing_type.h
@@ -38,10 +38,10 @@
   std::string Host; ///< Lower case, without a port.
   std::string PathPrefix;
   route_kind Kind = route_kind::invalid;
-  duration Timeout{};       ///< Longest time until the final answer.
-  duration TargetLatency{}; ///< Latency objective.
-  duration TargetGap{};     ///< Longest pause between events of a stream.
-  std::uint32_t Rank = 0;   ///< 0 is the most urgent.
+  duration Timeout{};            ///< Longest time until the final answer.
+  duration TargetLatency{};      ///< Latency objective.
+  duration TargetGap{};          ///< Longest pause between events of a stream.
+  std::uint32_t Rank = 0;        ///< 0 is the most urgent.
   std::uint32_t MaxAttempts = 1; ///< Backend servers tried for one request.
   bool Anonymous = false;        ///< Needs no key.
   bool Resumable = false;        ///< A stream may go on at another server.
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -185,8 +185,8 @@
                 need::gateway, "",
                 "HTTP address where the balancer asks whether callers may "
                 "come"},
-    setting_row{"gateway.backends", in<&all::Gateway, &gateway::Backends>(),
-                "", 1, MaxPort, need::gateway, "",
+    setting_row{"gateway.backends", in<&all::Gateway, &gateway::Backends>(), "",
+                1, MaxPort, need::gateway, "",
                 "HTTP address of the platform's list of backend servers"},
     setting_row{"gateway.backend_interval_ms",
                 in<&all::Gateway, &gateway::BackendInterval>(), "1000", 50,
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -52,7 +52,7 @@
   milliseconds ElectionTimeoutMax{};
   milliseconds Lease{};
   std::uint64_t SnapshotEvery = 0; ///< Log records between snapshots.
-  std::uint64_t RpcPort = 0; ///< In place of the port of addresses; 0 if not.
+  std::uint64_t RpcPort = 0;  ///< In place of the port of addresses; 0 if not.
   std::vector<address> Seeds; ///< A group that forms itself starts from these.
   bool Bootstrap = false;     ///< The seeds may form a new group.
   address OperatorListen;     ///< Invalid without the operators' interface.
--- /dev/null
+++ b/test/rollout_judge_test.cpp
@@ -0,0 +1,138 @@
+/// \file The judgement of service rollouts.
+#include "controller/model_ladder.h"
+#include "controller/rollout_judge.h"
+#include "core/random_type.h"
+
+#include <doctest/doctest.h>
+
+#include <cmath>
+
+using namespace acacianotch;
+
+namespace {
+
+constexpr std::uint64_t StartMs = 1'000'000;
+constexpr std::uint32_t DurationMs = 20'000;
+
+auto running() -> service_rollout {
+  service_rollout Rollout;
+  Rollout.Service = "chat";
+  Rollout.To = "v2";
+  Rollout.StartedMs = StartMs;
+  Rollout.DurationMs = DurationMs;
+  return Rollout;
+}
+
+auto counts(version_arm Arm, std::uint64_t Requests, std::uint64_t Errors,
+            double Microseconds = 1000, std::string Route = "r/0")
+    -> arm_counts {
+  arm_counts Counts;
+  Counts.Arm = Arm;
+  Counts.Route = std::move(Route);
+  Counts.Requests = Requests;
+  Counts.Errors = Errors;
+  Counts.Timed = Requests - Errors;
+  Counts.LogTime = static_cast<double>(Counts.Timed) * std::log(Microseconds);
+  return Counts;
+}
+
+auto judge(const service_rollout &Rollout, std::vector<arm_counts> Counts,
+           std::uint64_t AfterMs) -> rollout_step {
+  service_evidence Evidence;
+  Evidence.To = "v2";
+  Evidence.Counts = std::move(Counts);
+  return judgeRollout({}, Rollout, Evidence, StartMs + AfterMs).Step;
+}
+
+constexpr auto Old = version_arm::serving;
+constexpr auto New = version_arm::candidate;
+
+} // namespace
+
+// Guards against a good version that never completes.
+TEST_CASE("a clean rollout shifts after half its time and then completes") {
+  auto Rollout = running();
+  const std::vector Clean{counts(Old, 300, 3), counts(New, 40, 0)};
+  CHECK(judge(Rollout, Clean, 5'000) == rollout_step::keep);
+  CHECK(judge(Rollout, Clean, 11'000) == rollout_step::shift);
+  CHECK(judge(Rollout, {counts(Old, 300, 3), counts(New, 4, 0)}, 11'000) ==
+        rollout_step::keep);
+  Rollout.Shifted = true;
+  CHECK(judge(Rollout, Clean, 12'000) == rollout_step::keep);
+  CHECK(judge(Rollout, Clean, 18'500) == rollout_step::complete);
+}
+
+// Guards against exposure to a version that fails: 20 requests are enough.
+TEST_CASE("a version that fails is stopped early") {
+  CHECK(judge(running(), {counts(Old, 200, 2), counts(New, 20, 8)}, 2'000) ==
+        rollout_step::stop);
+  auto Shifted = running();
+  Shifted.Shifted = true;
+  CHECK(judge(Shifted, {counts(Old, 200, 2), counts(New, 100, 30)}, 18'500) ==
+        rollout_step::stop);
+}
+
+// Guards against a version that is bad on one route among many.
+TEST_CASE("a version that fails on one route is stopped") {
+  CHECK(judge(running(),
+              {counts(Old, 900, 9, 1000, "a/0"), counts(Old, 90, 1, 1000, "b"),
+               counts(New, 90, 1, 1000, "a/0"), counts(New, 10, 7, 1000, "b")},
+              2'000) == rollout_step::stop);
+}
+
+// Guards against a version that answers several times slower.
+TEST_CASE("a slow version is stopped") {
+  CHECK(judge(running(), {counts(Old, 200, 0, 1000), counts(New, 20, 0, 6000)},
+              2'000) == rollout_step::stop);
+  CHECK(judge(running(), {counts(Old, 200, 0, 1000), counts(New, 20, 0, 1500)},
+              2'000) == rollout_step::keep);
+}
+
+// Guards against good versions that chance stops: equal versions at an error
+// rate of 3%, judged after every request.
+TEST_CASE("equal versions are seldom stopped") {
+  seeded_random Random(1);
+  int Stops = 0;
+  constexpr int Rollouts = 300;
+  for (int Round = 0; Round < Rollouts; ++Round) {
+    auto Serving = counts(Old, 0, 0);
+    auto Candidate = counts(New, 0, 0);
+    for (int Request = 0; Request < 1500; ++Request) {
+      auto &Arm = randomUnit(Random) < 0.1 ? Candidate : Serving;
+      ++Arm.Requests;
+      Arm.Errors += randomUnit(Random) < 0.03 ? 1U : 0U;
+      if (&Arm == &Candidate &&
+          judge(running(), {Serving, Candidate}, 2'000) == rollout_step::stop) {
+        ++Stops;
+        break;
+      }
+    }
+  }
+  CHECK(Stops == 0);
+}
+
+TEST_CASE("binomial tails") {
+  CHECK(binomialTail(10, 0, 0.1) == doctest::Approx(1));
+  CHECK(binomialTail(2, 2, 0.5) == doctest::Approx(0.25));
+  CHECK(binomialTail(3, 1, 0.5) == doctest::Approx(0.875));
+  CHECK(binomialTail(3, 1, 0) == doctest::Approx(0));
+}
+
+// Guards against answers of small models that are passed on although they are
+// unsure, and against runs that the budget or the objective does not allow.
+TEST_CASE("the ladder asks the largest model for unsure answers") {
+  const model_ladder Ladder({60, 0.5});
+  ladder_answer Answer{0, 3, 40U, 0.1, true};
+  CHECK(Ladder.next(Answer) == 2U);
+  Answer.Confidence = 70U;
+  CHECK_FALSE(Ladder.next(Answer));
+  Answer.Confidence = 40U;
+  Answer.MayRepeat = false;
+  CHECK_FALSE(Ladder.next(Answer));
+  Answer.MayRepeat = true;
+  Answer.ObjectiveShare = 0.6;
+  CHECK_FALSE(Ladder.next(Answer));
+  Answer.ObjectiveShare = 0.1;
+  Answer.Step = 2;
+  CHECK_FALSE(Ladder.next(Answer));
+}
