--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -308,6 +308,14 @@
   recordOutcome(true);
   releaseAttempt(false);
   Events.dropRest();
+  leaveTrial();
+}
+
+// A version on trial gets no second chance with the same request.
+auto forward_task::leaveTrial() -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Rollout != nullptr && !Rollout->Shifted)
+    Arm = version_arm::serving;
 }
 
 auto forward_task::handleHead(const answer_facts &Facts, http_head &&Head)
@@ -382,6 +390,7 @@
   }
   const auto Failed = Attempt->Facts.Status >= ServerError;
   if (Failed && (Streaming || mayRepeat())) {
+    leaveTrial();
     releaseAttempt(true);
     if (attemptsLeft())
       return tryNext();
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -80,6 +80,7 @@
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   auto tryNext() -> void;
   auto recordOutcome(bool Failed) -> void;
+  auto leaveTrial() -> void;
   auto watchSilence() -> void;
   auto handleSilence() -> void;
   auto giveUpAttempt(const failure &Failure) -> void;
