Change: [Gateway] a silent stream is left only if its server is dark

Cause: leaving a stream after 0.6 of its objective repeats its prompt on busy servers. Affinity at 0.08 of the slots lost as well and is removed.

--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -17,6 +17,9 @@
 /// Attempts without a whole answer in a row that suspend a backend server; lost
 /// answers are spread, those of a dark server follow each other.
 constexpr std::uint32_t MaxFailures = 3;
+/// A working model engine sends the tokens of some request at least this often:
+/// a step with a chunk of the longest prompt takes a tenth of it.
+constexpr duration DarkTime = std::chrono::seconds(1);
 /// Idle connections kept to one backend server.
 constexpr std::size_t MaxIdle = 32;
 
@@ -34,9 +37,6 @@
   placement_settings Settings;
   Settings.Subset.MinSize = 4096;
   Settings.Subset.SpillSize = 4096;
-  // A prompt holds up the tokens of all requests beside it, so a cached prefix
-  // is worth a few more requests than elsewhere, not half of the slots.
-  Settings.AffinityFreeLoad = 0.08;
   return Settings;
 }
 
@@ -216,6 +216,17 @@
       {{"backend", Backend->Record.Id}, {"service", Backend->Record.Service}});
 }
 
+auto backend_directory::noteProgress(backend_handle Handle) -> void {
+  if (auto *Backend = find(Handle))
+    Backend->LastByteAt = steady_clock::now();
+}
+
+auto backend_directory::dark(backend_handle Handle, time_point Since) -> bool {
+  const auto *Backend = find(Handle);
+  return Backend == nullptr ||
+         steady_clock::now() - std::max(Backend->LastByteAt, Since) > DarkTime;
+}
+
 auto backend_directory::noteFailure(backend_handle Handle) -> void {
   auto *Backend = find(Handle);
   if (Backend != nullptr && ++Backend->Failures >= MaxFailures)
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -34,6 +34,7 @@
   std::vector<std::shared_ptr<backend_channel>> Idle;
   time_point SuspendedUntil{}; ///< After a failed connection.
   bool Suspended = false;
+  time_point LastByteAt{};       ///< When anything came from it.
   std::uint32_t Failures = 0;    ///< In a row.
   std::uint32_t Suspensions = 0; ///< In a row.
 };
@@ -79,6 +80,13 @@
   /// time in a row.
   auto suspend(backend_handle Handle) -> void;
 
+  /// Notes that a part of an answer came.
+  auto noteProgress(backend_handle Handle) -> void;
+
+  /// \return whether nothing has come from a backend server for too long to be
+  /// at work; \p Since is when the attempt that asks was sent.
+  [[nodiscard]] auto dark(backend_handle Handle, time_point Since) -> bool;
+
   /// Counts an attempt that got no whole answer; several in a row suspend.
   auto noteFailure(backend_handle Handle) -> void;
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -17,9 +17,11 @@
 /// Time after which a refused caller may come back: about that in which
 /// running requests end on a full backend server.
 constexpr duration RetryAfterTime = std::chrono::milliseconds(200);
-/// Share of the latency objective without an answer after which another backend
-/// server is asked: the rest is what that one needs.
-constexpr double SilentShare = 0.6;
+/// Interval at which a stream without its first token is looked at.
+constexpr duration HeadCheckTime = std::chrono::milliseconds(250);
+/// Latency objectives without a first token after which the answer counts as
+/// lost although the backend server is at work.
+constexpr int LostFactor = 2;
 /// Less silence than this is usual on a loaded backend server.
 constexpr duration LeastSilence = std::chrono::milliseconds(100);
 /// Prompts above this many tokens count as long work.
@@ -277,16 +279,25 @@
 auto forward_task::watchSilence() -> void {
   if (!Route->repeatable() || Sent + 1 >= Route->MaxAttempts)
     return Silence->stop();
-  const auto InStream = Streaming && Attempt != nullptr && Attempt->Streams;
-  const auto Limit = InStream ? Route->TargetGap
-                              : std::chrono::duration_cast<duration>(
-                                    Route->TargetLatency * SilentShare);
+  const auto InStream = Attempt != nullptr && Attempt->Streams;
+  const auto IsStream = Route->Kind == route_kind::streaming;
+  auto Limit = Route->TargetLatency;
+  if (IsStream)
+    Limit = InStream ? Route->TargetGap : HeadCheckTime;
   if (Limit > duration::zero())
     Silence->start(std::max(Limit, LeastSilence));
 }
 
 auto forward_task::handleSilence() -> void {
-  if (Done || Attempt == nullptr || !Context.ExtraAttempts.tryTake())
+  if (Done || Attempt == nullptr)
+    return;
+  // The first token of a stream may wait behind long prompts.
+  const auto Waits = Route->Kind == route_kind::streaming && !Attempt->Streams;
+  const auto Waited = steady_clock::now() - Attempt->SentAt;
+  if (Waits && Waited < LostFactor * Route->TargetLatency &&
+      !Context.Directory.dark(Attempt->Backend, Attempt->SentAt))
+    return Silence->start(HeadCheckTime);
+  if (!Context.ExtraAttempts.tryTake())
     return;
   ++Context.Counters.Retries;
   Context.Directory.noteFailure(Attempt->Backend);
@@ -320,6 +331,7 @@
 
 auto forward_task::handleHead(const answer_facts &Facts, http_head &&Head)
     -> void {
+  Context.Directory.noteProgress(Attempt->Backend);
   Attempt->Facts = Facts;
   Attempt->Head = std::move(Head);
   if (Route->Kind != route_kind::streaming || !Facts.success())
@@ -344,6 +356,7 @@
     Attempt->Body.append(Data);
     return;
   }
+  Context.Directory.noteProgress(Attempt->Backend);
   Events.add(Data);
   passEvents();
   watchSilence();
