--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -10,7 +10,7 @@
 /// Settings of a ladder.
 struct model_ladder_settings {
   /// Answers whose model is less sure than this, 0 to 100, are asked again.
-  std::uint32_t MinConfidence = 60;
+  std::uint32_t MinConfidence = 45;
   /// Share of the latency objective after which no larger model is asked: the
   /// rest is left for its first token.
   double LatestShare = 0.5;
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -17,10 +17,10 @@
 /// Time after which a refused caller may come back: about that in which
 /// running requests end on a full backend server.
 constexpr duration RetryAfterTime = std::chrono::milliseconds(200);
-/// Interval at which a stream without its first token is looked at.
-constexpr duration HeadCheckTime = std::chrono::milliseconds(250);
-/// Latency objectives without a first token after which the answer counts as
-/// lost although the backend server is at work.
+/// Interval at which a silent stream is looked at.
+constexpr duration CheckTime = std::chrono::milliseconds(250);
+/// Latency objectives, or longest pauses, of silence after which a stream
+/// counts as lost although its backend server is at work.
 constexpr int LostFactor = 2;
 /// Less silence than this is usual on a loaded backend server.
 constexpr duration LeastSilence = std::chrono::milliseconds(100);
@@ -239,6 +239,7 @@
   Attempt->BackendId = Backend->Record.Id;
   Attempt->Channel = *Channel;
   Attempt->SentAt = steady_clock::now();
+  Attempt->HeardAt = Attempt->SentAt;
   Attempt->EventsBefore = Events.count();
   Attempt->Arm = Context.Directory.armOf(*Backend);
   Attempt->Long = Request.PromptTokens > LongPromptTokens;
@@ -279,24 +280,27 @@
 auto forward_task::watchSilence() -> void {
   if (!Route->repeatable() || Sent + 1 >= Route->MaxAttempts)
     return Silence->stop();
-  const auto InStream = Attempt != nullptr && Attempt->Streams;
   const auto IsStream = Route->Kind == route_kind::streaming;
-  auto Limit = Route->TargetLatency;
-  if (IsStream)
-    Limit = InStream ? Route->TargetGap : HeadCheckTime;
+  const auto Limit = IsStream ? CheckTime : Route->TargetLatency;
   if (Limit > duration::zero())
     Silence->start(std::max(Limit, LeastSilence));
 }
 
+/// \return whether a stream will hardly go on. Tokens may wait for long behind
+/// the prompts of others, so silence alone tells little while a server sends
+/// tokens of other requests.
+auto forward_task::streamLost() -> bool {
+  const auto Usual = Attempt->Streams ? Route->TargetGap : Route->TargetLatency;
+  const auto Waited = steady_clock::now() - Attempt->HeardAt;
+  return Waited > LostFactor * Usual ||
+         Context.Directory.dark(Attempt->Backend, Attempt->HeardAt);
+}
+
 auto forward_task::handleSilence() -> void {
   if (Done || Attempt == nullptr)
     return;
-  // The first token of a stream may wait behind long prompts.
-  const auto Waits = Route->Kind == route_kind::streaming && !Attempt->Streams;
-  const auto Waited = steady_clock::now() - Attempt->SentAt;
-  if (Waits && Waited < LostFactor * Route->TargetLatency &&
-      !Context.Directory.dark(Attempt->Backend, Attempt->SentAt))
-    return Silence->start(HeadCheckTime);
+  if (Route->Kind == route_kind::streaming && !streamLost())
+    return Silence->start(CheckTime);
   if (!Context.ExtraAttempts.tryTake())
     return;
   ++Context.Counters.Retries;
@@ -332,6 +336,7 @@
 auto forward_task::handleHead(const answer_facts &Facts, http_head &&Head)
     -> void {
   Context.Directory.noteProgress(Attempt->Backend);
+  Attempt->HeardAt = steady_clock::now();
   Attempt->Facts = Facts;
   Attempt->Head = std::move(Head);
   if (Route->Kind != route_kind::streaming || !Facts.success())
@@ -357,6 +362,7 @@
     return;
   }
   Context.Directory.noteProgress(Attempt->Backend);
+  Attempt->HeardAt = steady_clock::now();
   Events.add(Data);
   passEvents();
   watchSilence();
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -65,6 +65,7 @@
     http_head Head;
     std::string Body;
     time_point SentAt{};
+    time_point HeardAt{}; ///< When the last part of its answer came.
     std::uint32_t EventsBefore = 0;
     version_arm Arm = version_arm::serving;
     bool Long = false;
@@ -83,6 +84,7 @@
   auto leaveTrial() -> void;
   auto watchSilence() -> void;
   auto handleSilence() -> void;
+  [[nodiscard]] auto streamLost() -> bool;
   auto giveUpAttempt(const failure &Failure) -> void;
   auto send(backend_handle Backend) -> bool;
   auto handleHead(const answer_facts &Facts, http_head &&Head) -> void;
