--- a/src/core/log_func.cpp
+++ b/src/core/log_func.cpp
@@ -6,8 +6,11 @@
 
 #include <array>
 #include <cassert>
+#include <climits>
 #include <cstdio>
 #include <ctime>
+#include <poll.h>
+#include <unistd.h>
 #include <utility>
 
 INITIALIZE_EASYLOGGINGPP
@@ -31,6 +34,7 @@
   log_sink Sink;
   const log_fields *Fields = nullptr; ///< Fields of the line being written.
   log_level Level = log_level::invalid;
+  std::uint64_t Dropped = 0; ///< Lines that the reader was too slow for.
 };
 
 auto state() -> log_state & {
@@ -38,12 +42,25 @@
   return State;
 }
 
-auto writeStderr(std::string_view Line) -> void {
-  auto Text = std::string(Line);
+/// \return whether a line can be written without waiting for the reader.
+auto outputReady() -> bool {
+  pollfd Poll{STDOUT_FILENO, POLLOUT, 0};
+  return poll(&Poll, 1, 0) == 1 && (Poll.revents & POLLOUT) != 0;
+}
+
+// A reader that does not keep up must not hold up the process. A pipe that is
+// ready takes PIPE_BUF bytes at once, so longer lines are cut; one call per
+// line keeps lines of several processes apart.
+auto writeOutput(std::string_view Line) -> void {
+  auto &State = state();
+  if (!outputReady()) {
+    ++State.Dropped;
+    return;
+  }
+  auto Text = std::string(Line.substr(0, PIPE_BUF - 1));
   Text += '\n';
-  // One call per line, so that lines of several processes that share a
-  // terminal or a pipe do not mix.
-  std::fwrite(Text.data(), 1, Text.size(), stderr);
+  if (write(STDOUT_FILENO, Text.data(), Text.size()) < 0)
+    ++State.Dropped;
 }
 
 auto fieldsJson(log_fields Fields) -> json {
@@ -79,7 +96,7 @@
     if (state().Sink)
       state().Sink(Line);
     else
-      writeStderr(Line);
+      writeOutput(Line);
   }
 };
 
@@ -154,6 +171,8 @@
   return detail::LogLevels[static_cast<std::size_t>(Category)];
 }
 
+auto droppedLogLines() -> std::uint64_t { return state().Dropped; }
+
 auto setLogSink(log_sink Sink) -> void { state().Sink = std::move(Sink); }
 
 auto formatTime(std::chrono::system_clock::time_point When) -> std::string {
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -1,4 +1,5 @@
-/// \file Structured logging: one JSON object per line on stderr.
+/// \file Structured logging: one JSON object per line on standard
+/// output.
 #pragma once
 
 #include "core/log_type.h"
@@ -73,7 +74,11 @@
 /// \return the level of \p Category.
 [[nodiscard]] auto logLevel(log_category Category) -> log_level;
 
-/// Sends lines to \p Sink instead of stderr; an empty sink restores stderr.
+/// \return lines that were dropped because the reader of standard output did
+/// not keep up.
+[[nodiscard]] auto droppedLogLines() -> std::uint64_t;
+
+/// Sends lines to \p Sink instead of standard output; an empty sink restores it.
 auto setLogSink(log_sink Sink) -> void;
 
 /// \return \p When in RFC 3339 form, UTC, with milliseconds.
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -244,6 +244,12 @@
   }
 }
 
+auto backend_directory::suspended() const -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(Backends.begin(), Backends.end(),
+                    [](const auto &Row) { return Row.second->Suspended; }));
+}
+
 auto backend_directory::tick() -> void {
   const auto Now = steady_clock::now();
   for (auto &[Id, Backend] : Backends) {
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -96,6 +96,9 @@
   /// Ends suspensions that are over and drops connections idle for too long.
   auto tick() -> void;
 
+  /// \return backend servers that get no new work after failures.
+  [[nodiscard]] auto suspended() const -> std::size_t;
+
   [[nodiscard]] auto board() -> backend_board & { return Board; }
   [[nodiscard]] auto random() -> seeded_random & { return Random; }
   [[nodiscard]] auto backends() const
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -530,6 +530,10 @@
     return;
   releaseAttempt(false);
   Deadline->stop();
+  if (auto *Times = Route == nullptr ? nullptr : Context.Times.of(Route->Kind))
+    Times->Observe(
+        std::chrono::duration<double>(steady_clock::now() - Request.ReceivedAt)
+            .count());
   Context.Loop.defer(std::move(OnDone));
 }
 
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -9,6 +9,8 @@
 #include "gateway/rollout_recorder.h"
 #include "routing/routing_type.h"
 
+#include <prometheus/histogram.h>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -29,6 +31,20 @@
   std::uint64_t Escalations = 0;
 };
 
+/// Times of requests by the kind of their route; null before they are served.
+struct gateway_times {
+  prometheus::Histogram *Idempotent = nullptr;
+  prometheus::Histogram *NonIdempotent = nullptr;
+  prometheus::Histogram *Streaming = nullptr;
+
+  /// \return the histogram of a kind.
+  [[nodiscard]] auto of(route_kind Kind) const -> prometheus::Histogram * {
+    if (Kind == route_kind::idempotent)
+      return Idempotent;
+    return Kind == route_kind::streaming ? Streaming : NonIdempotent;
+  }
+};
+
 /// What all tasks of a gateway share; it outlives them.
 struct gateway_context {
   event_loop &Loop;
@@ -38,6 +54,7 @@
   model_ladder Ladder;
   bool Stopping = false; ///< The process ends soon; answers must be quick.
   gateway_counters Counters;
+  gateway_times Times;
 };
 
 /// One request under way. The gateway keeps it until OnDone.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -157,6 +157,51 @@
     return Answer;
   }
 
+  /// Creates the series that tasks fill.
+  auto serveMetrics(metrics_registry &Metrics) -> void {
+    const auto Times = [&](route_kind Kind) {
+      return &Metrics.histogram(
+          metric::request_seconds,
+          {{"class", std::string(RouteKindNames.name(Kind))}});
+    };
+    Context.Times = {Times(route_kind::idempotent),
+                     Times(route_kind::non_idempotent),
+                     Times(route_kind::streaming)};
+  }
+
+  auto updateMetrics(metrics_registry &Metrics) -> void {
+    const auto &Counters = Context.Counters;
+    const auto Raise = [](prometheus::Counter &Counter, std::uint64_t To) {
+      Counter.Increment(static_cast<double>(To) - Counter.Value());
+    };
+    const auto Ended = [&](const char *Outcome,
+                           verdict Verdict) -> prometheus::Counter & {
+      return Metrics.counter(
+          metric::requests,
+          {{"outcome", Outcome},
+           {"verdict", std::string(VerdictNames.name(Verdict))}});
+    };
+    Raise(Ended("ok", verdict::ran), Counters.Answered);
+    Raise(Ended("refused", verdict::not_run), Counters.Refused);
+    Raise(Ended("failed", verdict::may_have_run), Counters.Failed);
+    Raise(Ended("cancelled", verdict::may_have_run), Counters.CallerLeft);
+    Raise(Metrics.counter(metric::retries, {{"outcome", "all"}}),
+          Counters.Retries);
+    Metrics.gauge(metric::in_flight).Set(static_cast<double>(Tasks.size()));
+    Metrics.gauge(metric::epoch)
+        .Set(static_cast<double>(
+            static_cast<std::uint64_t>(View.currentEpoch())));
+    Metrics.gauge(metric::catalogue_revision)
+        .Set(static_cast<double>(
+            static_cast<std::uint64_t>(View.currentRevision())));
+    Metrics.gauge(metric::ejected_backends)
+        .Set(static_cast<double>(Directory.suspended()));
+    if (const auto Confirmed = View.lastConfirmation())
+      Metrics.gauge(metric::confirmation_age_seconds)
+          .Set(std::chrono::duration<double>(steady_clock::now() - *Confirmed)
+                   .count());
+  }
+
 private:
   [[nodiscard]] auto draining() const -> bool {
     return Stopping && steady_clock::now() - StoppingAt >= DrainTime;
@@ -243,10 +288,14 @@
   Callbacks.Query = [&](std::string_view What, const json &Arguments) {
     return Process.query(What, Arguments);
   };
+  Callbacks.UpdateMetrics = [&](metrics_registry &Metrics) {
+    Process.updateMetrics(Metrics);
+  };
   const auto Admin = admin_server::create(**Loop, Settings.Admin,
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
+  Process.serveMetrics((*Admin)->metrics());
   const graceful_shutdown Shutdown(
       **Loop, shutdownLimit(Settings), [&] { Process.stop(); },
       [&] { return Process.idle(); });
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -149,7 +149,7 @@
         Directory(*Loop, node_id("g"), zone_id("a"), 1), Extra(1.0, 10.0),
         Recorder(*Loop, Control, "g", std::chrono::seconds(5)),
         Context{*Loop, Directory, Extra, Recorder, model_ladder({60, 1.0}),
-                false, {}} {
+                false, {},        {}} {
     auto Created = caller_server::create(
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
