--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -78,7 +78,7 @@
 /// not keep up.
 [[nodiscard]] auto droppedLogLines() -> std::uint64_t;
 
-/// Sends lines to \p Sink instead of standard output; an empty sink restores it.
+/// Sends lines to \p Sink; an empty sink restores standard output.
 auto setLogSink(log_sink Sink) -> void;
 
 /// \return \p When in RFC 3339 form, UTC, with milliseconds.
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -24,6 +24,9 @@
 constexpr int LostFactor = 2;
 /// Less silence than this is usual on a loaded backend server.
 constexpr duration LeastSilence = std::chrono::milliseconds(100);
+/// Callers that a stopping gateway refuses come back at once; another gateway
+/// answers them.
+constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
 /// Prompts above this many tokens count as long work.
 constexpr std::uint32_t LongPromptTokens = 4096;
 
@@ -67,6 +70,9 @@
       });
   if (!admit())
     return;
+  // A stream could outlast a process that ends soon; another gateway has time.
+  if (Context.Stopping && Route->Kind == route_kind::streaming)
+    return refuse(Unavailable, "this gateway stops", ElsewhereTime);
   Context.ExtraAttempts.firstAttempt();
   chooseService();
   chooseArm();
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -221,6 +221,69 @@
   CHECK(Setting.Gateway.Context.Counters.Escalations == 1);
 }
 
+// Guards against streams that a stopping gateway begins and has to cut.
+TEST_CASE("a stopping gateway begins no stream") {
+  setting Streams(route(route_kind::streaming));
+  Streams.Gateway.Context.Stopping = true;
+  Streams.Caller.request("POST", "n1", "prompt");
+  REQUIRE(Streams.received("HTTP/1.1 503"));
+  CHECK(has(Streams.Caller.Received, "Retry-After: "));
+  CHECK(Streams.requests() == 0);
+}
+
+// Guards against plain requests that a stopping gateway refuses too early.
+TEST_CASE("a stopping gateway answers plain requests") {
+  setting Plain(route(route_kind::non_idempotent));
+  Plain.Gateway.Context.Stopping = true;
+  Plain.answer({whole("done")});
+  Plain.Caller.request("POST", "n2", "body");
+  CHECK(Plain.received("done"));
+}
+
+// Guards against requests that a version on trial fails again and again.
+TEST_CASE("a request that fails on trial is repeated on the serving version") {
+  setting Setting(route(route_kind::idempotent));
+  backend_record Old;
+  Old.Id = "old";
+  Old.Service = "s";
+  Old.Version = "v1";
+  Old.Slots = 8;
+  Old.Address = {"127.0.0.1", Setting.First.Port};
+  auto New = Old;
+  New.Id = "new";
+  New.Version = "v2";
+  New.Address = {"127.0.0.1", Setting.Second.Port};
+  Setting.Gateway.Directory.follow({Old, New});
+  service_rollout Rollout;
+  Rollout.Service = "s";
+  Rollout.To = "v2";
+  catalogue_view View;
+  node_update Update;
+  Update.Epoch = epoch{1};
+  Update.Revision = revision{1};
+  Update.Chunks = 1;
+  Update.Payload =
+      encodeChanges({{std::string(ServiceRolloutPrefix) + "s", Rollout}});
+  REQUIRE(View.apply(Update, {}).ok());
+  Setting.Gateway.Directory.followRollouts(View);
+  Setting.Second.Answers = std::make_shared<std::deque<scripted_answer>>();
+  *Setting.Second.Answers = {
+      {std::string("HTTP/1.1 500 Internal Server Error\r\n"
+                   "X-Acacianotch-Request-Id: $ID\r\n"
+                   "Content-Length: 0\r\n\r\n")}};
+  // Some request ids choose the version on trial.
+  for (int Number = 0; Setting.Second.Requests.empty() && Number < 200;
+       ++Number) {
+    *Setting.First.Answers = {whole("good"), whole("good")};
+    raw_caller Caller(Setting.Gateway, Setting.Gateway.Server->port());
+    Caller.request("GET", "t" + std::to_string(Number));
+    REQUIRE(Setting.Gateway.runUntil(
+        [&] { return has(Caller.Received, "HTTP/1.1 "); }));
+    CHECK(has(Caller.Received, "good"));
+  }
+  CHECK(Setting.Second.Requests.size() == 1);
+}
+
 // Guards against smuggled and malformed requests that reach a server.
 TEST_CASE("malformed requests get an error and reach no server") {
   setting Setting(route(route_kind::non_idempotent));
