--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -536,6 +536,7 @@
     return;
   releaseAttempt(false);
   Deadline->stop();
+  Context.Rollouts.ended(Request.Session, Arm);
   if (auto *Times = Route == nullptr ? nullptr : Context.Times.of(Route->Kind))
     Times->Observe(
         std::chrono::duration<double>(steady_clock::now() - Request.ReceivedAt)
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -84,6 +84,12 @@
   return Arm;
 }
 
+auto rollout_recorder::ended(const std::string &Session, version_arm Arm)
+    -> void {
+  if (!Session.empty())
+    Sessions[Session] = {Arm, steady_clock::now()};
+}
+
 auto rollout_recorder::tick() -> void {
   const auto Now = steady_clock::now();
   std::erase_if(Sessions, [&](const auto &Row) {
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -38,6 +38,10 @@
                          const std::string &Session,
                          const std::string &RequestId) -> version_arm;
 
+  /// Notes that a request of the session has ended on \p Arm; the session lasts
+  /// from here.
+  auto ended(const std::string &Session, version_arm Arm) -> void;
+
 private:
   struct batch {
     std::string To;
