--- a/src/catalogue/catalogue_state.cpp
+++ b/src/catalogue/catalogue_state.cpp
@@ -125,8 +125,11 @@
     -> std::vector<node_update> {
   std::vector<node_update> Updates;
   std::vector<shared_change> Part;
+  std::size_t Sent = 0;
   const auto Close = [&] {
     node_update Update;
+    Update.Base = revision{Sent};
+    Sent += Part.size();
     Update.Revision = Data.Revision;
     Update.Chunk = static_cast<std::uint32_t>(Updates.size());
     Update.Payload = encodeChanges(Part);
--- a/src/catalogue/catalogue_view.cpp
+++ b/src/catalogue/catalogue_view.cpp
@@ -50,7 +50,8 @@
     return update_outcome::unchanged;
   const auto IsNext =
       Update.Chunk == 0 || (SameSnapshot && Update.Chunk == PartsOf.Chunk + 1);
-  if (!IsNext || Update.Chunk >= Update.Chunks) {
+  const auto Fits = Update.Base == revision{Parts.size()};
+  if (!IsNext || !Fits || Update.Chunk >= Update.Chunks) {
     restart();
     return update_outcome::missing;
   }
--- a/src/catalogue/update_type.h
+++ b/src/catalogue/update_type.h
@@ -28,7 +28,9 @@
 /// A delta, a chunk of a snapshot, or only a confirmation.
 struct node_update {
   epoch Epoch = epoch::none;
-  revision Base = revision::none;     ///< Delta: revision it starts from.
+  /// Delta: revision it starts from. Chunk: number of values before it, which
+  /// tells chunks of snapshots apart that were cut at other places.
+  revision Base = revision::none;
   revision Revision = revision::none; ///< Revision after this update.
   std::uint32_t Chunk = 0;            ///< Position within a snapshot.
   std::uint32_t Chunks = 0;           ///< Chunks of the snapshot; 0 in a delta.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -79,6 +79,7 @@
                 false,   {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
+    Link.FollowMembers = true;
     Link.onChange([this] { followView(); });
   }
 
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -149,7 +149,8 @@
   HeardAt = steady_clock::now();
   Heard = true;
   Chosen->confirm();
-  Client.follow(Members);
+  if (FollowMembers)
+    Client.follow(Members);
   if (View.currentRevision() == Before)
     return;
   logDebug(log_category::catalogue, "catalogue updated",
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -34,6 +34,10 @@
   /// Runs \p Callback after each update that changed the view.
   auto onChange(std::function<void()> Callback) -> void;
 
+  /// Whether the node follows the members that control names. Off where the
+  /// settings name other addresses, such as relays, on purpose.
+  bool FollowMembers = false;
+
   /// \return the load that acknowledgements carry; agents set it.
   std::function<void(wire::LoadReport::Builder)> FillLoad;
 
--- a/test/catalogue_random.h
+++ b/test/catalogue_random.h
@@ -70,7 +70,7 @@
   }
 
   auto body(const cluster &Cluster) -> command_body {
-    switch (below(14)) {
+    switch (below(19)) {
     case 0:
     case 1:
     case 2: {
@@ -109,6 +109,24 @@
       return lease_budget{account_id(name("a", 5)), "n1", below(50), 0, 0};
     case 12:
       return lift_quarantine{fingerprint{1 + below(12)}, "tried"};
+    case 13:
+      return publish_routing{below(50), {std::string("\xff", 1) + name("", 9)}};
+    case 14:
+      return start_service_rollout{name("s", 3), name("v", 3), 1000};
+    case 15:
+      return shift_service_rollout{name("s", 3), name("v", 3)};
+    case 16:
+      return end_service_rollout{name("s", 3), name("v", 3),
+                                 below(2) == 0 ? rollout_state::aborted
+                                               : rollout_state::done,
+                                 "judged"};
+    case 17:
+      return report_service_evidence{
+          name("s", 3),
+          name("v", 3),
+          name("g", 3),
+          1 + below(9),
+          {{version_arm::candidate, "r/0", below(9), below(3), 2, 1.5}}};
     default:
       return report_crash{name("c", 40),
                           "b",
