--- /dev/null
+++ b/src/gateway/forward_attempt.cpp
@@ -0,0 +1,206 @@
+/// \file Attempts of a forwarded request: where they go, silence, failures.
+#include "gateway/forward_task.h"
+
+#include "core/log_func.h"
+#include "platform/request_codec.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace acacianotch {
+
+namespace {
+
+/// Interval at which a silent stream is looked at.
+constexpr duration CheckTime = std::chrono::milliseconds(250);
+/// Latency objectives, or longest pauses, of silence after which a stream
+/// counts as lost although its backend server is at work.
+constexpr int LostFactor = 2;
+/// Less silence than this is usual on a loaded backend server.
+constexpr duration LeastSilence = std::chrono::milliseconds(100);
+/// Prompts above this many tokens count as long work.
+constexpr std::uint32_t LongPromptTokens = 4096;
+
+} // namespace
+
+// The last part of a prompt is the request's own; the chain before it is what
+// other requests share.
+auto forward_task::affinityKey() const -> std::optional<std::uint64_t> {
+  const auto &Prompt = Request.Prompt;
+  if (Prompt.empty())
+    return std::nullopt;
+  const auto Shared = Prompt.size() > 1 ? Prompt.size() - 2 : 0;
+  const auto Id = Prompt[Shared].Id;
+  return XXH3_64bits(&Id, sizeof(Id));
+}
+
+auto forward_task::timeLeft() const -> std::optional<duration> {
+  if (!Request.TimeLeft)
+    return std::nullopt;
+  return *Request.TimeLeft - (steady_clock::now() - Request.ReceivedAt);
+}
+
+// Without a listed backend server of the new version a rollout has not begun.
+auto forward_task::chooseArm() -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Context.Directory.pool(Service, version_arm::candidate) == nullptr)
+    Rollout = nullptr;
+  Arm = Context.Rollouts.arm(Rollout, Request.Session, Request.Id);
+}
+
+auto forward_task::recordOutcome(bool Failed) -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Rollout == nullptr || Attempt == nullptr)
+    return;
+  arm_outcome Outcome;
+  Outcome.Arm = Attempt->Arm;
+  Outcome.Route = Route->Name + "/" + std::to_string(Step);
+  Outcome.Failed = Failed;
+  if (!Failed) {
+    const auto Whole =
+        Attempt->Streams ? Events.count() - Attempt->EventsBefore : 0U;
+    Outcome.Time = (steady_clock::now() - Attempt->SentAt) /
+                   static_cast<std::int64_t>(std::max(Whole, 1U));
+  }
+  Context.Rollouts.record(*Rollout, Outcome);
+}
+
+auto forward_task::chooseBackend() -> result<backend_handle> {
+  auto *Pool = Context.Directory.pool(Service, Arm);
+  if (Pool == nullptr)
+    Pool = Context.Directory.pool(Service, version_arm::serving);
+  if (Pool == nullptr)
+    return failure::of(errc::no_backend);
+  place_request Place;
+  Place.AffinityKey = affinityKey();
+  Place.Exclude = Tried;
+  return Pool->Placement.pick(Place);
+}
+
+auto forward_task::send(backend_handle Chosen) -> bool {
+  auto *Backend = Context.Directory.find(Chosen);
+  if (Backend == nullptr)
+    return false;
+  auto Channel = Context.Directory.channel(*Backend);
+  if (!Channel) {
+    Context.Directory.suspend(Chosen);
+    return false;
+  }
+  Attempt = std::make_unique<attempt>();
+  Attempt->Backend = Chosen;
+  Attempt->BackendId = Backend->Record.Id;
+  Attempt->Channel = *Channel;
+  Attempt->SentAt = steady_clock::now();
+  Attempt->HeardAt = Attempt->SentAt;
+  Attempt->EventsBefore = Events.count();
+  Attempt->Arm = Context.Directory.armOf(*Backend);
+  Attempt->Long = Request.PromptTokens > LongPromptTokens;
+  Context.Directory.board().started(Chosen, Attempt->Long);
+  attempt_terms Terms;
+  Terms.Account = Account == nullptr ? "" : Account->Name;
+  Terms.Instance = Backend->Record.Id;
+  Terms.Model = Model;
+  Terms.LastEvent =
+      Events.lastId().empty() ? Request.LastEvent : Events.lastId();
+  Terms.TimeLeft = timeLeft();
+  channel_call Call;
+  Call.RequestId = Request.Id;
+  Call.Method = Request.Method;
+  Call.Target = Request.Target;
+  Call.Headers = platform::attemptHeaders(Request, Terms);
+  Call.Body = Request.Body;
+  channel_events Told;
+  Told.OnHead = [this](const answer_facts &Facts, http_head &&Head) {
+    const auto Kept = shared_from_this();
+    handleHead(Facts, std::move(Head));
+  };
+  Told.OnBody = [this](std::string_view Data) {
+    const auto Kept = shared_from_this();
+    handleBody(Data);
+  };
+  Told.OnEnd = [this](const result<void> &Result) {
+    const auto Kept = shared_from_this();
+    handleEnd(Result);
+  };
+  Attempt->Channel->start(Call, std::move(Told));
+  watchSilence();
+  return true;
+}
+
+// A backend server that is dark or that lost the answer sends nothing more, and
+// no reset tells so. Work that may be repeated goes on elsewhere.
+auto forward_task::watchSilence() -> void {
+  if (!Route->repeatable() || Sent + 1 >= Route->MaxAttempts)
+    return Silence->stop();
+  const auto IsStream = Route->Kind == route_kind::streaming;
+  const auto Limit = IsStream ? CheckTime : Route->TargetLatency;
+  if (Limit > duration::zero())
+    Silence->start(std::max(Limit, LeastSilence));
+}
+
+/// \return whether a stream will hardly go on. Tokens may wait for long behind
+/// the prompts of others, so silence alone tells little while a server sends
+/// tokens of other requests.
+auto forward_task::streamLost() -> bool {
+  const auto Usual = Attempt->Streams ? Route->TargetGap : Route->TargetLatency;
+  const auto Waited = steady_clock::now() - Attempt->HeardAt;
+  return Waited > LostFactor * Usual ||
+         Context.Directory.dark(Attempt->Backend, Attempt->HeardAt);
+}
+
+auto forward_task::handleSilence() -> void {
+  if (Done || Attempt == nullptr)
+    return;
+  if (Route->Kind == route_kind::streaming && !streamLost())
+    return Silence->start(CheckTime);
+  if (!Context.ExtraAttempts.tryTake())
+    return;
+  ++Context.Counters.Retries;
+  Context.Directory.noteFailure(Attempt->Backend);
+  giveUpAttempt(failure::of(errc::deadline_exceeded,
+                            "the backend server was silent for too long"));
+  ++Sent;
+  MayHaveRun = true;
+  tryNext();
+}
+
+auto forward_task::giveUpAttempt(const failure &Failure) -> void {
+  logInfo(log_category::entry, "attempt failed",
+          {{"request", Request.Id},
+           {"backend", Attempt->BackendId},
+           {"error", errcRow(Failure.Code).Name},
+           {"detail", Failure.Detail},
+           {"not_run", Failure.Verdict == verdict::not_run},
+           {"streaming", Streaming}});
+  recordOutcome(true);
+  releaseAttempt(false);
+  Events.dropRest();
+  leaveTrial();
+}
+
+// A version on trial gets no second chance with the same request.
+auto forward_task::leaveTrial() -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Rollout != nullptr && !Rollout->Shifted)
+    Arm = version_arm::serving;
+}
+
+auto forward_task::releaseAttempt(bool Clean) -> void {
+  if (Attempt == nullptr)
+    return;
+  std::optional<load_report> Report;
+  if (const auto &Load = Attempt->Facts.Load)
+    Report = {Load->Running, Load->Waiting, 0, Load->Slots, false};
+  Context.Directory.board().finished(Attempt->Backend, Attempt->Long, Report,
+                                     steady_clock::now());
+  if (Clean)
+    Context.Directory.keep(Attempt->Backend, std::move(Attempt->Channel));
+  else
+    Attempt->Channel->cancel();
+  Attempt.reset();
+  Silence->stop();
+  Paused = false;
+}
+
+} // namespace acacianotch
