--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -1,6 +1,7 @@
 /// \file Wiring of the control role.
 #include "control/control_role.h"
 
+#include "control/control_relay.h"
 #include "control/control_service.h"
 #include "control/group_join.h"
 #include "control/membership_keeper.h"
@@ -125,6 +126,8 @@
 } // namespace
 
 auto runControl(const settings &Settings) -> result<void> {
+  if (Settings.Control.DataFolder.empty())
+    return runControlRelay(Settings);
   auto Loop = event_loop::create();
   if (!Loop)
     return Loop.error();
@@ -142,7 +145,7 @@
   auto &Service = **Opened;
   std::optional<membership_keeper> Keeper;
   if (FormsItself) {
-    Keeper.emplace(**Loop, Service, Settings.Control.Seeds.size());
+    Keeper.emplace(**Loop, Service, 2 * Settings.Control.ToleratedLosses + 1);
     Service.OnJoin = [&](const std::string &Address, std::uint64_t Token,
                          std::uint64_t Replica) {
       return Keeper->join(Address, Token, Replica);
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -180,8 +180,10 @@
 
   auto subscribe(SubscribeContext Context) -> kj::Promise<void> override {
     const auto Params = Context.getParams();
-    if (!Service.confirmedEpoch())
-      return KJ_EXCEPTION(OVERLOADED, "this replica is not the leader");
+    if (!Service.confirmedEpoch()) {
+      nameLeader(Context.getResults());
+      return kj::READY_NOW;
+    }
     const auto Facts = Params.getFacts();
     node_row Row;
     Row.Id = toString(Facts.getNodeId());
@@ -255,6 +257,14 @@
   }
 
 private:
+  auto nameLeader(SubscribeResults::Builder Results) -> void {
+    Results.setLeader(Service.replica().leaderAddress().c_str());
+    const auto &Members = Service.replica().node().members().Members;
+    auto List = Results.initControl(static_cast<unsigned>(Members.size()));
+    for (unsigned Index = 0; Index < List.size(); ++Index)
+      List.set(Index, Members[Index].Address.c_str());
+  }
+
   control_service &Service;
 };
 
--- a/src/control/membership_keeper.h
+++ b/src/control/membership_keeper.h
@@ -14,7 +14,8 @@
 /// voters, and removes voters that stay silent while their successors run.
 class membership_keeper {
 public:
-  /// \p Size is the number of voters below which none is removed.
+  /// \p Size is the number of voters that bear the losses that the group must
+  /// bear; a silent voter is removed only while there are more.
   membership_keeper(event_loop &Loop, control_service &Service,
                     std::size_t Size);
 
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -126,8 +126,9 @@
 }
 
 interface Control extends(Admin) {
-  subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> ();
-  # Returns when the subscription ends.
+  subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> (leader :Text, control :List(Text));
+  # Returns when the subscription ends; at once from a process that does not
+  # lead. Leader and members are stated as far as that process knows them.
   execute @1 (command :Data) -> (outcome :CommandOutcome);
   # CBOR command; answered after it is committed and applied.
   replicate @2 (sender :Text, message :Data) -> ();
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -453,7 +453,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(9f3599d8f4003a90, 0, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(9f3599d8f4003a90, 0, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -2889,6 +2889,12 @@
   }
 #endif  // !CAPNP_LITE
 
+  inline bool hasLeader() const;
+  inline  ::capnp::Text::Reader getLeader() const;
+
+  inline bool hasControl() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getControl() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2917,6 +2923,21 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
+  inline bool hasLeader();
+  inline  ::capnp::Text::Builder getLeader();
+  inline void setLeader( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initLeader(unsigned int size);
+  inline void adoptLeader(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownLeader();
+
+  inline bool hasControl();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getControl();
+  inline void setControl( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setControl(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initControl(unsigned int size);
+  inline void adoptControl(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownControl();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5721,6 +5742,78 @@
 }
 #endif  // !CAPNP_LITE
 
+inline bool Control::SubscribeResults::Reader::hasLeader() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::SubscribeResults::Builder::hasLeader() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::SubscribeResults::Reader::getLeader() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::SubscribeResults::Builder::getLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::SubscribeResults::Builder::setLeader( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::SubscribeResults::Builder::initLeader(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::SubscribeResults::Builder::adoptLeader(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::SubscribeResults::Builder::disownLeader() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::SubscribeResults::Reader::hasControl() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::SubscribeResults::Builder::hasControl() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader Control::SubscribeResults::Reader::getControl() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Control::SubscribeResults::Builder::getControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::SubscribeResults::Builder::setControl( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Control::SubscribeResults::Builder::setControl(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder Control::SubscribeResults::Builder::initControl(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::SubscribeResults::Builder::adoptControl(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> Control::SubscribeResults::Builder::disownControl() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool Control::ExecuteParams::Reader::hasCommand() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/node/leader_client.cpp
+++ b/src/node/leader_client.cpp
@@ -36,7 +36,7 @@
 leader_client::leader_client(event_loop &TheLoop,
                              const std::vector<address> &Addresses,
                              const rpc_options &TheOptions)
-    : Loop(TheLoop), Options(TheOptions) {
+    : Loop(TheLoop), Configured(Addresses), Options(TheOptions) {
   for (const auto &Address : Addresses)
     Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
 }
@@ -69,6 +69,19 @@
           {{"members", Peers.size()}});
 }
 
+auto leader_client::learn(const address &Address) -> std::size_t {
+  for (std::size_t Index = 0; Index < Peers.size(); ++Index)
+    if (Peers[Index]->peerAddress() == Address)
+      return Index;
+  Peers.push_back(std::make_unique<rpc_peer>(Loop, Address, Options));
+  return Peers.size() - 1;
+}
+
+auto leader_client::learnConfigured() -> void {
+  for (const auto &Address : Configured)
+    learn(Address);
+}
+
 auto leader_client::execute(const command &Command, duration Limit)
     -> kj::Promise<command_result> {
   auto Call = std::make_shared<call>();
@@ -88,9 +101,8 @@
 }
 
 auto leader_client::noteLeader(std::string_view Address) -> void {
-  for (std::size_t Index = 0; Index < Peers.size(); ++Index)
-    if (Peers[Index]->peerAddress().text() == Address)
-      Current = Index;
+  if (const auto Leader = parseAddress(Address))
+    Current = learn(*Leader);
 }
 
 // A leader that accepts a command but cannot commit it must not hold the
--- a/src/node/leader_client.h
+++ b/src/node/leader_client.h
@@ -33,6 +33,13 @@
   /// keep their connections.
   auto follow(const std::vector<address> &Members) -> void;
 
+  /// Adds a control VM that another one names. \return its position.
+  auto learn(const address &Address) -> std::size_t;
+
+  /// Adds the addresses of the settings again; the members that were followed
+  /// may all have been replaced.
+  auto learnConfigured() -> void;
+
 private:
   struct call;
 
@@ -41,6 +48,7 @@
   auto noteLeader(std::string_view Address) -> void;
 
   event_loop &Loop;
+  std::vector<address> Configured;
   std::vector<std::unique_ptr<rpc_peer>> Peers;
   /// Calls that are under way may still refer to these.
   std::vector<std::unique_ptr<rpc_peer>> Retired;
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -36,7 +36,8 @@
   return Result;
 }
 
-auto readMembers(wire::NodeUpdate::Reader Update) -> std::vector<address> {
+/// \return the addresses in the `control` field of a message.
+auto readMembers(const auto &Update) -> std::vector<address> {
   std::vector<address> Members;
   for (const auto Text : Update.getControl())
     if (auto Address = parseAddress(toString(Text)))
@@ -95,6 +96,12 @@
   Changed = std::move(Callback);
 }
 
+auto node_link::leader() const -> std::optional<address> {
+  if (!Heard || Subscription == nullptr)
+    return std::nullopt;
+  return Chosen->peerAddress();
+}
+
 auto node_link::subscribe() -> void {
   ++*Generation;
   HeardAt = steady_clock::now();
@@ -116,22 +123,47 @@
   Request.setRevision(static_cast<std::uint64_t>(View.currentRevision()));
   Request.setEpoch(static_cast<std::uint64_t>(View.currentEpoch()));
   Request.setSink(kj::heap<sink>(*this));
-  const auto Ended = [this, Current = Generation, Own = *Generation] {
-    Loop.defer([this, Current, Own] {
+  const auto Ended = [this, Current = Generation,
+                      Own = *Generation](const std::string &Leader,
+                                         const std::vector<address> &Members) {
+    Loop.defer([this, Current, Own, Leader, Members] {
       if (*Current == Own)
-        subscribeAgain();
+        takeHint(Leader, Members);
     });
   };
-  Subscription = Request.send()
-                     .then([Ended](auto &&) { Ended(); },
-                           [Ended](kj::Exception &&) { Ended(); })
-                     .eagerlyEvaluate(nullptr);
+  Subscription =
+      Request.send()
+          .then(
+              [Ended](auto &&Response) {
+                Ended(toString(Response.getLeader()), readMembers(Response));
+              },
+              [Ended](kj::Exception &&) { Ended("", {}); })
+          .eagerlyEvaluate(nullptr);
+}
+
+// A process that does not lead may be out of date, so what it names is added
+// to the peers; only the leader's list replaces them.
+auto node_link::takeHint(const std::string &Leader,
+                         const std::vector<address> &Members) -> void {
+  const auto *Asked = Chosen;
+  subscribeAgain();
+  if (!FollowMembers)
+    return;
+  for (const auto &Member : Members)
+    Client.learn(Member);
+  const auto Named = parseAddress(Leader);
+  if (Named && *Named != Asked->peerAddress())
+    Peer = Client.learn(*Named);
 }
 
 auto node_link::subscribeAgain() -> void {
   ++*Generation;
   Subscription = nullptr;
-  Peer = (Peer + 1) % Client.peers().size();
+  if (++Peer >= Client.peers().size()) {
+    Peer = 0;
+    if (FollowMembers)
+      Client.learnConfigured();
+  }
   Retry->start(RetryPause);
 }
 
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace acacianotch {
 
@@ -34,6 +35,9 @@
   /// Runs \p Callback after each update that changed the view.
   auto onChange(std::function<void()> Callback) -> void;
 
+  /// \return the RPC address of the leader while it sends updates.
+  [[nodiscard]] auto leader() const -> std::optional<address>;
+
   /// Whether the node follows the members that control names. Off where the
   /// settings name other addresses, such as relays, on purpose.
   bool FollowMembers = false;
@@ -46,6 +50,8 @@
 
   auto subscribe() -> void;
   auto subscribeAgain() -> void;
+  auto takeHint(const std::string &Leader, const std::vector<address> &Members)
+      -> void;
   auto handle(const node_update &Update, const std::vector<address> &Members)
       -> void;
   auto checkSilence() -> void;
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "catalogue/cbor.h"
 #include "core/log_func.h"
 #include "platform/configuration_codec.h"
+#include "platform/operator_redirect.h"
 
 #include <cmath>
 
@@ -17,7 +18,6 @@
 constexpr std::size_t MaxBodyBytes = 8ULL * 1024 * 1024;
 
 constexpr int Success = 200;
-constexpr int SeeLeader = 307;
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int WrongMethod = 405;
@@ -82,12 +82,8 @@
 auto operator_api::passToLeader(const exchange &Exchange) -> void {
   const auto Leader = parseAddress(Service.replica().leaderAddress());
   const auto Own = Service.replica().node().role() == raft_role::leader;
-  if (!Leader || Own)
-    return replyFault(Exchange, Unavailable, "no leader is known");
-  const auto Target = address{Leader->Ip, Port};
-  Exchange->reply(
-      SeeLeader, {{"Location", "http://" + Target.text() + Exchange->target()}},
-      "");
+  redirectToLeader(
+      Exchange, Leader && !Own ? std::optional(*Leader) : std::nullopt, Port);
 }
 
 auto operator_api::putConfiguration(const exchange &Exchange) -> void {
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -99,6 +99,12 @@
                 "false", 0, 0, need::none, "",
                 "whether the seeds form a new group if their data folders are "
                 "empty"},
+    setting_row{"control.tolerated_losses",
+                in<&all::Control, &ctl::ToleratedLosses>(), "1", 0, 100,
+                need::none, "replicas",
+                "replicas that may be lost at once; a group that forms itself "
+                "removes a silent voter only while more than twice as many and "
+                "one remain"},
     setting_row{"control.operator_listen",
                 in<&all::Control, &ctl::OperatorListen>(), "", 1, MaxPort,
                 need::none, "",
@@ -257,8 +263,10 @@
                   "control.election_timeout_max_ms", false},
 };
 
-// A replica that finds its group through seeds gets its id there.
+// A replica that finds its group through seeds gets its id there; without a
+// data folder it only names the group's leader.
 constexpr std::array Alternatives{
+    setting_alternative{"control.data_folder", "control.seeds"},
     setting_alternative{"control.replica_id", "control.seeds"},
     setting_alternative{"control.peers", "control.seeds"},
     setting_alternative{"node.secret_file", "control.seeds"},
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -55,7 +55,8 @@
   std::uint64_t RpcPort = 0;  ///< In place of the port of addresses; 0 if not.
   std::vector<address> Seeds; ///< A group that forms itself starts from these.
   bool Bootstrap = false;     ///< The seeds may form a new group.
-  address OperatorListen;     ///< Invalid without the operators' interface.
+  std::uint64_t ToleratedLosses = 0; ///< Replicas lost at once.
+  address OperatorListen; ///< Invalid without the operators' interface.
 };
 
 /// Settings under `rpc`.
