Fix: [Rollout] sessions under way are known to all gateways before the new version gets work

Cause: requests of one session reach several gateways.

Change: for 1.2 s after the start of a rollout gateways report the sessions under way that the new version would get; control holds them until the shift. The share of new sessions follows the platform's exposure bound (setting gateway.exposure_share).

--- a/src/catalogue/command_codec.cpp
+++ b/src/catalogue/command_codec.cpp
@@ -74,7 +74,8 @@
       std::holds_alternative<start_service_rollout>(Command.Body) ||
       std::holds_alternative<end_service_rollout>(Command.Body) ||
       std::holds_alternative<report_service_evidence>(Command.Body) ||
-      std::holds_alternative<shift_service_rollout>(Command.Body);
+      std::holds_alternative<shift_service_rollout>(Command.Body) ||
+      std::holds_alternative<open_service_rollout>(Command.Body);
   return !HasOwnKey;
 }
 
--- a/src/catalogue/command_fields.h
+++ b/src/catalogue/command_fields.h
@@ -219,7 +219,8 @@
       required("to", &body::To, {1, 256}, "new version"),
       required("source", &body::Source, {1, 128}, "node and its start"),
       required("sequence", &body::Sequence, {1, 1e15}, "grows per report"),
-      required("counts", &body::Counts, {1, 4096}, "per arm and route"),
+      required("counts", &body::Counts, {0, 4096}, "per arm and route"),
+      field("sessions", &body::Sessions, {0, 4096}, "under way before"),
   };
 };
 
@@ -231,4 +232,12 @@
   };
 };
 
+template <> struct field_table<open_service_rollout> {
+  using body = open_service_rollout;
+  static constexpr auto Fields = std::tuple{
+      required("service", &body::Service, {1, 256}, "service"),
+      required("to", &body::To, {1, 256}, "new version"),
+  };
+};
+
 } // namespace acacianotch
--- a/src/catalogue/command_func.h
+++ b/src/catalogue/command_func.h
@@ -76,6 +76,8 @@
              const report_service_evidence &Body) -> command_result;
 auto execute(catalogue_data &Data, command_context &Context,
              const shift_service_rollout &Body) -> command_result;
+auto execute(catalogue_data &Data, command_context &Context,
+             const open_service_rollout &Body) -> command_result;
 
 /// Stops the rollouts that a withdrawn version takes part in: a rollout to it
 /// is aborted, a rollout from it is paused.
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -208,6 +208,15 @@
   std::string Source;             ///< Node and its start; one counter each.
   std::uint64_t Sequence = 0;     ///< Grows with each report of the source.
   std::vector<arm_counts> Counts; ///< Since the last report.
+  /// Hashes of sessions that began before the candidate gets work.
+  std::vector<std::uint64_t> Sessions;
+};
+
+/// Lets the version that a rollout brings in take its share of new sessions;
+/// those reported until now stay.
+struct open_service_rollout {
+  std::string Service;
+  std::string To;
 };
 
 /// Sends all new work of a service to the version that a rollout brings in.
@@ -216,13 +225,12 @@
   std::string To;
 };
 
-using command_body =
-    std::variant<put_entry, remove_entry, withdraw_version, start_rollout,
-                 set_rollout_state, advance_rollout, drain_backend,
-                 claim_request, settle_request, record_usage, lease_budget,
-                 report_crash, lift_quarantine, report_version_evidence,
-                 publish_routing, start_service_rollout, end_service_rollout,
-                 report_service_evidence, shift_service_rollout>;
+using command_body = std::variant<
+    put_entry, remove_entry, withdraw_version, start_rollout, set_rollout_state,
+    advance_rollout, drain_backend, claim_request, settle_request, record_usage,
+    lease_budget, report_crash, lift_quarantine, report_version_evidence,
+    publish_routing, start_service_rollout, end_service_rollout,
+    report_service_evidence, shift_service_rollout, open_service_rollout>;
 
 /// Names of the command bodies in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<command_body>>
@@ -244,7 +252,8 @@
                  "start_service_rollout",
                  "end_service_rollout",
                  "report_service_evidence",
-                 "shift_service_rollout"};
+                 "shift_service_rollout",
+                 "open_service_rollout"};
 
 /// One command of the log.
 struct command {
--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -2,11 +2,16 @@
 #include "catalogue/command_func.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acacianotch {
 
 namespace {
 
+/// Bounds what a rollout adds to the catalogue of each node, 16 KB; sessions
+/// beyond it keep their version only at the gateways that know them.
+constexpr std::size_t MaxHeldSessions = 2048;
+
 auto rolloutConflict(const service_rollout &Current, std::string Detail)
     -> command_result {
   return command_result::of(errc::revision_conflict, std::move(Detail),
@@ -40,6 +45,14 @@
   Place->LogTime += More.LogTime;
 }
 
+auto addSession(std::vector<std::uint64_t> &Sorted, std::uint64_t Session)
+    -> void {
+  const auto Place = std::lower_bound(Sorted.begin(), Sorted.end(), Session);
+  const auto Known = Place != Sorted.end() && *Place == Session;
+  if (!Known && Sorted.size() < MaxHeldSessions)
+    Sorted.insert(Place, Session);
+}
+
 } // namespace
 
 // A lower number was overtaken, and other content under the number held must
@@ -75,8 +88,10 @@
              Body.DurationMs,
              rollout_state::running,
              false,
-             ""};
-  Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}};
+             "",
+             true,
+             {}};
+  Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}, {}};
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "started", writeValue(Rollout));
 }
@@ -115,6 +130,9 @@
   Last = Body.Sequence;
   for (const auto &Counts : Body.Counts)
     addCounts(Evidence.Counts, Counts);
+  if (Rollout->Collecting)
+    for (const auto Session : Body.Sessions)
+      addSession(Evidence.Sessions, Session);
   return command_result::of(errc::ok, "added");
 }
 
@@ -130,4 +148,18 @@
   return command_result::of(errc::ok, "stored", writeValue(*Rollout));
 }
 
+auto execute(catalogue_data &Data, command_context &Context,
+             const open_service_rollout &Body) -> command_result {
+  auto *Rollout = findRunning(Data, Body.Service, Body.To);
+  if (Rollout == nullptr || Rollout->State != rollout_state::running)
+    return command_result::of(errc::unknown_entry, Body.Service);
+  if (Context.DryRun || !Rollout->Collecting)
+    return {};
+  auto &Sessions = Data.ServiceEvidence[Body.Service].Sessions;
+  Rollout->Collecting = false;
+  Rollout->Held = std::exchange(Sessions, {});
+  touch(Context, Body.Service);
+  return command_result::of(errc::ok, "stored", writeValue(*Rollout));
+}
+
 } // namespace acacianotch
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -40,6 +40,8 @@
   std::string To;
   std::map<std::string, std::uint64_t> Sequences; ///< Last one per source.
   std::vector<arm_counts> Counts; ///< One row for each arm and route.
+  /// Hashes of the sessions that were under way before it, sorted.
+  std::vector<std::uint64_t> Sessions;
 };
 
 /// Key of the routing document among the shared values.
@@ -66,6 +68,11 @@
   rollout_state State = rollout_state::running;
   bool Shifted = false; ///< All new work goes to the new version.
   std::string Reason;   ///< Why it ended.
+  /// Gateways still report the sessions that are under way; the new version
+  /// gets no work yet.
+  bool Collecting = false;
+  /// Hashes of the sessions that stay on the predecessor until the shift.
+  std::vector<std::uint64_t> Held;
 
   auto operator==(const service_rollout &) const -> bool = default;
 };
@@ -88,6 +95,7 @@
       required("to", &body::To, {1, 256}, "new version"),
       required("sequences", &body::Sequences, {}, "per source"),
       required("counts", &body::Counts, {}, "per arm and route"),
+      field("sessions", &body::Sessions, {}, "under way before the start"),
   };
 };
 
@@ -108,6 +116,8 @@
       required("state", &body::State, {}, "state"),
       field("shifted", &body::Shifted, {}, "new work goes to the new version"),
       field("reason", &body::Reason, {0, 1024}, "why it ended"),
+      field("collecting", &body::Collecting, {}, "sessions are reported"),
+      field("held", &body::Held, {}, "sessions that stay until the shift"),
   };
 };
 
--- a/src/control/rollout_keeper.cpp
+++ b/src/control/rollout_keeper.cpp
@@ -15,6 +15,8 @@
 
 auto orderOf(const service_rollout &Rollout, const rollout_judgement &Judgement)
     -> command_body {
+  if (Judgement.Step == rollout_step::open)
+    return open_service_rollout{Rollout.Service, Rollout.To};
   if (Judgement.Step == rollout_step::shift)
     return shift_service_rollout{Rollout.Service, Rollout.To};
   return end_service_rollout{Rollout.Service, Rollout.To,
@@ -55,7 +57,7 @@
   logInfo(log_category::version, "rollout step",
           {{"service", Rollout.Service},
            {"to", Rollout.To},
-           {"step", static_cast<int>(Judgement.Step)},
+           {"step", RolloutStepNames.name(Judgement.Step)},
            {"reason", Judgement.Reason}});
   Ordering = true;
   command Command;
--- a/src/controller/rollout_judge.cpp
+++ b/src/controller/rollout_judge.cpp
@@ -101,6 +101,11 @@
                                                   : Rollout.DurationMs);
   const auto Elapsed =
       static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
+  if (Rollout.Collecting) {
+    if (Elapsed >= Settings.CollectMs)
+      return {rollout_step::open, "sessions under way are known"};
+    return {};
+  }
   if (!Rollout.Shifted) {
     const auto Due = Elapsed >= Settings.ShiftAt * Duration;
     if (Due && All.Candidate.Requests >= Settings.MinRequests)
--- a/src/controller/rollout_judge.h
+++ b/src/controller/rollout_judge.h
@@ -13,6 +13,9 @@
   /// Share of the duration after which all new work goes to the new version.
   /// Half of it leaves sessions on their version while the rollout is young.
   double ShiftAt = 0.53;
+  /// Time in which gateways report the sessions under way, milliseconds: three
+  /// of their reports.
+  std::uint32_t CollectMs = 1200;
   /// Share of the duration after which it completes; work on the predecessor
   /// ends between the two.
   double CompleteAt = 0.9;
@@ -29,11 +32,20 @@
 
 enum class rollout_step : std::uint8_t {
   keep,     ///< Nothing changes.
+  open,     ///< The new version gets its share of new sessions.
   shift,    ///< All new work goes to the new version.
   complete, ///< The predecessor may go.
   stop,     ///< The new version is bad.
 };
 
+inline constexpr enum_table<rollout_step, 5> RolloutStepNames{{{
+    {rollout_step::keep, "keep"},
+    {rollout_step::open, "open"},
+    {rollout_step::shift, "shift"},
+    {rollout_step::complete, "complete"},
+    {rollout_step::stop, "stop"},
+}}};
+
 /// What to do and why.
 struct rollout_judgement {
   rollout_step Step = rollout_step::keep;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -30,6 +30,9 @@
 constexpr duration KillMargin = std::chrono::milliseconds(300);
 /// Refused callers come back at once; another gateway answers them.
 constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
+/// Part of the exposure that a version on trial may get which sessions are
+/// given to it; the rest is left for the time that a stop takes.
+constexpr double CandidatePart = 0.53;
 /// Extra attempts saved up in quiet times; a share of what all gateways have.
 constexpr double SavedAttempts = 8;
 
@@ -74,7 +77,8 @@
                  Directory.follow(std::move(Listed));
                }),
         Rollouts(TheLoop, Control, Settings.Node.Id,
-                 secondsOf(Settings.Gateway.SessionSeconds)),
+                 secondsOf(Settings.Gateway.SessionSeconds),
+                 CandidatePart * Settings.Gateway.ExposureShare),
         Context{TheLoop, Directory, ExtraAttempts, Rollouts, model_ladder(),
                 false,   {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
@@ -210,6 +214,7 @@
 
   auto followView() -> void {
     Directory.followRollouts(View);
+    Rollouts.follow(View);
     const auto *Document = View.routing();
     if (Document == nullptr || (Table && Table->Number >= Document->Number))
       return;
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -4,6 +4,8 @@
 #include "controller/version_test.h"
 #include "core/log_func.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
 #include <random>
@@ -15,10 +17,6 @@
 /// A bad version must be stopped within seconds, so reports come often.
 constexpr duration ReportInterval = std::chrono::milliseconds(400);
 constexpr duration ReportLimit = std::chrono::seconds(2);
-/// Share of requests on the new version before it takes all. A bad version may
-/// get 0.15 of a service's requests at most; the rest of that is left for the
-/// time that a stop takes.
-constexpr double CandidateShare = 0.08;
 /// Sessions remembered at most; the oldest ones go first.
 constexpr std::size_t MaxSessions = 20'000;
 
@@ -42,24 +40,62 @@
   Place->LogTime += std::log(static_cast<double>(Outcome.Time->count()));
 }
 
+auto sessionHash(const std::string &Session) -> std::uint64_t {
+  return XXH3_64bits(Session.data(), Session.size());
+}
+
+/// \return whether a session began before the rollout. The list is sorted.
+auto held(const service_rollout &Rollout, const std::string &Session) -> bool {
+  return !Session.empty() &&
+         std::binary_search(Rollout.Held.begin(), Rollout.Held.end(),
+                            sessionHash(Session));
+}
+
 } // namespace
 
 rollout_recorder::rollout_recorder(event_loop &Loop, leader_client &TheControl,
-                                   std::string Node, duration TheSessionTime)
+                                   std::string Node, duration TheSessionTime,
+                                   double TheShare)
     : Control(TheControl),
       Source(std::move(Node) + "/" + std::to_string(std::random_device{}())),
-      SessionTime(TheSessionTime), Timer(Loop.repeating([this] { tick(); })) {
+      SessionTime(TheSessionTime), Share(TheShare),
+      Timer(Loop.repeating([this] { tick(); })) {
   Timer->start(ReportInterval);
 }
 
 auto rollout_recorder::record(const service_rollout &Rollout,
                               const arm_outcome &Outcome) -> void {
+  addCounts(batchOf(Rollout).Next, Outcome);
+}
+
+auto rollout_recorder::batchOf(const service_rollout &Rollout) -> batch & {
   auto &Batch = Batches[Rollout.Service];
   if (Batch.To != Rollout.To) {
     Batch = {};
     Batch.To = Rollout.To;
   }
-  addCounts(Batch.Next, Outcome);
+  return Batch;
+}
+
+auto rollout_recorder::follow(const catalogue_view &View) -> void {
+  const auto Now = steady_clock::now();
+  for (const auto &[Service, Rollout] : View.serviceRollouts())
+    if (Rollout.State == rollout_state::running && Rollout.Collecting)
+      for (const auto &[Session, Row] : Sessions)
+        if (Now - Row.LastAt <= SessionTime)
+          report(Rollout, Session);
+}
+
+// Requests of a session reach several gateways, so those that would move it to
+// the new version must know that it began before.
+auto rollout_recorder::report(const service_rollout &Rollout,
+                              const std::string &Session) -> void {
+  if (!selectsCanary(Rollout.To, Session, Share))
+    return;
+  auto &Batch = batchOf(Rollout);
+  const auto Hash = sessionHash(Session);
+  if (Batch.Reported.insert(Hash).second)
+    Batch.NextSessions.push_back(Hash);
 }
 
 // A session that is under way keeps its version until all work shifts.
@@ -73,10 +109,13 @@
       Known != Sessions.end() && Now - Known->second.LastAt <= SessionTime;
   if (Rollout != nullptr) {
     const auto &Key = Session.empty() ? RequestId : Session;
+    if (Rollout->Collecting && !Session.empty())
+      report(*Rollout, Session);
     if (UnderWay && !Rollout->Shifted)
       Arm = Known->second.Arm;
     else if (Rollout->Shifted ||
-             selectsCanary(Rollout->To, Key, CandidateShare))
+             (!Rollout->Collecting && !held(*Rollout, Session) &&
+              selectsCanary(Rollout->To, Key, Share)))
       Arm = version_arm::candidate;
   }
   if (!Session.empty())
@@ -103,11 +142,12 @@
   for (auto &[Service, Batch] : Batches) {
     if (Batch.Busy)
       continue;
-    if (Batch.Sending.empty()) {
+    if (Batch.Sending.empty() && Batch.SendingSessions.empty()) {
       Batch.Sending = std::exchange(Batch.Next, {});
+      Batch.SendingSessions = std::exchange(Batch.NextSessions, {});
       ++Batch.Sequence;
     }
-    if (!Batch.Sending.empty())
+    if (!Batch.Sending.empty() || !Batch.SendingSessions.empty())
       send(Service, Batch);
   }
 }
@@ -116,8 +156,9 @@
   Batch.Busy = true;
   command Command;
   Command.Issuer = Source;
-  Command.Body = report_service_evidence{Service, Batch.To, Source,
-                                         Batch.Sequence, Batch.Sending};
+  Command.Body = report_service_evidence{Service,       Batch.To,
+                                         Source,        Batch.Sequence,
+                                         Batch.Sending, Batch.SendingSessions};
   Control.execute(Command, ReportLimit)
       .then([this, Service,
              Guard = std::weak_ptr<bool>(Alive)](const command_result &Result) {
@@ -126,8 +167,10 @@
         auto &Sent = Batches[Service];
         Sent.Busy = false;
         // A rollout that has ended takes no evidence any more.
-        if (Result.ok() || Result.Code == errc::unknown_entry)
+        if (Result.ok() || Result.Code == errc::unknown_entry) {
           Sent.Sending.clear();
+          Sent.SendingSessions.clear();
+        }
       })
       .detach([this, Service,
                Guard = std::weak_ptr<bool>(Alive)](kj::Exception &&Exception) {
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -1,6 +1,7 @@
 /// \file Evidence of one gateway on rollouts, and sessions' versions.
 #pragma once
 
+#include "catalogue/catalogue_view.h"
 #include "catalogue/routing_type.h"
 #include "core/clock_type.h"
 #include "net/event_loop.h"
@@ -9,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -26,8 +28,12 @@
 /// Counts outcomes while a service's rollout runs and reports them to control.
 class rollout_recorder {
 public:
+  /// \p Share of new sessions goes to a new version before the shift.
   rollout_recorder(event_loop &Loop, leader_client &Control, std::string Node,
-                   duration SessionTime);
+                   duration SessionTime, double Share);
+
+  /// Reports the sessions under way that a rollout in \p View would move.
+  auto follow(const catalogue_view &View) -> void;
 
   /// Counts an outcome of the service's running rollout.
   auto record(const service_rollout &Rollout, const arm_outcome &Outcome)
@@ -48,6 +54,9 @@
     std::uint64_t Sequence = 0;
     std::vector<arm_counts> Sending; ///< Not confirmed; sent again unchanged.
     std::vector<arm_counts> Next;
+    std::vector<std::uint64_t> SendingSessions;
+    std::vector<std::uint64_t> NextSessions;
+    std::set<std::uint64_t> Reported; ///< Sessions reported or about to be.
     bool Busy = false;
   };
   struct seen_session {
@@ -56,11 +65,15 @@
   };
 
   auto tick() -> void;
+  auto report(const service_rollout &Rollout, const std::string &Session)
+      -> void;
+  auto batchOf(const service_rollout &Rollout) -> batch &;
   auto send(const std::string &Service, batch &Batch) -> void;
 
   leader_client &Control;
   std::string Source;
   duration SessionTime;
+  double Share;
   std::map<std::string, batch> Batches; ///< By service.
   std::unordered_map<std::string, seen_session> Sessions;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -207,6 +207,11 @@
                 need::none, "seconds",
                 "time after a request in which the next one belongs to its "
                 "session"},
+    setting_row{"gateway.exposure_share",
+                in<&all::Gateway, &gateway::ExposureShare>(), "0.15", 0, 1,
+                need::none, "",
+                "share of a service's requests that a bad version may get "
+                "before its rollout is stopped"},
     setting_row{"gateway.retry_budget_share",
                 in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -108,6 +108,7 @@
   milliseconds BackendInterval{};
   double RetryShare = 0;
   double SessionSeconds = 0;
+  double ExposureShare = 0; ///< Of a service's requests, on a bad version.
   double GraceSeconds = 0;
 };
 
--- a/test/catalogue_random.h
+++ b/test/catalogue_random.h
@@ -70,7 +70,7 @@
   }
 
   auto body(const cluster &Cluster) -> command_body {
-    switch (below(19)) {
+    switch (below(20)) {
     case 0:
     case 1:
     case 2: {
@@ -126,7 +126,10 @@
           name("v", 3),
           name("g", 3),
           1 + below(9),
-          {{version_arm::candidate, "r/0", below(9), below(3), 2, 1.5}}};
+          {{version_arm::candidate, "r/0", below(9), below(3), 2, 1.5}},
+          {below(40), below(40)}};
+    case 18:
+      return open_service_rollout{name("s", 3), name("v", 3)};
     default:
       return report_crash{name("c", 40),
                           "b",
--- a/test/rollout_recorder_test.cpp
+++ b/test/rollout_recorder_test.cpp
@@ -6,6 +6,8 @@
 
 #include <doctest/doctest.h>
 
+#include <xxhash.h>
+
 #include <thread>
 
 using namespace acacianotch;
@@ -33,7 +35,7 @@
 struct fixture {
   std::unique_ptr<event_loop> Loop = testLoop();
   leader_client Control{*Loop, {loopback(1)}, rpc_options()};
-  rollout_recorder Recorder{*Loop, Control, "g", SessionTime};
+  rollout_recorder Recorder{*Loop, Control, "g", SessionTime, 0.08};
 };
 
 } // namespace
@@ -61,3 +63,24 @@
   Rollout.Shifted = true;
   CHECK(Fixture.Recorder.arm(&Rollout, "other", "3") == version_arm::candidate);
 }
+
+// Guards against a session that moves to the new version because a gateway that
+// has not seen it before gets its next request.
+TEST_CASE("a session that another gateway reported stays until the shift") {
+  fixture Fixture;
+  auto Rollout = running();
+  const auto Session = canarySession();
+  Rollout.Held = {XXH3_64bits(Session.data(), Session.size())};
+  CHECK(Fixture.Recorder.arm(&Rollout, Session, "1") == version_arm::serving);
+  Rollout.Shifted = true;
+  CHECK(Fixture.Recorder.arm(&Rollout, Session, "2") == version_arm::candidate);
+}
+
+// Guards against work on the new version before the sessions are known.
+TEST_CASE("while sessions are collected the new version gets no work") {
+  fixture Fixture;
+  auto Rollout = running();
+  Rollout.Collecting = true;
+  CHECK(Fixture.Recorder.arm(&Rollout, canarySession(), "1") ==
+        version_arm::serving);
+}
--- a/test/routing_document_test.cpp
+++ b/test/routing_document_test.cpp
@@ -101,3 +101,22 @@
   CHECK(Group.run(report_service_evidence{"chat", "v1", "g/1", 2, {Counts}})
             .Code == errc::unknown_entry);
 }
+
+// Guards against sessions that are lost or doubled between the gateways'
+// reports and the rollout that all of them follow.
+TEST_CASE("sessions reported while a rollout collects them are held") {
+  group Group;
+  CHECK(Group.run(start_service_rollout{"chat", "v2", 1000}).ok());
+  CHECK(Group.data().ServiceRollouts.at("chat").Collecting);
+  CHECK(Group.run(report_service_evidence{"chat", "v2", "g/1", 1, {}, {9, 3}})
+            .ok());
+  CHECK(Group.run(report_service_evidence{"chat", "v2", "g/2", 1, {}, {3, 5}})
+            .ok());
+  CHECK(Group.run(open_service_rollout{"chat", "v2"}).ok());
+  CHECK(Group.run(report_service_evidence{"chat", "v2", "g/2", 2, {}, {7}})
+            .ok());
+  CHECK(Group.run(open_service_rollout{"chat", "v2"}).ok());
+  const auto &Rollout = Group.data().ServiceRollouts.at("chat");
+  CHECK_FALSE(Rollout.Collecting);
+  CHECK(Rollout.Held == std::vector<std::uint64_t>{3, 5, 9});
+}
