Fix: [Gateway] unsent answers survive the close of idle connections; every extra arrival is charged; rollouts open when all gateways know the new version

Sessions are collected for 2.4 s after the first gateway knows such a server. - The ladder chooses the model with the least expected loss; the gain of a larger model is learnt from the confidences of both on the same requests. - A prompt that does not run where it is cached is copied from there (Kv-Fetch).

--- a/src/catalogue/command_fields.h
+++ b/src/catalogue/command_fields.h
@@ -221,6 +221,7 @@
       required("sequence", &body::Sequence, {1, 1e15}, "grows per report"),
       required("counts", &body::Counts, {0, 4096}, "per arm and route"),
       field("sessions", &body::Sessions, {0, 4096}, "under way before"),
+      field("listed", &body::Listed, {}, "knows servers of the version"),
   };
 };
 
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -210,6 +210,7 @@
   std::vector<arm_counts> Counts; ///< Since the last report.
   /// Hashes of sessions that began before the candidate gets work.
   std::vector<std::uint64_t> Sessions;
+  bool Listed = false; ///< The source knows servers of the new version.
 };
 
 /// Lets the version that a rollout brings in take its share of new sessions;
--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -91,7 +91,7 @@
              "",
              true,
              {}};
-  Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}, {}};
+  Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}, {}, 0};
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "started", writeValue(Rollout));
 }
@@ -130,6 +130,8 @@
   Last = Body.Sequence;
   for (const auto &Counts : Body.Counts)
     addCounts(Evidence.Counts, Counts);
+  if (Body.Listed && Evidence.ListedMs == 0)
+    Evidence.ListedMs = Context.NowMs;
   if (Rollout->Collecting)
     for (const auto Session : Body.Sessions)
       addSession(Evidence.Sessions, Session);
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -42,6 +42,9 @@
   std::vector<arm_counts> Counts; ///< One row for each arm and route.
   /// Hashes of the sessions that were under way before it, sorted.
   std::vector<std::uint64_t> Sessions;
+  /// Log time at which the first gateway knew backend servers of the new
+  /// version; 0 before.
+  std::uint64_t ListedMs = 0;
 };
 
 /// Key of the routing document among the shared values.
@@ -96,6 +99,7 @@
       required("sequences", &body::Sequences, {}, "per source"),
       required("counts", &body::Counts, {}, "per arm and route"),
       field("sessions", &body::Sessions, {}, "under way before the start"),
+      field("listed_ms", &body::ListedMs, {}, "new version first seen"),
   };
 };
 
--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -3,17 +3,34 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <span>
+#include <string>
+#include <utility>
 
 namespace acacianotch {
 
-/// Settings of a ladder.
+/// Settings of a ladder. Confidences are 0 to 100.
 struct model_ladder_settings {
-  /// Answers whose model is less sure than this, 0 to 100, are asked again.
-  std::uint32_t MinConfidence = 45;
+  /// Answers whose model is at least this sure are passed on.
+  std::uint32_t MinConfidence = 60;
   /// Share of the latency objective after which no larger model is asked: the
   /// rest is left for its first token.
   double LatestShare = 0.5;
+  /// Confidence at which an answer is as likely right as wrong.
+  double EvenConfidence = 50;
+  /// Standard deviation of a stated confidence around the true one.
+  double ConfidenceNoise = 10;
+  /// What a run of the largest model costs, as a share of a right answer's
+  /// worth; other models cost in proportion to their prices.
+  double CostShare = 0.15;
+};
+
+/// One model of a route's ladder.
+struct ladder_model {
+  std::string Name;
+  double Price = 0;
 };
 
 /// What is known when the head of an answer arrives.
@@ -23,10 +40,13 @@
   std::optional<std::uint32_t> Confidence;
   double ObjectiveShare = 0; ///< Share of the latency objective that is over.
   bool MayRepeat = false;    ///< Attempts and budget allow another run.
+  std::span<const ladder_model> Models{}; ///< Empty if prices are not known.
 };
 
-/// Starts with the smallest model and goes straight to the largest one if that
-/// is not sure: the steps between cost most of what the largest costs.
+/// Starts with the smallest model and asks the one with the least expected
+/// loss, of wrong answers and of cost, if the answer is not sure. How much more
+/// a larger model can do is learnt from the confidences of both on the same
+/// requests.
 class model_ladder {
 public:
   explicit model_ladder(model_ladder_settings Values = {}) : Settings(Values) {}
@@ -38,18 +58,27 @@
 
   /// \return the model that should answer in place of this one, if any.
   [[nodiscard]] auto next(const ladder_answer &Answer) const
-      -> std::optional<std::size_t> {
-    const auto Last = Answer.Steps - 1;
-    if (Answer.Step >= Last || !Answer.MayRepeat || !Answer.Confidence)
-      return std::nullopt;
-    if (*Answer.Confidence >= Settings.MinConfidence ||
-        Answer.ObjectiveShare > Settings.LatestShare)
-      return std::nullopt;
-    return Last;
-  }
+      -> std::optional<std::size_t>;
+
+  /// Notes the confidences of two models on one request.
+  auto learn(const std::string &Smaller, std::uint32_t SmallerConfidence,
+             const std::string &Larger, std::uint32_t LargerConfidence) -> void;
+
+  /// \return the confidence that \p Larger is expected to have beyond that of
+  /// \p Smaller; \p IsLargest tells what to assume before anything is known.
+  [[nodiscard]] auto gain(const std::string &Smaller, const std::string &Larger,
+                          bool IsLargest) const -> double;
 
 private:
+  struct mean {
+    double Sum = 0;
+    double Count = 0;
+  };
+
+  [[nodiscard]] auto wrongShare(double Confidence) const -> double;
+
   model_ladder_settings Settings;
+  std::map<std::pair<std::string, std::string>, mean> Gains;
 };
 
 } // namespace acacianotch
--- a/src/controller/placement.h
+++ b/src/controller/placement.h
@@ -81,6 +81,18 @@
     return affine(Request, *Spread).value_or(*Spread);
   }
 
+  /// \return the eligible member that requests with \p Key use without load.
+  [[nodiscard]] auto home(std::uint64_t Key) -> std::optional<backend_handle> {
+    refresh();
+    auto Cursor = Subset.ring().seek(Key, Steps);
+    for (std::uint32_t Try = 0; Try < Settings.AffinityCandidates; ++Try) {
+      const auto Handle = Subset.ring().next(Cursor, Steps);
+      if (!Handle || Board->eligible(*Handle))
+        return Handle;
+    }
+    return std::nullopt;
+  }
+
   /// \return the load of the subset; at most SummaryInterval old.
   [[nodiscard]] auto load() -> const pool_load & {
     refresh();
--- a/src/controller/rollout_judge.cpp
+++ b/src/controller/rollout_judge.cpp
@@ -102,7 +102,8 @@
   const auto Elapsed =
       static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
   if (Rollout.Collecting) {
-    if (Elapsed >= Settings.CollectMs)
+    if (Evidence.ListedMs != 0 &&
+        NowMs >= Evidence.ListedMs + Settings.CollectMs)
       return {rollout_step::open, "sessions under way are known"};
     return {};
   }
--- a/src/controller/rollout_judge.h
+++ b/src/controller/rollout_judge.h
@@ -13,9 +13,10 @@
   /// Share of the duration after which all new work goes to the new version.
   /// Half of it leaves sessions on their version while the rollout is young.
   double ShiftAt = 0.53;
-  /// Time in which gateways report the sessions under way, milliseconds: three
-  /// of their reports.
-  std::uint32_t CollectMs = 1200;
+  /// Time in which gateways report the sessions under way after the first of
+  /// them knows servers of the new version, milliseconds: the others read the
+  /// list within 1,500, then report twice.
+  std::uint32_t CollectMs = 2400;
   /// Share of the duration after which it completes; work on the predecessor
   /// ends between the two.
   double CompleteAt = 0.9;
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -225,9 +225,15 @@
   close();
 }
 
+// The socket may not have taken the last answer yet.
 auto caller_connection::closeIfIdle() -> void {
-  if (State == state::reading && !Reader.inMessage())
-    close();
+  if (State != state::reading || Reader.inMessage())
+    return;
+  if (unsent() == 0)
+    return close();
+  Timer->stop();
+  State = state::answering;
+  CloseAfterWrite = true;
 }
 
 auto caller_connection::startTimer() -> void {
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -19,6 +19,11 @@
 constexpr int LostFactor = 2;
 /// Less silence than this is usual on a loaded backend server.
 constexpr duration LeastSilence = std::chrono::milliseconds(100);
+/// Requests per slot above which the preferred part of a pool is left.
+constexpr double FullLoad = 0.9;
+/// Shared prompt tokens from which a copy is worth a transfer; a transfer has a
+/// set-up time of some milliseconds.
+constexpr std::uint32_t FetchTokens = 512;
 /// Prompts above this many tokens count as long work.
 constexpr std::uint32_t LongPromptTokens = 4096;
 
@@ -41,12 +46,11 @@
   return *Request.TimeLeft - (steady_clock::now() - Request.ReceivedAt);
 }
 
-// Without a listed backend server of the new version a rollout has not begun.
 auto forward_task::chooseArm() -> void {
-  const auto *Rollout = Context.Directory.runningRollout(Service);
-  if (Context.Directory.pool(Service, version_arm::candidate) == nullptr)
-    Rollout = nullptr;
-  Arm = Context.Rollouts.arm(Rollout, Request.Session, Request.Id);
+  const auto Listed =
+      Context.Directory.pool(Service, version_arm::candidate) != nullptr;
+  Arm = Context.Rollouts.arm(Context.Directory.runningRollout(Service),
+                             Request.Session, Request.Id, Listed);
 }
 
 auto forward_task::recordOutcome(bool Failed) -> void {
@@ -66,6 +70,16 @@
   Context.Rollouts.record(*Rollout, Outcome);
 }
 
+/// \return the part of the pool that runs the chosen model; null if the pool
+/// is not split for it.
+auto forward_task::preferredPart() -> backend_pool * {
+  if (!Request.AnyModel || Route->Models.size() < 2)
+    return nullptr;
+  return Context.Directory.pool(Service, Arm,
+                                Step == 0 ? pool_part::first_model
+                                          : pool_part::larger_model);
+}
+
 auto forward_task::chooseBackend() -> result<backend_handle> {
   auto *Pool = Context.Directory.pool(Service, Arm);
   if (Pool == nullptr)
@@ -75,9 +89,36 @@
   place_request Place;
   Place.AffinityKey = affinityKey();
   Place.Exclude = Tried;
+  if (auto *Part = preferredPart()) {
+    const auto Chosen = Part->Placement.pick(Place);
+    if (Chosen && Part->Placement.perSlot(*Chosen, false) <= FullLoad)
+      return Chosen;
+  }
   return Pool->Placement.pick(Place);
 }
 
+/// \return where an engine other than the prompt's usual one can copy the
+/// shared part of the prompt from, which takes far less time than reading it.
+auto forward_task::fetchSource(const known_backend &Chosen)
+    -> std::optional<address> {
+  const auto Key = affinityKey();
+  std::uint32_t Shared = 0;
+  for (std::size_t Part = 0; Part + 1 < Request.Prompt.size(); ++Part)
+    Shared += Request.Prompt[Part].Tokens;
+  if (!Key || Shared < FetchTokens)
+    return std::nullopt;
+  auto *Pool = Context.Directory.pool(Service, Context.Directory.armOf(Chosen));
+  if (Pool == nullptr)
+    return std::nullopt;
+  const auto Home = Pool->Placement.home(*Key);
+  if (!Home || *Home == Chosen.Handle)
+    return std::nullopt;
+  const auto *Source = Context.Directory.find(*Home);
+  if (Source == nullptr)
+    return std::nullopt;
+  return Source->Record.Address;
+}
+
 auto forward_task::send(backend_handle Chosen) -> bool {
   auto *Backend = Context.Directory.find(Chosen);
   if (Backend == nullptr)
@@ -104,6 +145,7 @@
   Terms.LastEvent =
       Events.lastId().empty() ? Request.LastEvent : Events.lastId();
   Terms.TimeLeft = timeLeft();
+  Terms.FetchFrom = fetchSource(*Backend);
   channel_call Call;
   Call.RequestId = Request.Id;
   Call.Method = Request.Method;
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -116,6 +116,29 @@
   Model = Route->Models[Step];
 }
 
+auto forward_task::ladderModels() const -> std::vector<ladder_model> {
+  std::vector<ladder_model> Models;
+  const auto Place = Table->Services.find(Service);
+  if (Place == Table->Services.end())
+    return Models;
+  for (const auto &Name : Route->Models)
+    for (const auto &Price : Place->second.Models)
+      if (Price.Model == Name)
+        Models.push_back({Name, Price.Cost});
+  return Models;
+}
+
+// Both models have stated how sure they are of the same request.
+auto forward_task::learnFromLadder() -> void {
+  const auto &Now = Attempt->Facts.Confidence;
+  if (!Request.AnyModel || !Now)
+    return;
+  if (Dropped)
+    Context.Ladder.learn(Route->Models[Dropped->first], Dropped->second,
+                         Route->Models[Step], *Now);
+  Dropped = {Step, *Now};
+}
+
 /// \return the step that should answer in place of the one that does, and
 /// charges the budget for it.
 auto forward_task::largerModel() -> std::optional<std::size_t> {
@@ -131,6 +154,8 @@
   Answer.ObjectiveShare =
       Elapsed / std::chrono::duration<double>(Route->TargetLatency);
   Answer.MayRepeat = Sent + 1 < Route->MaxAttempts;
+  const auto Models = ladderModels();
+  Answer.Models = Models;
   const auto Next = Context.Ladder.next(Answer);
   if (!Next || !Context.ExtraAttempts.tryTake())
     return std::nullopt;
@@ -175,6 +200,7 @@
   Attempt->Head = std::move(Head);
   if (Route->Kind != route_kind::streaming || !Facts.success())
     return;
+  learnFromLadder();
   if (const auto Next = largerModel())
     return escalate(*Next);
   beginStream();
@@ -226,7 +252,7 @@
     releaseAttempt(true);
     if (Streaming && !attemptsLeft())
       return failUnknown(BadGateway, "a broken stream could not go on");
-    if (Sent > 1 && !Context.ExtraAttempts.tryTake())
+    if (!Context.ExtraAttempts.tryTake())
       return refuseNotRun("the budget for extra attempts is spent");
     return tryNext();
   }
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -93,8 +93,13 @@
   auto chooseService() -> void;
   auto chooseModel() -> void;
   [[nodiscard]] auto largerModel() -> std::optional<std::size_t>;
+  [[nodiscard]] auto ladderModels() const -> std::vector<ladder_model>;
+  auto learnFromLadder() -> void;
   auto escalate(std::size_t Step) -> void;
   auto chooseArm() -> void;
+  [[nodiscard]] auto fetchSource(const known_backend &Chosen)
+      -> std::optional<address>;
+  [[nodiscard]] auto preferredPart() -> backend_pool *;
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   auto tryNext() -> void;
   auto recordOutcome(bool Failed) -> void;
@@ -138,6 +143,8 @@
   version_arm Arm = version_arm::serving;
   std::string Model;
   std::size_t Step = 0; ///< Position of the model on the route's ladder.
+  /// Step and confidence of the last model that answered.
+  std::optional<std::pair<std::size_t, std::uint32_t>> Dropped;
   std::unique_ptr<attempt> Attempt;
   std::vector<backend_handle> Tried;
   event_splitter Events;
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -1,6 +1,7 @@
 /// \file A caller's request and a backend server's answer in a gateway.
 #pragma once
 
+#include "core/address_type.h"
 #include "core/clock_type.h"
 #include "net/http_reader.h"
 #include "routing/backend_type.h"
@@ -51,6 +52,8 @@
   std::string LastEvent;
   std::optional<duration> TimeLeft;
   std::optional<std::uint32_t> Urgency; ///< 0 is the most urgent.
+  /// Where the backend server copies cached parts of the prompt from.
+  std::optional<address> FetchFrom;
 };
 
 /// Facts in the head of a backend server's answer.
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -98,10 +98,17 @@
     Batch.NextSessions.push_back(Hash);
 }
 
+auto rollout_recorder::noteListed(const service_rollout &Rollout) -> void {
+  auto &Batch = batchOf(Rollout);
+  Batch.ListedDue = Batch.ListedDue || !Batch.Listed;
+  Batch.Listed = true;
+}
+
 // A session that is under way keeps its version until all work shifts.
 auto rollout_recorder::arm(const service_rollout *Rollout,
                            const std::string &Session,
-                           const std::string &RequestId) -> version_arm {
+                           const std::string &RequestId, bool Listed)
+    -> version_arm {
   const auto Now = steady_clock::now();
   auto Arm = version_arm::serving;
   const auto Known = Session.empty() ? Sessions.end() : Sessions.find(Session);
@@ -111,7 +118,11 @@
     const auto &Key = Session.empty() ? RequestId : Session;
     if (Rollout->Collecting && !Session.empty())
       report(*Rollout, Session);
-    if (UnderWay && !Rollout->Shifted)
+    if (Rollout->Collecting && Listed)
+      noteListed(*Rollout);
+    if (!Listed)
+      Arm = version_arm::serving;
+    else if (UnderWay && !Rollout->Shifted)
       Arm = Known->second.Arm;
     else if (Rollout->Shifted ||
              (!Rollout->Collecting && !held(*Rollout, Session) &&
@@ -147,7 +158,8 @@
       Batch.SendingSessions = std::exchange(Batch.NextSessions, {});
       ++Batch.Sequence;
     }
-    if (!Batch.Sending.empty() || !Batch.SendingSessions.empty())
+    if (!Batch.Sending.empty() || !Batch.SendingSessions.empty() ||
+        Batch.ListedDue)
       send(Service, Batch);
   }
 }
@@ -158,7 +170,7 @@
   Command.Issuer = Source;
   Command.Body = report_service_evidence{Service,       Batch.To,
                                          Source,        Batch.Sequence,
-                                         Batch.Sending, Batch.SendingSessions};
+                                         Batch.Sending, Batch.SendingSessions, Batch.Listed};
   Control.execute(Command, ReportLimit)
       .then([this, Service,
              Guard = std::weak_ptr<bool>(Alive)](const command_result &Result) {
@@ -170,6 +182,7 @@
         if (Result.ok() || Result.Code == errc::unknown_entry) {
           Sent.Sending.clear();
           Sent.SendingSessions.clear();
+          Sent.ListedDue = false;
         }
       })
       .detach([this, Service,
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -39,10 +39,12 @@
   auto record(const service_rollout &Rollout, const arm_outcome &Outcome)
       -> void;
 
-  /// \return the arm that a request uses: its session's, or a stable choice.
+  /// \return the arm that a request uses: its session's, or a stable choice;
+  /// \p Listed tells whether servers of the new version are known.
   [[nodiscard]] auto arm(const service_rollout *Rollout,
                          const std::string &Session,
-                         const std::string &RequestId) -> version_arm;
+                         const std::string &RequestId, bool Listed = true)
+      -> version_arm;
 
   /// Notes that a request of the session has ended on \p Arm; the session lasts
   /// from here.
@@ -57,6 +59,8 @@
     std::vector<std::uint64_t> SendingSessions;
     std::vector<std::uint64_t> NextSessions;
     std::set<std::uint64_t> Reported; ///< Sessions reported or about to be.
+    bool Listed = false;    ///< Servers of the new version are known here.
+    bool ListedDue = false; ///< Control does not know that yet.
     bool Busy = false;
   };
   struct seen_session {
@@ -67,6 +71,7 @@
   auto tick() -> void;
   auto report(const service_rollout &Rollout, const std::string &Session)
       -> void;
+  auto noteListed(const service_rollout &Rollout) -> void;
   auto batchOf(const service_rollout &Rollout) -> batch &;
   auto send(const std::string &Service, batch &Batch) -> void;
 
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view LengthName = "X-Acacianotch-Length-Hint";
 constexpr std::string_view LastEventName = "Last-Event-Id";
 constexpr std::string_view UrgencyName = "X-Acacianotch-Request-Urgency";
+constexpr std::string_view FetchName = "Kv-Fetch";
 constexpr std::string_view SealName = "X-Acacianotch-Response-Seal";
 constexpr std::string_view NotRunName = "X-Acacianotch-Not-Executed";
 constexpr std::string_view LoadName = "X-Acacianotch-Engine-Load";
@@ -43,7 +44,7 @@
     "X-Acacianotch-Hold",
     "X-Acacianotch-Kv-Backup",
     "Kv-From",
-    "Kv-Fetch",
+    FetchName,
     "Content-Length",
     "Host",
 };
@@ -196,6 +197,8 @@
     Add(TimeLeftName, millisecondsText(*Terms.TimeLeft));
   if (Terms.Urgency)
     Add(UrgencyName, std::to_string(*Terms.Urgency));
+  if (Terms.FetchFrom)
+    Add(FetchName, Terms.FetchFrom->text());
   return Headers;
 }
 
