Change: [Gateway] the ladder weighs time to the first token and the route's rank; larger models leave slow servers

Cause: a large model that would be late was asked for long prompts, on servers that had just been slow for the smallest model.

--- a/src/controller/model_ladder.cpp
+++ b/src/controller/model_ladder.cpp
@@ -67,18 +67,22 @@
   if (Answer.Models.size() != Answer.Steps ||
       Answer.Models[Last].Price <= 0)
     return Last;
-  auto Best = wrongShare(*Answer.Confidence);
+  const auto Cost = Settings.CostShare + Settings.CostPerRank * Answer.Rank;
+  auto Best = 1 - wrongShare(*Answer.Confidence);
+  if (Answer.ObjectiveShare > 1)
+    Best *= Settings.LateShare;
   std::optional<std::size_t> Chosen;
   for (auto Step = Answer.Step + 1; Step <= Last; ++Step) {
     const auto &Model = Answer.Models[Step];
     const auto Gain =
         gain(Answer.Models[Answer.Step].Name, Model.Name, Step == Last);
-    const auto Loss =
-        wrongShare(*Answer.Confidence + Gain) +
-        Settings.CostShare * Model.Price / Answer.Models[Last].Price;
-    if (Loss >= Best)
+    const auto Timely =
+        Model.InTime + (1 - Model.InTime) * Settings.LateShare;
+    const auto Worth = (1 - wrongShare(*Answer.Confidence + Gain)) * Timely -
+                       Cost * Model.Price / Answer.Models[Last].Price;
+    if (Worth <= Best)
       continue;
-    Best = Loss;
+    Best = Worth;
     Chosen = Step;
   }
   return Chosen;
--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -17,20 +17,27 @@
   std::uint32_t MinConfidence = 60;
   /// Share of the latency objective after which no larger model is asked: the
   /// rest is left for its first token.
-  double LatestShare = 0.5;
+  double LatestShare = 1.0;
   /// Confidence at which an answer is as likely right as wrong.
   double EvenConfidence = 50;
   /// Standard deviation of a stated confidence around the true one.
   double ConfidenceNoise = 10;
   /// What a run of the largest model costs, as a share of a right answer's
-  /// worth; other models cost in proportion to their prices.
+  /// worth on the most urgent routes; other models cost in proportion to
+  /// their prices.
   double CostShare = 0.15;
+  /// What that share grows by with each rank: answers of less urgent routes
+  /// are worth less, while their runs cost as much.
+  double CostPerRank = 0.15;
+  /// Worth of an answer that is late, as a share of one in time.
+  double LateShare = 0.3;
 };
 
 /// One model of a route's ladder.
 struct ladder_model {
   std::string Name;
   double Price = 0;
+  double InTime = 1; ///< Probability that its first token comes in time.
 };
 
 /// What is known when the head of an answer arrives.
@@ -40,11 +47,12 @@
   std::optional<std::uint32_t> Confidence;
   double ObjectiveShare = 0; ///< Share of the latency objective that is over.
   bool MayRepeat = false;    ///< Attempts and budget allow another run.
+  std::uint32_t Rank = 0; ///< Of the route; 0 is the most urgent.
   std::span<const ladder_model> Models{}; ///< Empty if prices are not known.
 };
 
-/// Starts with the smallest model and asks the one with the least expected
-/// loss, of wrong answers and of cost, if the answer is not sure. How much more
+/// Starts with the smallest model and asks the one with the greatest
+/// expected worth, less its cost, if the answer is not sure. How much more
 /// a larger model can do is learnt from the confidences of both on the same
 /// requests.
 class model_ladder {
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace acacianotch {
 
@@ -21,6 +22,14 @@
 /// answers them.
 constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
 
+/// How sharply times to the first token spread around their expectation: at
+/// half of the time left about 9 of 10 answers are in time.
+constexpr double TimeSpread = 3;
+
+/// Times the expected time to the first token above which a backend server
+/// counts as held up.
+constexpr double SlowFactor = 1.5;
+
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
@@ -124,13 +133,31 @@
   for (const auto &Name : Route->Models)
     for (const auto &Price : Place->second.Models)
       if (Price.Model == Name)
-        Models.push_back({Name, Price.Cost});
+        Models.push_back({Name, Price.Cost, inTime(Name)});
   return Models;
 }
 
+/// \return the probability that the first token of \p Name, asked now, comes
+/// within the latency objective.
+auto forward_task::inTime(const std::string &Name) const -> double {
+  const auto Expected = Context.FirstToken.expect(Name, Request.PromptTokens);
+  const auto Elapsed = steady_clock::now() - Request.ReceivedAt;
+  const auto Left =
+      std::chrono::duration<double>(Route->TargetLatency - Elapsed).count();
+  if (Left <= 0)
+    return 0;
+  if (!Expected)
+    return 1;
+  return 1 / (1 + std::pow(*Expected / Left, TimeSpread));
+}
+
 // Both models have stated how sure they are of the same request.
 auto forward_task::learnFromLadder() -> void {
   const auto &Now = Attempt->Facts.Confidence;
+  Context.FirstToken.observe(
+      Model, Request.PromptTokens,
+      std::chrono::duration<double>(steady_clock::now() - Attempt->SentAt)
+          .count());
   if (!Request.AnyModel || !Now)
     return;
   if (Dropped)
@@ -156,12 +183,22 @@
   Answer.MayRepeat = Sent + 1 < Route->MaxAttempts;
   const auto Models = ladderModels();
   Answer.Models = Models;
+  Answer.Rank = Route->Rank;
   const auto Next = Context.Ladder.next(Answer);
   if (!Next || !Context.ExtraAttempts.tryTake())
     return std::nullopt;
   return Next;
 }
 
+/// \return whether the backend server took longer than it should: it reads
+/// long prompts or is disturbed, and would hold up the next run as well.
+auto forward_task::slowAttempt() const -> bool {
+  const auto Expected = Context.FirstToken.expect(Model, Request.PromptTokens);
+  const auto Took = std::chrono::duration<double>(steady_clock::now() -
+                                                  Attempt->SentAt);
+  return Expected && Took.count() > SlowFactor * *Expected;
+}
+
 // The answer is dropped before the caller has any of it.
 auto forward_task::escalate(std::size_t Next) -> void {
   ++Context.Counters.Escalations;
@@ -171,8 +208,12 @@
             {"confidence", Attempt->Facts.Confidence.value_or(0)},
             {"step", Step},
             {"next", Next}});
+  const auto Slow = slowAttempt();
+  const auto Backend = Attempt->Backend;
   releaseAttempt(false);
   Tried.clear();
+  if (Slow)
+    Tried.push_back(Backend);
   Step = Next;
   Model = Route->Models[Step];
   tryNext();
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -1,6 +1,7 @@
 /// \file Forwards one caller's request to backend servers.
 #pragma once
 
+#include "controller/first_token_time.h"
 #include "controller/model_ladder.h"
 #include "controller/traffic_budget.h"
 #include "gateway/backend_directory.h"
@@ -55,6 +56,7 @@
   bool Stopping = false; ///< The process ends soon; answers must be quick.
   gateway_counters Counters;
   gateway_times Times;
+  first_token_time FirstToken;
 };
 
 /// One request under way. The gateway keeps it until OnDone.
@@ -94,6 +96,8 @@
   auto chooseModel() -> void;
   [[nodiscard]] auto largerModel() -> std::optional<std::size_t>;
   [[nodiscard]] auto ladderModels() const -> std::vector<ladder_model>;
+  [[nodiscard]] auto inTime(const std::string &Name) const -> double;
+  [[nodiscard]] auto slowAttempt() const -> bool;
   auto learnFromLadder() -> void;
   auto escalate(std::size_t Step) -> void;
   auto chooseArm() -> void;
