--- a/src/controller/first_token_time.cpp
+++ b/src/controller/first_token_time.cpp
@@ -13,13 +13,23 @@
 constexpr double LeastCount = 8;
 /// Prompts in thousands of tokens keep the sums in one range.
 constexpr double Thousand = 1000;
+/// Thousands of prompt tokens at which attention, which grows with the square
+/// of the length, takes as long as the rest of the work.
+constexpr double AttentionThousands = 64;
+
+/// \return the work of reading a prompt, in thousands of tokens of a short
+/// one.
+auto workOf(std::uint32_t Tokens) -> double {
+  const auto Length = Tokens / Thousand;
+  return Length * (1 + Length / AttentionThousands);
+}
 
 } // namespace
 
 auto first_token_time::observe(const std::string &Model, std::uint32_t Tokens,
                                double Seconds) -> void {
   auto &Fit = Fits[Model];
-  const auto X = Tokens / Thousand;
+  const auto X = workOf(Tokens);
   for (auto *Sum : {&Fit.Count, &Fit.X, &Fit.Y, &Fit.XX, &Fit.XY})
     *Sum *= Decay;
   Fit.Count += 1;
@@ -43,7 +53,7 @@
           ? 0.0
           : std::max(0.0, (Fit.Count * Fit.XY - Fit.X * Fit.Y) / Spread);
   const auto Base = std::max(0.0, (Fit.Y - Slope * Fit.X) / Fit.Count);
-  return Base + Slope * (Tokens / Thousand);
+  return Base + Slope * workOf(Tokens);
 }
 
 } // namespace acacianotch
--- a/src/controller/first_token_time.h
+++ b/src/controller/first_token_time.h
@@ -8,7 +8,7 @@
 
 namespace acacianotch {
 
-/// Fits time = base + slope x tokens to recent answers of each model. Queueing
+/// Fits time = base + slope x work of the prompt to recent answers of each model. Queueing
 /// at the backend servers is part of the times, so the estimate follows load.
 class first_token_time {
 public:
