--- a/src/core/log_func.cpp
+++ b/src/core/log_func.cpp
@@ -4,6 +4,7 @@
 #include <easylogging++.h>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
 #include <climits>
@@ -29,12 +30,42 @@
   return Levels;
 }
 
+/// Lines a second of one category below warnings, and the same again of
+/// warnings and errors: a full second costs about a hundredth of a core.
+constexpr double LinesPerSecond = 200;
+/// Lines that a category may write at once after a quiet time.
+constexpr double LineBurst = 400;
+
+/// Bounds the lines of one category and severity.
+struct line_budget {
+  double Lines = LineBurst;
+  std::chrono::steady_clock::time_point RefilledAt{};
+  std::uint64_t Suppressed = 0; ///< Not told yet.
+
+  /// \return whether a line may be written, and charges it.
+  auto tryTake(std::chrono::steady_clock::time_point Now) -> bool {
+    const auto Passed =
+        std::chrono::duration<double>(Now - RefilledAt).count();
+    Lines = std::min(LineBurst, Lines + LinesPerSecond * Passed);
+    RefilledAt = Now;
+    if (Lines < 1) {
+      ++Suppressed;
+      return false;
+    }
+    Lines -= 1;
+    return true;
+  }
+};
+
 /// State of the logger; one thread writes logs.
 struct log_state {
   log_sink Sink;
   const log_fields *Fields = nullptr; ///< Fields of the line being written.
   log_level Level = log_level::invalid;
   std::uint64_t Dropped = 0; ///< Lines that the reader was too slow for.
+  std::uint64_t Suppressed = 0; ///< Lines beyond their category's budget.
+  std::array<line_budget, detail::LogCategoryCount> Ordinary;
+  std::array<line_budget, detail::LogCategoryCount> Severe;
 };
 
 auto state() -> log_state & {
@@ -139,6 +170,35 @@
 
 } // namespace
 
+namespace {
+
+auto write(log_category Category, log_level Level, std::string_view Message,
+           log_fields Fields) -> void {
+  auto &State = state();
+  State.Fields = &Fields;
+  State.Level = Level;
+  dispatch(logger(Category), Level, std::string(Message));
+  State.Fields = nullptr;
+}
+
+/// \return whether the line fits into its category's budget. Severe lines have
+/// one of their own, so that a flood of others does not hide them.
+auto admitLine(log_category Category, log_level Level) -> bool {
+  auto &State = state();
+  auto &Budgets =
+      Level >= log_level::warning ? State.Severe : State.Ordinary;
+  auto &Budget = Budgets[static_cast<std::size_t>(Category)];
+  if (!Budget.tryTake(std::chrono::steady_clock::now())) {
+    ++State.Suppressed;
+    return false;
+  }
+  if (const auto Count = std::exchange(Budget.Suppressed, 0); Count != 0)
+    write(Category, Level, "log lines were suppressed", {{"lines", Count}});
+  return true;
+}
+
+} // namespace
+
 namespace detail {
 
 std::array<log_level, LogCategoryCount> LogLevels = defaultLevels();
@@ -147,11 +207,8 @@
               log_fields Fields) -> void {
   assert(Category != log_category::invalid);
   assert(Level != log_level::invalid && Level != log_level::off);
-  auto &State = state();
-  State.Fields = &Fields;
-  State.Level = Level;
-  dispatch(logger(Category), Level, std::string(Message));
-  State.Fields = nullptr;
+  if (admitLine(Category, Level))
+    write(Category, Level, Message, Fields);
 }
 
 } // namespace detail
@@ -173,6 +230,8 @@
 
 auto droppedLogLines() -> std::uint64_t { return state().Dropped; }
 
+auto suppressedLogLines() -> std::uint64_t { return state().Suppressed; }
+
 auto setLogSink(log_sink Sink) -> void { state().Sink = std::move(Sink); }
 
 auto formatTime(std::chrono::system_clock::time_point When) -> std::string {
--- a/src/core/log_func.h
+++ b/src/core/log_func.h
@@ -78,6 +78,9 @@
 /// not keep up.
 [[nodiscard]] auto droppedLogLines() -> std::uint64_t;
 
+/// \return lines that were left out because their category wrote too many.
+[[nodiscard]] auto suppressedLogLines() -> std::uint64_t;
+
 /// Sends lines to \p Sink; an empty sink restores standard output.
 auto setLogSink(log_sink Sink) -> void;
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -203,11 +203,12 @@
 auto forward_task::escalate(std::size_t Next) -> void {
   ++Context.Counters.Escalations;
   ++Sent;
-  logDebug(log_category::entry, "a larger model is asked",
-           {{"request", Request.Id},
-            {"confidence", Attempt->Facts.Confidence.value_or(0)},
-            {"step", Step},
-            {"next", Next}});
+  logInfo(log_category::entry, "a larger model is asked",
+          {{"request", Request.Id},
+           {"backend", Attempt->BackendId},
+           {"confidence", Attempt->Facts.Confidence.value_or(0)},
+           {"model", Model},
+           {"next", Route->Models[Next]}});
   const auto Slow = slowAttempt();
   const auto Backend = Attempt->Backend;
   releaseAttempt(false);
@@ -303,6 +304,7 @@
   recordOutcome(Attempt->Facts.Status >= ServerError);
   if (Attempt->Streams) {
     Caller->write(Events.takeRest());
+    logAnswer();
     releaseAttempt(true);
     ++Context.Counters.Answered;
     Caller->endStream();
@@ -344,8 +346,28 @@
   return true;
 }
 
+auto forward_task::elapsedMs() const -> std::int64_t {
+  return (steady_clock::now() - Request.ReceivedAt) /
+         std::chrono::milliseconds(1);
+}
+
+auto forward_task::logAnswer() const -> void {
+  logInfo(log_category::entry, "request answered",
+          {{"request", Request.Id},
+           {"route", Route->Name},
+           {"status", Attempt->Facts.Status},
+           {"backend", Attempt->BackendId},
+           {"model", Model},
+           {"confidence", Attempt->Facts.Confidence.value_or(0)},
+           {"arm", VersionArmNames.name(Attempt->Arm)},
+           {"attempts", Sent},
+           {"ms", elapsedMs()},
+           {"routing", Table->Number}});
+}
+
 auto forward_task::deliver() -> void {
   ++Context.Counters.Answered;
+  logAnswer();
   auto Kept = std::move(Attempt->Body);
   const auto Status = Attempt->Facts.Status;
   const auto Headers = platform::callerHeaders(Attempt->Head);
@@ -405,7 +427,11 @@
   if (Done)
     return;
   ++Context.Counters.CallerLeft;
-  logDebug(log_category::entry, "caller left", {{"request", Request.Id}});
+  logInfo(log_category::entry, "caller left",
+          {{"request", Request.Id},
+           {"attempts", Sent},
+           {"ms", elapsedMs()},
+           {"streaming", Streaming}});
   finish();
 }
 
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -122,6 +122,8 @@
   auto passEvents() -> void;
   auto releaseAttempt(bool Clean) -> void;
   [[nodiscard]] auto mayRepeat() -> bool;
+  [[nodiscard]] auto elapsedMs() const -> std::int64_t;
+  auto logAnswer() const -> void;
   auto deliver() -> void;
   auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
       -> void;
