--- a/src/controller/first_token_time.h
+++ b/src/controller/first_token_time.h
@@ -8,8 +8,9 @@
 
 namespace acacianotch {
 
-/// Fits time = base + slope x work of the prompt to recent answers of each model. Queueing
-/// at the backend servers is part of the times, so the estimate follows load.
+/// Fits time = base + slope x work of the prompt to recent answers of each
+/// model. Queueing at the backend servers is part of the times, so the estimate
+/// follows load.
 class first_token_time {
 public:
   /// Notes that \p Model sent its first token \p Seconds after it was asked.
--- a/src/controller/model_ladder.cpp
+++ b/src/controller/model_ladder.cpp
@@ -64,8 +64,7 @@
   if (*Answer.Confidence >= Settings.MinConfidence ||
       Answer.ObjectiveShare > Settings.LatestShare)
     return std::nullopt;
-  if (Answer.Models.size() != Answer.Steps ||
-      Answer.Models[Last].Price <= 0)
+  if (Answer.Models.size() != Answer.Steps || Answer.Models[Last].Price <= 0)
     return Last;
   const auto Cost = Settings.CostShare + Settings.CostPerRank * Answer.Rank;
   auto Best = 1 - wrongShare(*Answer.Confidence);
@@ -76,8 +75,7 @@
     const auto &Model = Answer.Models[Step];
     const auto Gain =
         gain(Answer.Models[Answer.Step].Name, Model.Name, Step == Last);
-    const auto Timely =
-        Model.InTime + (1 - Model.InTime) * Settings.LateShare;
+    const auto Timely = Model.InTime + (1 - Model.InTime) * Settings.LateShare;
     const auto Worth = (1 - wrongShare(*Answer.Confidence + Gain)) * Timely -
                        Cost * Model.Price / Answer.Models[Last].Price;
     if (Worth <= Best)
--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -47,7 +47,7 @@
   std::optional<std::uint32_t> Confidence;
   double ObjectiveShare = 0; ///< Share of the latency objective that is over.
   bool MayRepeat = false;    ///< Attempts and budget allow another run.
-  std::uint32_t Rank = 0; ///< Of the route; 0 is the most urgent.
+  std::uint32_t Rank = 0;    ///< Of the route; 0 is the most urgent.
   std::span<const ladder_model> Models{}; ///< Empty if prices are not known.
 };
 
--- a/src/core/log_func.cpp
+++ b/src/core/log_func.cpp
@@ -44,8 +44,7 @@
 
   /// \return whether a line may be written, and charges it.
   auto tryTake(std::chrono::steady_clock::time_point Now) -> bool {
-    const auto Passed =
-        std::chrono::duration<double>(Now - RefilledAt).count();
+    const auto Passed = std::chrono::duration<double>(Now - RefilledAt).count();
     Lines = std::min(LineBurst, Lines + LinesPerSecond * Passed);
     RefilledAt = Now;
     if (Lines < 1) {
@@ -62,7 +61,7 @@
   log_sink Sink;
   const log_fields *Fields = nullptr; ///< Fields of the line being written.
   log_level Level = log_level::invalid;
-  std::uint64_t Dropped = 0; ///< Lines that the reader was too slow for.
+  std::uint64_t Dropped = 0;    ///< Lines that the reader was too slow for.
   std::uint64_t Suppressed = 0; ///< Lines beyond their category's budget.
   std::array<line_budget, detail::LogCategoryCount> Ordinary;
   std::array<line_budget, detail::LogCategoryCount> Severe;
@@ -185,8 +184,7 @@
 /// one of their own, so that a flood of others does not hide them.
 auto admitLine(log_category Category, log_level Level) -> bool {
   auto &State = state();
-  auto &Budgets =
-      Level >= log_level::warning ? State.Severe : State.Ordinary;
+  auto &Budgets = Level >= log_level::warning ? State.Severe : State.Ordinary;
   auto &Budget = Budgets[static_cast<std::size_t>(Category)];
   if (!Budget.tryTake(std::chrono::steady_clock::now())) {
     ++State.Suppressed;
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -3,10 +3,7 @@
 
 #include "core/log_func.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace acacianotch {
@@ -26,27 +23,14 @@
 /// Idle connections kept to one backend server.
 constexpr std::size_t MaxIdle = 32;
 
-/// Share of a pool's members that the first model of a ladder prefers.
-constexpr double FirstModelShare = 0.0;
-/// Smaller pools are not split: the loss of one member would take too much.
-constexpr std::size_t SmallestSplit = 6;
-
 constexpr std::string_view ServingSuffix = "/serving";
 constexpr std::string_view CandidateSuffix = "/candidate";
-constexpr std::string_view FirstSuffix = "/first";
-constexpr std::string_view LargerSuffix = "/larger";
 
 auto armKey(const std::string &Service, version_arm Arm) -> std::string {
   return Service + std::string(Arm == version_arm::candidate ? CandidateSuffix
                                                              : ServingSuffix);
 }
 
-auto partSuffix(pool_part Part) -> std::string_view {
-  if (Part == pool_part::all)
-    return "";
-  return Part == pool_part::first_model ? FirstSuffix : LargerSuffix;
-}
-
 /// All gateways must agree on where a prompt is cached, so each uses all
 /// backend servers of a service.
 auto placementSettings() -> placement_settings {
@@ -146,54 +130,25 @@
 auto backend_directory::rebuildPools() -> void {
   std::map<std::string, std::vector<backend_handle>> Lists;
   for (const auto &[Key, Pool] : Pools)
-    if (!Key.ends_with(FirstSuffix) && !Key.ends_with(LargerSuffix))
-      Lists[Key];
+    Lists[Key];
   for (const auto &[Id, Backend] : Backends)
     if (const auto Key = poolKey(Backend->Record); !Key.empty())
       Lists[Key].push_back(Backend->Handle);
   for (auto &[Key, Members] : Lists) {
-    splitByModel(Members, Key);
-    setMembers(Key, std::move(Members));
+    auto &Pool = Pools[Key];
+    if (Pool == nullptr)
+      Pool = std::make_unique<backend_pool>(Clock, Random, Board, Node, Zone,
+                                            placementSettings());
+    if (Pool->Members == Members)
+      continue;
+    Pool->Members = Members;
+    Pool->Placement.update(std::move(Members));
   }
 }
 
-// All gateways order the members alike, so that each prompt is cached where
-// the others look for it, and a new member changes the side of few.
-auto backend_directory::splitByModel(std::vector<backend_handle> Members,
-                                     const std::string &Key) -> void {
-  if (Members.size() < SmallestSplit)
-    Members.clear();
-  const auto Rank = [&](backend_handle Handle) {
-    const auto &Id = find(Handle)->Record.Id;
-    return XXH3_64bits(Id.data(), Id.size());
-  };
-  std::sort(Members.begin(), Members.end(), [&](auto Left, auto Right) {
-    return Rank(Left) < Rank(Right);
-  });
-  const auto First = Members.begin() +
-                     std::lround(FirstModelShare *
-                                 static_cast<double>(Members.size()));
-  setMembers(Key + std::string(FirstSuffix), {Members.begin(), First});
-  setMembers(Key + std::string(LargerSuffix), {First, Members.end()});
-}
-
-auto backend_directory::setMembers(const std::string &Key,
-                                   std::vector<backend_handle> Members)
-    -> void {
-  auto &Pool = Pools[Key];
-  if (Pool == nullptr)
-    Pool = std::make_unique<backend_pool>(Clock, Random, Board, Node, Zone,
-                                          placementSettings());
-  if (Pool->Members == Members)
-    return;
-  Pool->Members = Members;
-  Pool->Placement.update(std::move(Members));
-}
-
-auto backend_directory::pool(const std::string &Service, version_arm Arm,
-                             pool_part Part) -> backend_pool * {
-  const auto Place =
-      Pools.find(armKey(Service, Arm) + std::string(partSuffix(Part)));
+auto backend_directory::pool(const std::string &Service, version_arm Arm)
+    -> backend_pool * {
+  const auto Place = Pools.find(armKey(Service, Arm));
   if (Place == Pools.end() || Place->second->Members.empty())
     return nullptr;
   return Place->second.get();
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -16,15 +16,6 @@
 
 namespace acacianotch {
 
-/// Which members of a pool a request prefers. The first, small model of a
-/// ladder answers fast only on servers that do not read prompts for the large
-/// ones.
-enum class pool_part : std::uint8_t {
-  all,          ///< Requests for one model or none.
-  first_model,  ///< The first model of a ladder.
-  larger_model, ///< The others.
-};
-
 /// Controllers of the backend servers that share one kind of work.
 struct backend_pool {
   backend_pool(const steady_clock &Clock, seeded_random &Random,
@@ -65,8 +56,8 @@
   [[nodiscard]] auto known() const -> bool { return Known; }
 
   /// \return the pool of \p Service for \p Arm; null without members.
-  [[nodiscard]] auto pool(const std::string &Service, version_arm Arm,
-                          pool_part Part = pool_part::all) -> backend_pool *;
+  [[nodiscard]] auto pool(const std::string &Service, version_arm Arm)
+      -> backend_pool *;
 
   /// \return the rollout of a service that is running, or null.
   [[nodiscard]] auto runningRollout(const std::string &Service) const
@@ -118,10 +109,6 @@
 private:
   auto remove(known_backend &Backend) -> void;
   auto rebuildPools() -> void;
-  auto splitByModel(std::vector<backend_handle> Members,
-                    const std::string &Key) -> void;
-  auto setMembers(const std::string &Key, std::vector<backend_handle> Members)
-      -> void;
   [[nodiscard]] auto poolKey(const backend_record &Record) const -> std::string;
 
   event_loop &Loop;
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -19,8 +19,6 @@
 constexpr int LostFactor = 2;
 /// Less silence than this is usual on a loaded backend server.
 constexpr duration LeastSilence = std::chrono::milliseconds(100);
-/// Requests per slot above which the preferred part of a pool is left.
-constexpr double FullLoad = 0.9;
 /// Shared prompt tokens from which a copy is worth a transfer; a transfer has a
 /// set-up time of some milliseconds.
 constexpr std::uint32_t FetchTokens = 512;
@@ -70,16 +68,6 @@
   Context.Rollouts.record(*Rollout, Outcome);
 }
 
-/// \return the part of the pool that runs the chosen model; null if the pool
-/// is not split for it.
-auto forward_task::preferredPart() -> backend_pool * {
-  if (!Request.AnyModel || Route->Models.size() < 2)
-    return nullptr;
-  return Context.Directory.pool(Service, Arm,
-                                Step == 0 ? pool_part::first_model
-                                          : pool_part::larger_model);
-}
-
 auto forward_task::chooseBackend() -> result<backend_handle> {
   auto *Pool = Context.Directory.pool(Service, Arm);
   if (Pool == nullptr)
@@ -89,11 +77,6 @@
   place_request Place;
   Place.AffinityKey = affinityKey();
   Place.Exclude = Tried;
-  if (auto *Part = preferredPart()) {
-    const auto Chosen = Part->Placement.pick(Place);
-    if (Chosen && Part->Placement.perSlot(*Chosen, false) <= FullLoad)
-      return Chosen;
-  }
   return Pool->Placement.pick(Place);
 }
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -194,8 +194,8 @@
 /// long prompts or is disturbed, and would hold up the next run as well.
 auto forward_task::slowAttempt() const -> bool {
   const auto Expected = Context.FirstToken.expect(Model, Request.PromptTokens);
-  const auto Took = std::chrono::duration<double>(steady_clock::now() -
-                                                  Attempt->SentAt);
+  const auto Took =
+      std::chrono::duration<double>(steady_clock::now() - Attempt->SentAt);
   return Expected && Took.count() > SlowFactor * *Expected;
 }
 
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -103,7 +103,6 @@
   auto chooseArm() -> void;
   [[nodiscard]] auto fetchSource(const known_backend &Chosen)
       -> std::optional<address>;
-  [[nodiscard]] auto preferredPart() -> backend_pool *;
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   auto tryNext() -> void;
   auto recordOutcome(bool Failed) -> void;
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -170,7 +170,8 @@
   Command.Issuer = Source;
   Command.Body = report_service_evidence{Service,       Batch.To,
                                          Source,        Batch.Sequence,
-                                         Batch.Sending, Batch.SendingSessions, Batch.Listed};
+                                         Batch.Sending, Batch.SendingSessions,
+                                         Batch.Listed};
   Control.execute(Command, ReportLimit)
       .then([this, Service,
              Guard = std::weak_ptr<bool>(Alive)](const command_result &Result) {
--- a/src/node/shutdown.cpp
+++ b/src/node/shutdown.cpp
@@ -14,6 +14,10 @@
 // send requests until it has noticed; they get a refusal that says "not run".
 constexpr duration LeastDelay = std::chrono::milliseconds(200);
 
+// Work counts as ended before its last message has left the process, so one
+// interval passes between the end of all work and the end of the process.
+constexpr int IdleChecksToStop = 2;
+
 } // namespace
 
 graceful_shutdown::graceful_shutdown(event_loop &TheLoop, duration TheDeadline,
@@ -43,9 +47,10 @@
   const auto Elapsed = steady_clock::now() - BegunAt;
   if (Elapsed < LeastDelay)
     return;
-  if (!Idle() && Elapsed < Deadline)
+  IdleChecks = Idle() ? IdleChecks + 1 : 0;
+  if (IdleChecks < IdleChecksToStop && Elapsed < Deadline)
     return;
-  if (!Idle())
+  if (IdleChecks == 0)
     logWarning(log_category::settings,
                "the shutdown deadline passed with work open");
   Loop.stop();
--- a/src/node/shutdown.h
+++ b/src/node/shutdown.h
@@ -29,6 +29,7 @@
   std::unique_ptr<loop_timer> Timer;
   time_point BegunAt{};
   bool Begun = false;
+  int IdleChecks = 0; ///< Checks in a row that found no work.
 };
 
 } // namespace acacianotch
--- /dev/null
+++ b/test/caller_server_test.cpp
@@ -0,0 +1,63 @@
+/// \file Connections of callers that do not read.
+#include "gateway/caller_server.h"
+
+#include "net/socket_func.h"
+#include "net_support.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <sys/socket.h>
+
+using namespace acacianotch;
+
+namespace {
+
+/// More than the buffers of both sockets hold.
+constexpr std::size_t LargeBody = 16ULL * 1024 * 1024;
+
+/// Reads all that is there without waiting. \return whether the peer closed.
+auto readAll(int Fd, std::string &Into) -> bool {
+  std::string Buffer(1 << 16, '\0');
+  while (true) {
+    const auto Size = ::recv(Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    if (Size == 0)
+      return true;
+    if (Size < 0)
+      return false;
+    Into.append(Buffer, 0, static_cast<std::size_t>(Size));
+  }
+}
+
+} // namespace
+
+// Guards against a stopping process that closes a connection as idle although
+// the socket has not taken the end of its last answer.
+TEST_CASE("closing idle connections does not cut an answer that is unsent") {
+  auto Loop = testLoop();
+  bool Replied = false;
+  auto Server = caller_server::create(
+      *Loop, loopback(0),
+      [&](const std::shared_ptr<caller_connection> &Caller,
+          caller_request && /*Request*/) {
+        Caller->reply(200, {}, std::string(LargeBody, 'x'));
+        Replied = true;
+      });
+  REQUIRE(Server.ok());
+  const auto Client = connectTo(loopback((*Server)->port()));
+  REQUIRE(Client.ok());
+  const std::string Text = "GET /x HTTP/1.1\r\nHost: h\r\n"
+                           "X-Acacianotch-Request-Id: a1\r\n\r\n";
+  auto Sent = std::size_t{0};
+  REQUIRE(runUntil(*Loop, [&] {
+    if (Sent == 0 &&
+        ::send(Client->fd(), Text.data(), Text.size(), MSG_NOSIGNAL) > 0)
+      Sent = Text.size();
+    return Replied;
+  }));
+  (*Server)->closeAfterAnswers();
+  (*Server)->closeIdle();
+  std::string Received;
+  CHECK(runUntil(*Loop, [&] { return readAll(Client->fd(), Received); }));
+  CHECK(Received.size() > LargeBody);
+}
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -147,7 +147,7 @@
       : Loop(std::move(event_loop::create()).value()),
         Control(*Loop, {address{"127.0.0.1", 1}}, rpc_options()),
         Directory(*Loop, node_id("g"), zone_id("a"), 1), Extra(1.0, 10.0),
-        Recorder(*Loop, Control, "g", std::chrono::seconds(5)),
+        Recorder(*Loop, Control, "g", std::chrono::seconds(5), 0.08),
         Context{*Loop, Directory, Extra, Recorder, model_ladder({60, 1.0}),
                 false, {},        {}} {
     auto Created = caller_server::create(
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -308,3 +308,32 @@
   REQUIRE(Setting.received("HTTP/1.1 401"));
   CHECK(Setting.requests() == 0);
 }
+
+// Guards against repeats of requests that were not run which the budget of
+// extra attempts does not count.
+TEST_CASE("every attempt after the first is charged to the budget") {
+  setting Setting(route(route_kind::non_idempotent));
+  Setting.Gateway.Extra = traffic_budget(0, 0);
+  Setting.answer({{Shed}, whole("done")});
+  Setting.Caller.request("POST", "o1", "body");
+  REQUIRE(Setting.received("HTTP/1.1 503"));
+  CHECK(Setting.requests() == 1);
+}
+
+// Guards against prompts that are read again although another server holds
+// them.
+TEST_CASE("a prompt away from its usual server is copied from there") {
+  setting Setting(route(route_kind::streaming));
+  const std::string Prompt =
+      "X-Acacianotch-Prompt-Prefix: 1:800,2:700,3:50\r\n";
+  const scripted_answer Whole{streamHead() + chunk(eventOf(1)) + "0\r\n\r\n"};
+  const scripted_answer Refused{Shed};
+  Setting.answer({Refused, Whole});
+  Setting.Caller.request("POST", "p1", "prompt", Prompt);
+  REQUIRE(Setting.Gateway.runUntil([&] { return Setting.requests() == 2; }));
+  const auto &Home = Setting.First.Requests;
+  const auto &Away = Setting.Second.Requests;
+  REQUIRE(Home.size() == 1);
+  REQUIRE(Away.size() == 1);
+  CHECK(has(Home[0], "Kv-Fetch: ") != has(Away[0], "Kv-Fetch: "));
+}
--- a/test/log_test.cpp
+++ b/test/log_test.cpp
@@ -99,3 +99,19 @@
   const system_clock::time_point When{milliseconds(1764835200007)};
   CHECK(formatTime(When) == "2025-12-04T08:00:00.007Z");
 }
+
+// Guards against a flood of one category's lines that fills the disk or hides
+// the warnings.
+TEST_CASE("a category's lines are bounded, warnings apart from others") {
+  log_capture Capture;
+  const auto Before = suppressedLogLines();
+  constexpr int Flood = 5000;
+  for (int Line = 0; Line < Flood; ++Line)
+    logInfo(log_category::admission, "flood", {{"line", Line}});
+  CHECK(Capture.Lines.size() < Flood / 4);
+  CHECK(suppressedLogLines() > Before);
+  logWarning(log_category::admission, "a warning");
+  CHECK(Capture.Lines.back().find("a warning") != std::string::npos);
+  logInfo(log_category::version, "another category");
+  CHECK(Capture.Lines.back().find("another category") != std::string::npos);
+}
--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -51,6 +51,7 @@
   std::uint16_t Operator = 0;
   std::uint16_t Admin = 0;
   std::unique_ptr<child_process> Process;
+  bool Relay = false; ///< Holds no replica.
 };
 
 /// Three seeds of control, one gateway and the stand-in.
@@ -96,22 +97,27 @@
   auto start(replica &Each, bool Bootstrap) -> void {
     const auto File = Folder / (Each.Name + ".toml");
     std::filesystem::create_directories(data(Each));
-    std::ofstream(File) << "role = \"control\"\n[node]\nid = \"" << Each.Name
-                        << "\"\nzone = \"a\"\n[control]\ndata_folder = "
-                        << data(Each) << "\nseeds = [" << Seeds
-                        << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
-                        << "\noperator_listen = " << loopbackText(Each.Operator)
-                        << "\n[rpc]\nlisten = " << loopbackText(Each.Rpc)
-                        << "\n[admin]\nlisten = " << loopbackText(Each.Admin)
-                        << "\n";
+    std::ofstream(File)
+        << "role = \"control\"\n[node]\nid = \"" << Each.Name
+        << "\"\nzone = \"a\"\n[control]\n"
+        << (Each.Relay ? "" : "data_folder = \"" + data(Each).string() + "\"")
+        << "\nseeds = [" << Seeds
+        << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
+        << "\noperator_listen = " << loopbackText(Each.Operator)
+        << "\n[rpc]\nlisten = " << loopbackText(Each.Rpc)
+        << "\n[admin]\nlisten = " << loopbackText(Each.Admin) << "\n";
     Each.Process = startDaemon(File, Each.Name);
   }
 
-  auto startGateway() -> void {
+  auto startGateway() -> void { startGateway(Seeds); }
+
+  /// Starts the gateway with other \p Addresses of control than the seeds.
+  auto startGateway(const std::string &Addresses) -> void {
     const auto File = Folder / "gateway.toml";
     std::ofstream(File) << "role = \"gateway\"\n[node]\nid = \"gateway\"\n"
                            "zone = \"a\"\n[control]\naddresses = ["
-                        << Seeds << "]\n[http]\nlisten = " << loopbackText(Http)
+                        << Addresses
+                        << "]\n[http]\nlisten = " << loopbackText(Http)
                         << "\n[admin]\nlisten = " << loopbackText(Admin)
                         << "\n[gateway]\nready_listen = " << loopbackText(Ready)
                         << "\nbackends = " << loopbackText(Platform)
@@ -263,3 +269,43 @@
             .Status == HttpOk);
   System.waitServed("/e/x");
 }
+
+// Guards against gateways that find no leader when none of the addresses in
+// their settings leads.
+TEST_CASE("a gateway that knows one follower finds the leader") {
+  platform_deployment System;
+  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
+        HttpOk);
+  System.waitServed("/a/x");
+  const auto Follower = std::find_if(
+      System.Replicas.begin(), System.Replicas.end(), [](const replica &Each) {
+        return http_call(Each.Operator,
+                         httpRequest("GET", "/api/config", {}, ""))
+                   .finish()
+                   .Status == HttpSeeOther;
+      });
+  REQUIRE(Follower != System.Replicas.end());
+  System.Gateway->kill();
+  System.startGateway(loopbackText(Follower->Rpc));
+  System.waitServed("/a/x");
+}
+
+// Guards against control processes without a disk that answer operators from
+// memory, and against gateways that know only such a process.
+TEST_CASE("a control process without a data folder names the leader") {
+  platform_deployment System;
+  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
+        HttpOk);
+  auto Relay = System.makeReplica();
+  Relay.Relay = true;
+  System.start(Relay, false);
+  const auto Ask = [&] {
+    return http_call(Relay.Operator, httpRequest("GET", "/api/config", {}, ""))
+        .finish();
+  };
+  REQUIRE(waitUntil([&] { return Ask().Status == HttpSeeOther; }));
+  CHECK(Ask().header("location").find("/api/config") != std::string::npos);
+  System.Gateway->kill();
+  System.startGateway(loopbackText(Relay.Rpc));
+  System.waitServed("/a/x");
+}
--- a/test/routing_document_test.cpp
+++ b/test/routing_document_test.cpp
@@ -113,8 +113,8 @@
   CHECK(Group.run(report_service_evidence{"chat", "v2", "g/2", 1, {}, {3, 5}})
             .ok());
   CHECK(Group.run(open_service_rollout{"chat", "v2"}).ok());
-  CHECK(Group.run(report_service_evidence{"chat", "v2", "g/2", 2, {}, {7}})
-            .ok());
+  CHECK(
+      Group.run(report_service_evidence{"chat", "v2", "g/2", 2, {}, {7}}).ok());
   CHECK(Group.run(open_service_rollout{"chat", "v2"}).ok());
   const auto &Rollout = Group.data().ServiceRollouts.at("chat");
   CHECK_FALSE(Rollout.Collecting);
