--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -10,6 +10,7 @@
 #include "node/admin_server.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
+#include "platform/instance_poller.h"
 #include "platform/operator_api.h"
 
 #include <xxhash.h>
@@ -152,6 +153,15 @@
     };
   }
   const rollout_keeper Rollouts(**Loop, Service);
+  std::optional<platform::instance_poller> Poller;
+  if (Settings.Gateway.Backends.valid()) {
+    Poller.emplace(**Loop, Settings.Gateway.Backends,
+                   Settings.Gateway.BackendInterval,
+                   [&](std::vector<backend_record> Listed) {
+                     Service.nodeSubscriptions().setBackends(std::move(Listed));
+                   });
+    Poller->start([&] { return Service.confirmedEpoch().has_value(); });
+  }
   std::unique_ptr<platform::operator_api> Operators;
   if (Settings.Control.OperatorListen.valid()) {
     auto Created = platform::operator_api::create(
--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -30,8 +30,9 @@
 
   node_row Node;
   wire::NodeSink::Client Sink;
-  std::deque<node_update> Queue; ///< Chunks still to send.
-  bool Waiting = false;          ///< For an acknowledgement.
+  std::deque<node_update> Queue;  ///< Chunks still to send.
+  std::uint64_t SentBackends = 0; ///< Number of the list sent last.
+  bool Waiting = false;           ///< For an acknowledgement.
   bool Ended = false;
   kj::Own<kj::PromiseFulfiller<void>> Done;
   kj::Maybe<kj::Promise<void>> Call;
@@ -63,6 +64,11 @@
   }));
 }
 
+auto subscriptions::setBackends(std::vector<backend_record> Listed) -> void {
+  if (Backends.take(std::move(Listed), steady_clock::now()))
+    push();
+}
+
 auto subscriptions::push() -> void {
   for (auto &Subscriber : Subscribers)
     sendNext(*Subscriber);
@@ -107,6 +113,11 @@
     for (unsigned Index = 0; Index < List.size(); ++Index)
       List.set(Index, Addresses[Index].c_str());
   }
+  if (Backends.Number != 0) {
+    const auto WithRows = Subscriber.SentBackends != Backends.Number;
+    writeBackends(Body.initBackends(), Backends, WithRows, steady_clock::now());
+    Subscriber.SentBackends = Backends.Number;
+  }
   Subscriber.Waiting = true;
   Subscriber.Call = Request.send()
                         .then(
@@ -128,7 +139,8 @@
   Node.AcknowledgedAt = steady_clock::now();
   Node.Running = Ack.getLoad().getRunning();
   Node.Queued = Ack.getLoad().getQueued();
-  const auto Behind = Node.Acknowledged != State.currentRevision();
+  const auto Behind = Node.Acknowledged != State.currentRevision() ||
+                      Subscriber.SentBackends != Backends.Number;
   if (!Behind)
     return;
   // The promise of this call must not be replaced while it runs.
--- a/src/control/subscriptions.h
+++ b/src/control/subscriptions.h
@@ -3,6 +3,7 @@
 
 #include "catalogue/catalogue_state.h"
 #include "net/event_loop.h"
+#include "node/backend_list.h"
 
 #include <acacianotch.capnp.h>
 
@@ -48,6 +49,9 @@
   [[nodiscard]] auto add(node_row Facts, revision Held, wire::NodeSink::Client)
       -> kj::Promise<void>;
 
+  /// Takes the platform's list; nodes get it with their next update.
+  auto setBackends(std::vector<backend_record> Listed) -> void;
+
   /// Sends what has changed to every node that is not waiting.
   auto push() -> void;
 
@@ -70,6 +74,7 @@
   confirmation Confirm;
   std::unique_ptr<loop_timer> Timer;
   subscriber_list Subscribers;
+  backend_list Backends;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -33,6 +33,9 @@
 /// Part of the exposure that a version on trial may get which sessions are
 /// given to it; the rest is left for the time that a stop takes.
 constexpr double CandidatePart = 0.53;
+/// Age of the list at which a gateway reads it for itself: two reads of control
+/// and the time between two of its updates.
+constexpr duration OwnReadAge = std::chrono::milliseconds(2500);
 /// Extra attempts saved up in quiet times; a share of what all gateways have.
 constexpr double SavedAttempts = 8;
 
@@ -74,6 +77,7 @@
         Poller(TheLoop, Settings.Gateway.Backends,
                Settings.Gateway.BackendInterval,
                [this](std::vector<backend_record> Listed) {
+                 ListReadAt = steady_clock::now();
                  Directory.follow(std::move(Listed));
                }),
         Rollouts(TheLoop, Control, Settings.Node.Id,
@@ -85,12 +89,18 @@
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.FollowMembers = true;
     Link.onChange([this] { followView(); });
+    Link.OnBackends = [this](duration Age,
+                             const std::vector<backend_record> *Listed) {
+      ListReadAt = steady_clock::now() - Age;
+      if (Listed != nullptr)
+        Directory.follow(*Listed);
+    };
   }
 
   auto start(caller_server &TheServer) -> void {
     Server = &TheServer;
     Link.start();
-    Poller.start();
+    Poller.start([this] { return listIsOld(); });
     Ticker->start(TickInterval);
   }
 
@@ -208,6 +218,12 @@
   }
 
 private:
+  // Control reads the list for all gateways; each reads it for itself while
+  // control does not.
+  [[nodiscard]] auto listIsOld() const -> bool {
+    return steady_clock::now() - ListReadAt > OwnReadAge;
+  }
+
   [[nodiscard]] auto draining() const -> bool {
     return Stopping && steady_clock::now() - StoppingAt >= DrainTime;
   }
@@ -263,6 +279,7 @@
   caller_server *Server = nullptr;
   std::unique_ptr<loop_timer> Ticker;
   std::unique_ptr<loop_timer> DrainTimer;
+  time_point ListReadAt{}; ///< Of the list that is in use, by any process.
   bool Stopping = false;
   time_point StoppingAt{};
 };
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -79,6 +79,25 @@
   startedAt @4 :UInt64;  # Wall clock, milliseconds since 1970.
 }
 
+struct BackendRow {
+  # One backend server of the platform's list.
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  version @4 :Text;
+  slots @5 :UInt32;
+  leaving @6 :Bool;
+  startedMs @7 :UInt64;      # Wall clock, milliseconds since 1970.
+}
+
+struct BackendList {
+  # The platform's list as the leader read it last.
+  ageMs @0 :UInt32;          # Time since that read.
+  hasRows @1 :Bool;          # False if they are those sent before.
+  rows @2 :List(BackendRow);
+}
+
 struct NodeUpdate {
   # Catalogue delta, snapshot chunk, or only a confirmation.
   epoch @0 :UInt64;
@@ -89,6 +108,7 @@
   confirmed @5 :Bool;        # The leader held its lease at this revision.
   payload @6 :Data;          # CBOR: changed and removed entries.
   control @7 :List(Text);    # RPC addresses of the members of control.
+  backends @8 :BackendList;  # Absent while the leader has no list.
 }
 
 struct NodeAck {
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -31,6 +31,8 @@
 CAPNP_DECLARE_SCHEMA(cd835c9eddd7cd95);
 CAPNP_DECLARE_SCHEMA(f0ea1123a4574e4b);
 CAPNP_DECLARE_SCHEMA(dcabd31ceb8f781d);
+CAPNP_DECLARE_SCHEMA(cb7466c86da9de2b);
+CAPNP_DECLARE_SCHEMA(ea6c14b6e9b5c9ef);
 CAPNP_DECLARE_SCHEMA(c99be5f57556dd76);
 CAPNP_DECLARE_SCHEMA(c40cb978346e9673);
 CAPNP_DECLARE_SCHEMA(9af9d9c8f5dc3a93);
@@ -247,6 +249,36 @@
   };
 };
 
+struct BackendRow {
+  BackendRow() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cb7466c86da9de2b, 2, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct BackendList {
+  BackendList() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ea6c14b6e9b5c9ef, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct NodeUpdate {
   NodeUpdate() = delete;
 
@@ -255,7 +287,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c99be5f57556dd76, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c99be5f57556dd76, 5, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1788,6 +1820,233 @@
 };
 #endif  // !CAPNP_LITE
 
+class BackendRow::Reader {
+public:
+  typedef BackendRow Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasZone() const;
+  inline  ::capnp::Text::Reader getZone() const;
+
+  inline bool hasVersion() const;
+  inline  ::capnp::Text::Reader getVersion() const;
+
+  inline  ::uint32_t getSlots() const;
+
+  inline bool getLeaving() const;
+
+  inline  ::uint64_t getStartedMs() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BackendRow::Builder {
+public:
+  typedef BackendRow Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasZone();
+  inline  ::capnp::Text::Builder getZone();
+  inline void setZone( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initZone(unsigned int size);
+  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownZone();
+
+  inline bool hasVersion();
+  inline  ::capnp::Text::Builder getVersion();
+  inline void setVersion( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initVersion(unsigned int size);
+  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
+  inline  ::uint64_t getStartedMs();
+  inline void setStartedMs( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BackendRow::Pipeline {
+public:
+  typedef BackendRow Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class BackendList::Reader {
+public:
+  typedef BackendList Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAgeMs() const;
+
+  inline bool getHasRows() const;
+
+  inline bool hasRows() const;
+  inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BackendList::Builder {
+public:
+  typedef BackendList Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
+  inline bool getHasRows();
+  inline void setHasRows(bool value);
+
+  inline bool hasRows();
+  inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Builder getRows();
+  inline void setRows( ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Builder initRows(unsigned int size);
+  inline void adoptRows(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>> disownRows();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BackendList::Pipeline {
+public:
+  typedef BackendList Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class NodeUpdate::Reader {
 public:
   typedef NodeUpdate Reads;
@@ -1823,6 +2082,9 @@
   inline bool hasControl() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getControl() const;
 
+  inline bool hasBackends() const;
+  inline  ::acacianotch::wire::BackendList::Reader getBackends() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1884,6 +2146,13 @@
   inline void adoptControl(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownControl();
 
+  inline bool hasBackends();
+  inline  ::acacianotch::wire::BackendList::Builder getBackends();
+  inline void setBackends( ::acacianotch::wire::BackendList::Reader value);
+  inline  ::acacianotch::wire::BackendList::Builder initBackends();
+  inline void adoptBackends(::capnp::Orphan< ::acacianotch::wire::BackendList>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::BackendList> disownBackends();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1902,6 +2171,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::acacianotch::wire::BackendList::Pipeline getBackends();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -4821,6 +5091,280 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BackendRow::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendRow::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BackendRow::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BackendRow::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BackendRow::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BackendRow::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendRow::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BackendRow::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BackendRow::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BackendRow::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BackendRow::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendRow::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BackendRow::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void BackendRow::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void BackendRow::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool BackendRow::Reader::hasZone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendRow::Builder::hasZone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BackendRow::Reader::getZone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::getZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void BackendRow::Builder::setZone( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::initZone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void BackendRow::Builder::adoptZone(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownZone() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool BackendRow::Reader::hasVersion() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendRow::Builder::hasVersion() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BackendRow::Reader::getVersion() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::getVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void BackendRow::Builder::setVersion( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BackendRow::Builder::initVersion(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void BackendRow::Builder::adoptVersion(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownVersion() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t BackendRow::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendRow::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendRow::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BackendRow::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool BackendRow::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void BackendRow::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BackendRow::Reader::getStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BackendRow::Builder::getStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BackendRow::Builder::setStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BackendList::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BackendList::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BackendList::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BackendList::Reader::getHasRows() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+
+inline bool BackendList::Builder::getHasRows() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+}
+inline void BackendList::Builder::setHasRows(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool BackendList::Reader::hasRows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendList::Builder::hasRows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Reader BackendList::Reader::getRows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Builder BackendList::Builder::getRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BackendList::Builder::setRows( ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Builder BackendList::Builder::initRows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BackendList::Builder::adoptRows(
+    ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>> BackendList::Builder::disownRows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t NodeUpdate::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -4977,6 +5521,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool NodeUpdate::Reader::hasBackends() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool NodeUpdate::Builder::hasBackends() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::acacianotch::wire::BackendList::Reader NodeUpdate::Reader::getBackends() const {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::BackendList>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::acacianotch::wire::BackendList::Builder NodeUpdate::Builder::getBackends() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::BackendList>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::acacianotch::wire::BackendList::Pipeline NodeUpdate::Pipeline::getBackends() {
+  return  ::acacianotch::wire::BackendList::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void NodeUpdate::Builder::setBackends( ::acacianotch::wire::BackendList::Reader value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::BackendList>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::acacianotch::wire::BackendList::Builder NodeUpdate::Builder::initBackends() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::BackendList>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void NodeUpdate::Builder::adoptBackends(
+    ::capnp::Orphan< ::acacianotch::wire::BackendList>&& value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::BackendList>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::acacianotch::wire::BackendList> NodeUpdate::Builder::disownBackends() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::BackendList>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t NodeAck::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -59,6 +59,8 @@
       return KJ_EXCEPTION(DISCONNECTED, "the subscription was replaced");
     const auto Update = Context.getParams().getUpdate();
     Link.handle(readUpdate(Update), readMembers(Update));
+    if (Update.hasBackends())
+      Link.handleBackends(Update.getBackends());
     auto Ack = Context.getResults().initAck();
     Ack.setRevision(static_cast<std::uint64_t>(Link.View.currentRevision()));
     Ack.setEpoch(static_cast<std::uint64_t>(Link.View.currentEpoch()));
@@ -191,6 +193,16 @@
     Changed();
 }
 
+auto node_link::handleBackends(wire::BackendList::Reader Backends) -> void {
+  if (!OnBackends)
+    return;
+  const duration Age = std::chrono::milliseconds(Backends.getAgeMs());
+  if (!Backends.getHasRows())
+    return OnBackends(Age, nullptr);
+  const auto Rows = readBackends(Backends);
+  OnBackends(Age, &Rows);
+}
+
 // A control VM that is frozen or cut off keeps its connection open; silence is
 // the only sign of it.
 auto node_link::checkSilence() -> void {
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -3,6 +3,7 @@
 
 #include "catalogue/catalogue_view.h"
 #include "core/id_type.h"
+#include "node/backend_list.h"
 #include "node/leader_client.h"
 
 #include <functional>
@@ -35,6 +36,11 @@
   /// Runs \p Callback after each update that changed the view.
   auto onChange(std::function<void()> Callback) -> void;
 
+  /// Runs for each update with the time since the leader read the platform's
+  /// list, and with the list if it has changed.
+  std::function<void(duration Age, const std::vector<backend_record> *Listed)>
+      OnBackends;
+
   /// \return the RPC address of the leader while it sends updates.
   [[nodiscard]] auto leader() const -> std::optional<address>;
 
@@ -54,6 +60,7 @@
       -> void;
   auto handle(const node_update &Update, const std::vector<address> &Members)
       -> void;
+  auto handleBackends(wire::BackendList::Reader Backends) -> void;
   auto checkSilence() -> void;
 
   event_loop &Loop;
--- a/src/platform/instance_poller.cpp
+++ b/src/platform/instance_poller.cpp
@@ -11,6 +11,8 @@
 /// A page comes within milliseconds; a call that is cut off must not hold up
 /// the next one for long.
 constexpr duration PageLimit = std::chrono::milliseconds(700);
+/// How often it is asked whether a read is needed.
+constexpr duration CheckInterval = std::chrono::milliseconds(200);
 constexpr int Success = 200;
 
 } // namespace
@@ -18,13 +20,21 @@
 instance_poller::instance_poller(event_loop &TheLoop, const address &Address,
                                  duration TheInterval, list_callback TheOnList)
     : Loop(TheLoop), Client(TheLoop, Address), Interval(TheInterval),
-      OnList(std::move(TheOnList)), Timer(TheLoop.oneShot([this] {
-        Token.clear();
-        Collected.clear();
-        requestPage();
-      })) {}
+      OnList(std::move(TheOnList)), Timer(TheLoop.oneShot([this] { poll(); })) {
+}
+
+auto instance_poller::start(std::function<bool()> TheNeeded) -> void {
+  Needed = std::move(TheNeeded);
+  Timer->start(duration::zero());
+}
 
-auto instance_poller::start() -> void { Timer->start(duration::zero()); }
+auto instance_poller::poll() -> void {
+  if (!Needed())
+    return Timer->start(CheckInterval);
+  Token.clear();
+  Collected.clear();
+  requestPage();
+}
 
 auto instance_poller::requestPage() -> void {
   http_call_options Options;
--- a/src/platform/instance_poller.h
+++ b/src/platform/instance_poller.h
@@ -22,13 +22,15 @@
   instance_poller(event_loop &Loop, const address &Address, duration Interval,
                   list_callback OnList);
 
-  /// Starts to poll.
-  auto start() -> void;
+  /// Starts to poll. A read is left out while \p Needed says that another
+  /// process reads the list.
+  auto start(std::function<bool()> Needed) -> void;
 
   /// \return when the last complete list came; the epoch before the first.
   [[nodiscard]] auto listedAt() const -> time_point { return ListedAt; }
 
 private:
+  auto poll() -> void;
   auto requestPage() -> void;
   auto handleEnd(const result<void> &Result) -> void;
   auto handlePage() -> void;
@@ -38,6 +40,7 @@
   http_client Client;
   duration Interval;
   list_callback OnList;
+  std::function<bool()> Needed;
   std::unique_ptr<loop_timer> Timer;
   std::unique_ptr<http_call> Call;
   int Status = 0;
