--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -104,15 +104,19 @@
         << "\nseeds = [" << Seeds
         << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
         << "\noperator_listen = " << loopbackText(Each.Operator)
+        << "\n[gateway]\nbackends = " << loopbackText(Platform)
+        << "\nbackend_interval_ms = 100"
         << "\n[rpc]\nlisten = " << loopbackText(Each.Rpc)
         << "\n[admin]\nlisten = " << loopbackText(Each.Admin) << "\n";
     Each.Process = startDaemon(File, Each.Name);
   }
 
-  auto startGateway() -> void { startGateway(Seeds); }
+  auto startGateway() -> void { startGateway(Seeds, Platform); }
 
-  /// Starts the gateway with other \p Addresses of control than the seeds.
-  auto startGateway(const std::string &Addresses) -> void {
+  /// Starts the gateway with other \p Addresses of control than the seeds, and
+  /// with the platform's list at \p ListPort.
+  auto startGateway(const std::string &Addresses, std::uint16_t ListPort)
+      -> void {
     const auto File = Folder / "gateway.toml";
     std::ofstream(File) << "role = \"gateway\"\n[node]\nid = \"gateway\"\n"
                            "zone = \"a\"\n[control]\naddresses = ["
@@ -120,7 +124,7 @@
                         << "]\n[http]\nlisten = " << loopbackText(Http)
                         << "\n[admin]\nlisten = " << loopbackText(Admin)
                         << "\n[gateway]\nready_listen = " << loopbackText(Ready)
-                        << "\nbackends = " << loopbackText(Platform)
+                        << "\nbackends = " << loopbackText(ListPort)
                         << "\nbackend_interval_ms = 100\n";
     Gateway = startDaemon(File, "gateway");
   }
@@ -182,6 +186,8 @@
   std::uint16_t Ready = nextPort();
   std::uint16_t Admin = nextPort();
 
+  std::uint16_t Platform = nextPort();
+
 private:
   auto startDaemon(const std::filesystem::path &File, const std::string &Name)
       -> std::unique_ptr<child_process> {
@@ -196,7 +202,6 @@
 
   std::filesystem::path Folder;
   std::string Seeds;
-  std::uint16_t Platform = nextPort();
   std::unique_ptr<child_process> Standin;
   int Names = 0;
 };
@@ -286,7 +291,7 @@
       });
   REQUIRE(Follower != System.Replicas.end());
   System.Gateway->kill();
-  System.startGateway(loopbackText(Follower->Rpc));
+  System.startGateway(loopbackText(Follower->Rpc), System.Platform);
   System.waitServed("/a/x");
 }
 
@@ -306,6 +311,18 @@
   REQUIRE(waitUntil([&] { return Ask().Status == HttpSeeOther; }));
   CHECK(Ask().header("location").find("/api/config") != std::string::npos);
   System.Gateway->kill();
-  System.startGateway(loopbackText(Relay.Rpc));
+  System.startGateway(loopbackText(Relay.Rpc), System.Platform);
+  System.waitServed("/a/x");
+}
+
+// Guards against gateways that each read the platform's list, or that lose it
+// while they are cut off from the platform.
+TEST_CASE(
+    "a gateway that cannot reach the platform gets the list from control") {
+  platform_deployment System;
+  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
+        HttpOk);
+  System.Gateway->kill();
+  System.startGateway(loopbackText(System.Replicas[0].Rpc), nextPort());
   System.waitServed("/a/x");
 }
