--- a/src/control/membership_keeper.cpp
+++ b/src/control/membership_keeper.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr duration TickInterval = std::chrono::milliseconds(100);
-/// A voter that is silent for longer is gone if a successor runs: a restart
-/// takes well under a second, and a cut or freeze of some seconds heals.
+/// A voter that is silent for longer is removed while enough others remain: a
+/// restart takes well under a second, most cuts and freezes some seconds.
 constexpr duration SilenceLimit = std::chrono::seconds(4);
 /// Learners that never became voters are removed after this silence.
 constexpr duration LearnerLimit = std::chrono::seconds(2);
--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -66,6 +66,7 @@
   Skipping = false;
   if (State == state::idle)
     State = state::busy;
+  Reader.expectNoBody(Call.Method == "HEAD");
   auto *Output = bufferevent_get_output(Socket.get());
   appendText(Output, Call.Method);
   appendText(Output, " ");
--- /dev/null
+++ b/src/gateway/forward_model.cpp
@@ -0,0 +1,126 @@
+/// \file Models of a forwarded request: which one answers, when a larger one is
+/// asked.
+#include "gateway/forward_task.h"
+
+#include "core/log_func.h"
+
+#include <cmath>
+
+namespace acacianotch {
+
+namespace {
+
+/// How sharply times to the first token spread around their expectation: at
+/// half of the time left about 9 of 10 answers are in time.
+constexpr double TimeSpread = 3;
+
+/// Times the expected time to the first token above which a backend server
+/// counts as held up.
+constexpr double SlowFactor = 1.5;
+
+} // namespace
+
+auto forward_task::chooseModel() -> void {
+  Model = Request.Model;
+  if (!Request.AnyModel || Route->Models.empty())
+    return;
+  Step = model_ladder::first(Route->Models.size());
+  Model = Route->Models[Step];
+}
+
+auto forward_task::ladderModels() const -> std::vector<ladder_model> {
+  std::vector<ladder_model> Models;
+  const auto Place = Table->Services.find(Service);
+  if (Place == Table->Services.end())
+    return Models;
+  for (const auto &Name : Route->Models)
+    for (const auto &Price : Place->second.Models)
+      if (Price.Model == Name)
+        Models.push_back({Name, Price.Cost, inTime(Name)});
+  return Models;
+}
+
+/// \return the probability that the first token of \p Name, asked now, comes
+/// within the latency objective.
+auto forward_task::inTime(const std::string &Name) const -> double {
+  const auto Expected = Context.FirstToken.expect(Name, Request.PromptTokens);
+  const auto Elapsed = steady_clock::now() - Request.ReceivedAt;
+  const auto Left =
+      std::chrono::duration<double>(Route->TargetLatency - Elapsed).count();
+  if (Left <= 0)
+    return 0;
+  if (!Expected)
+    return 1;
+  return 1 / (1 + std::pow(*Expected / Left, TimeSpread));
+}
+
+// Both models have stated how sure they are of the same request.
+auto forward_task::learnFromLadder() -> void {
+  const auto &Now = Attempt->Facts.Confidence;
+  Context.FirstToken.observe(
+      Model, Request.PromptTokens,
+      std::chrono::duration<double>(steady_clock::now() - Attempt->SentAt)
+          .count());
+  if (!Request.AnyModel || !Now)
+    return;
+  if (Dropped)
+    Context.Ladder.learn(Route->Models[Dropped->first], Dropped->second,
+                         Route->Models[Step], *Now);
+  Dropped = {Step, *Now};
+}
+
+/// \return the step that should answer in place of the one that does, and
+/// charges the budget for it.
+auto forward_task::largerModel() -> std::optional<std::size_t> {
+  if (!Request.AnyModel || Streaming || !Route->repeatable() ||
+      Context.Stopping)
+    return std::nullopt;
+  const auto Elapsed =
+      std::chrono::duration<double>(steady_clock::now() - Request.ReceivedAt);
+  ladder_answer Answer;
+  Answer.Step = Step;
+  Answer.Steps = Route->Models.size();
+  Answer.Confidence = Attempt->Facts.Confidence;
+  Answer.ObjectiveShare =
+      Elapsed / std::chrono::duration<double>(Route->TargetLatency);
+  Answer.MayRepeat = Sent + 1 < Route->MaxAttempts;
+  const auto Models = ladderModels();
+  Answer.Models = Models;
+  Answer.Rank = Route->Rank;
+  const auto Next = Context.Ladder.next(Answer);
+  if (!Next || !Context.ExtraAttempts.tryTake())
+    return std::nullopt;
+  return Next;
+}
+
+/// \return whether the backend server took longer than it should: it reads
+/// long prompts or is disturbed, and would hold up the next run as well.
+auto forward_task::slowAttempt() const -> bool {
+  const auto Expected = Context.FirstToken.expect(Model, Request.PromptTokens);
+  const auto Took =
+      std::chrono::duration<double>(steady_clock::now() - Attempt->SentAt);
+  return Expected && Took.count() > SlowFactor * *Expected;
+}
+
+// The answer is dropped before the caller has any of it.
+auto forward_task::escalate(std::size_t Next) -> void {
+  ++Context.Counters.Escalations;
+  ++Sent;
+  logInfo(log_category::entry, "a larger model is asked",
+          {{"request", Request.Id},
+           {"backend", Attempt->BackendId},
+           {"confidence", Attempt->Facts.Confidence.value_or(0)},
+           {"model", Model},
+           {"next", Route->Models[Next]}});
+  const auto Slow = slowAttempt();
+  const auto Backend = Attempt->Backend;
+  releaseAttempt(false);
+  Tried.clear();
+  if (Slow)
+    Tried.push_back(Backend);
+  Step = Next;
+  Model = Route->Models[Step];
+  tryNext();
+}
+
+} // namespace acacianotch
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -20,6 +20,10 @@
 
 namespace acacianotch {
 
+/// Callers that a gateway refuses because of its own state come back at once;
+/// another gateway answers them.
+inline constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
+
 /// Counters of a gateway since its start.
 struct gateway_counters {
   std::uint64_t Requests = 0;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -28,8 +28,6 @@
 constexpr duration DrainTime = std::chrono::milliseconds(2500);
 /// Time in which a process ends by itself before it is killed.
 constexpr duration KillMargin = std::chrono::milliseconds(300);
-/// Refused callers come back at once; another gateway answers them.
-constexpr duration ElsewhereTime = std::chrono::milliseconds(50);
 /// Part of the exposure that a version on trial may get which sessions are
 /// given to it; the rest is left for the time that a stop takes.
 constexpr double CandidatePart = 0.53;
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -257,7 +257,7 @@
   return true;
 }
 
-auto http_reader::expectNoBody() -> void { State->NoBody = true; }
+auto http_reader::expectNoBody(bool NoBody) -> void { State->NoBody = NoBody; }
 
 auto http_reader::inMessage() const -> bool { return State->Begun; }
 
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -71,8 +71,9 @@
   /// current message, which OnEnd has reported then.
   auto finish() -> bool;
 
-  /// Answers to a request without a body, such as HEAD, have none either.
-  auto expectNoBody() -> void;
+  /// Tells whether the next messages end with their heads, as answers to HEAD
+  /// do.
+  auto expectNoBody(bool NoBody) -> void;
 
   /// \return whether the current message has begun and not ended.
   [[nodiscard]] auto inMessage() const -> bool;
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -337,3 +337,17 @@
   REQUIRE(Away.size() == 1);
   CHECK(has(Home[0], "Kv-Fetch: ") != has(Away[0], "Kv-Fetch: "));
 }
+
+// Guards against a HEAD request whose answer is waited for until the deadline,
+// because its head states the length of a body that does not follow.
+TEST_CASE("an answer to HEAD has no body") {
+  setting Setting(route(route_kind::idempotent));
+  Setting.Gateway.list({&Setting.First});
+  Setting.answer(
+      {{std::string(Head) + "Content-Length: 5\r\n\r\n"}, whole("done")});
+  Setting.Caller.request("HEAD", "q1");
+  REQUIRE(Setting.received("HTTP/1.1 200"));
+  // The next answer on the same connection has its body.
+  Setting.Caller.request("GET", "q2");
+  CHECK(Setting.received("done"));
+}
