Fix: [Gateway] silent streams are left only if their server lacks them; crashes do not stop a rollout

Cause 1: a stream was given up after 1 s without a byte from its server.

Cause 2: after the loss of all processes callers were told to come back in 50 ms to gateways that wait for control as well.

Broken connections no longer count.

The line for each answer has the time of its first event, its longest pause and its prompt. A silent attempt was logged as certainly not run; mended.

Tests: unit.silence_test, unit.gateway_forward_test (not run against the old code).

--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -14,9 +14,6 @@
 
 /// Interval at which a silent stream is looked at.
 constexpr duration CheckTime = std::chrono::milliseconds(250);
-/// Latency objectives, or longest pauses, of silence after which a stream
-/// counts as lost although its backend server is at work.
-constexpr int LostFactor = 2;
 /// Less silence than this is usual on a loaded backend server.
 constexpr duration LeastSilence = std::chrono::milliseconds(100);
 /// Shared prompt tokens from which a copy is worth a transfer; a transfer has a
@@ -156,6 +153,8 @@
 // A backend server that is dark or that lost the answer sends nothing more, and
 // no reset tells so. Work that may be repeated goes on elsewhere.
 auto forward_task::watchSilence() -> void {
+  Attempt->Asked = 0;
+  Attempt->State = silent_state::unknown;
   if (!Route->repeatable() || Sent + 1 >= Route->MaxAttempts)
     return Silence->stop();
   const auto IsStream = Route->Kind == route_kind::streaming;
@@ -164,32 +163,97 @@
     Silence->start(std::max(Limit, LeastSilence));
 }
 
-/// \return whether a stream will hardly go on. Tokens may wait for long behind
-/// the prompts of others, so silence alone tells little while a server sends
-/// tokens of other requests.
-auto forward_task::streamLost() -> bool {
+auto forward_task::handleSilence() -> void {
+  if (Done || Attempt == nullptr)
+    return;
+  if (Route->Kind == route_kind::streaming)
+    handleSilentStream(std::nullopt);
+  else
+    leaveSilent();
+}
+
+// Tokens may wait for long behind the prompts of others, so silence alone tells
+// little; the server knows whether it has the request.
+auto forward_task::handleSilentStream(std::optional<silent_state> Told)
+    -> void {
+  if (Told)
+    Attempt->State = *Told;
+  const auto State = Attempt->State;
   const auto Usual = Attempt->Streams ? Route->TargetGap : Route->TargetLatency;
   const auto Waited = steady_clock::now() - Attempt->HeardAt;
-  return Waited > LostFactor * Usual ||
-         Context.Directory.dark(Attempt->Backend, Attempt->HeardAt);
+  switch (judgeSilence({}, Waited, Usual, Attempt->Asked, State)) {
+  case silence_step::leave:
+    return leaveSilent();
+  case silence_step::ask:
+    return askBackend();
+  case silence_step::wait:
+  case silence_step::invalid:
+    break;
+  }
+  Silence->start(CheckTime);
 }
 
-auto forward_task::handleSilence() -> void {
-  if (Done || Attempt == nullptr)
-    return;
-  if (Route->Kind == route_kind::streaming && !streamLost())
-    return Silence->start(CheckTime);
+auto forward_task::askBackend() -> void {
+  const auto *Backend = Context.Directory.find(Attempt->Backend);
+  if (Backend == nullptr)
+    return leaveSilent();
+  ++Attempt->Asked;
+  Context.Inquirer.ask(
+      Backend->Record.Address,
+      [Weak = weak_from_this(), Asked = Tries](const auto &Report) {
+        const auto Self = Weak.lock();
+        const auto Current = Self != nullptr && !Self->Done &&
+                             Self->Attempt != nullptr && Self->Tries == Asked;
+        if (Current)
+          Self->handleReport(Report);
+      });
+}
+
+auto forward_task::handleReport(const result<backend_report> &Report) -> void {
+  const auto Waited = steady_clock::now() - Attempt->HeardAt;
+  // The stream may have gone on while the server was asked.
+  if (Waited < CheckTime)
+    return watchSilence();
+  auto State = silent_state::unknown;
+  if (Report)
+    State = silentState(*Report, Request.Id,
+                        Events.count() - Attempt->EventsBefore);
+  else if (Report.error().Code == errc::backend_unreachable)
+    State = silent_state::dark;
+  logInfo(log_category::entry, "asked a silent backend server",
+          {{"request", Request.Id},
+           {"backend", Attempt->BackendId},
+           {"silent_ms", Waited / std::chrono::milliseconds(1)},
+           {"state", SilentStateNames.name(State)},
+           {"running", Report ? Report->Running : 0},
+           {"waiting", Report ? Report->Waiting : 0}});
+  handleSilentStream(State);
+}
+
+auto forward_task::leaveSilent() -> void {
   if (!Context.ExtraAttempts.tryTake())
     return;
   ++Context.Counters.Retries;
   Context.Directory.noteFailure(Attempt->Backend);
-  giveUpAttempt(failure::of(errc::deadline_exceeded,
-                            "the backend server was silent for too long"));
+  giveUpAttempt({errc::deadline_exceeded,
+                 "the backend server was silent for too long",
+                 verdict::may_have_run});
   ++Sent;
   MayHaveRun = true;
   tryNext();
 }
 
+/// \return whether a failed attempt counts against the version of its backend
+/// server. A server that crashes or goes dark breaks all its connections at
+/// once; counted one by one they would look like many failures of the version.
+auto forward_task::blamesVersion(const failure &Failure) const -> bool {
+  if (Failure.Code == errc::backend_unreachable ||
+      Failure.Code == errc::incomplete_answer)
+    return false;
+  return Failure.Code != errc::deadline_exceeded ||
+         !Context.Directory.dark(Attempt->Backend, Attempt->HeardAt);
+}
+
 auto forward_task::giveUpAttempt(const failure &Failure) -> void {
   logInfo(log_category::entry, "attempt failed",
           {{"request", Request.Id},
@@ -198,7 +262,8 @@
            {"detail", Failure.Detail},
            {"not_run", Failure.Verdict == verdict::not_run},
            {"streaming", Streaming}});
-  recordOutcome(true);
+  if (blamesVersion(Failure))
+    recordOutcome(true);
   releaseAttempt(false);
   Events.dropRest();
   leaveTrial();
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -156,13 +156,26 @@
 }
 
 auto forward_task::passEvents() -> void {
-  Caller->write(Events.takeEvents());
+  const auto Whole = Events.takeEvents();
+  if (Whole.empty())
+    return;
+  noteEventTimes();
+  Caller->write(Whole);
   if (!Paused && Caller->unsent() > UnsentLimit) {
     Paused = true;
     Attempt->Channel->pauseReading();
   }
 }
 
+auto forward_task::noteEventTimes() -> void {
+  const auto Now = steady_clock::now();
+  if (EventAt == time_point{})
+    FirstEventTime = Now - Request.ReceivedAt;
+  else
+    LongestGap = std::max(LongestGap, Now - EventAt);
+  EventAt = Now;
+}
+
 auto forward_task::handleEnd(const result<void> &Result) -> void {
   if (Done || Attempt == nullptr)
     return;
@@ -246,7 +259,11 @@
            {"confidence", Attempt->Facts.Confidence.value_or(0)},
            {"arm", VersionArmNames.name(Attempt->Arm)},
            {"attempts", Sent},
+           {"prompt_tokens", Request.PromptTokens},
+           {"events", Events.count()},
            {"ms", elapsedMs()},
+           {"first_event_ms", FirstEventTime / std::chrono::milliseconds(1)},
+           {"longest_gap_ms", LongestGap / std::chrono::milliseconds(1)},
            {"routing", Table->Number}});
 }
 
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -3,8 +3,10 @@
 
 #include "controller/first_token_time.h"
 #include "controller/model_ladder.h"
+#include "controller/silence.h"
 #include "controller/traffic_budget.h"
 #include "gateway/backend_directory.h"
+#include "gateway/backend_inquirer.h"
 #include "gateway/caller_connection.h"
 #include "gateway/event_splitter.h"
 #include "gateway/rollout_recorder.h"
@@ -56,6 +58,7 @@
   backend_directory &Directory;
   traffic_budget &ExtraAttempts;
   rollout_recorder &Rollouts;
+  backend_inquirer &Inquirer;
   model_ladder Ladder;
   bool Stopping = false; ///< The process ends soon; answers must be quick.
   gateway_counters Counters;
@@ -91,6 +94,8 @@
     time_point HeardAt{}; ///< When the last part of its answer came.
     std::uint32_t EventsBefore = 0;
     version_arm Arm = version_arm::serving;
+    std::uint32_t Asked = 0; ///< Times its server was asked in this silence.
+    silent_state State = silent_state::unknown; ///< As the server said.
     bool Long = false;
     bool Streams = false; ///< Its body goes to the caller as it arrives.
   };
@@ -113,7 +118,11 @@
   auto leaveTrial() -> void;
   auto watchSilence() -> void;
   auto handleSilence() -> void;
-  [[nodiscard]] auto streamLost() -> bool;
+  auto handleSilentStream(std::optional<silent_state> Told) -> void;
+  auto askBackend() -> void;
+  auto handleReport(const result<backend_report> &Report) -> void;
+  auto leaveSilent() -> void;
+  [[nodiscard]] auto blamesVersion(const failure &Failure) const -> bool;
   auto giveUpAttempt(const failure &Failure) -> void;
   auto send(backend_handle Backend) -> bool;
   auto handleHead(const answer_facts &Facts, http_head &&Head) -> void;
@@ -123,6 +132,7 @@
   auto handleFailure(const failure &Failure) -> void;
   auto beginStream() -> void;
   auto passEvents() -> void;
+  auto noteEventTimes() -> void;
   auto releaseAttempt(bool Clean) -> void;
   [[nodiscard]] auto mayRepeat() -> bool;
   [[nodiscard]] auto elapsedMs() const -> std::int64_t;
@@ -159,8 +169,11 @@
   event_splitter Events;
   std::unique_ptr<loop_timer> Deadline;
   std::unique_ptr<loop_timer> Silence;
-  std::uint32_t Sent = 0;  ///< Attempts that reached a backend server.
-  std::uint32_t Tries = 0; ///< With those that reached none.
+  std::uint32_t Sent = 0;    ///< Attempts that reached a backend server.
+  std::uint32_t Tries = 0;   ///< With those that reached none.
+  duration FirstEventTime{}; ///< From the request to its first event.
+  duration LongestGap{};     ///< Between two events passed on.
+  time_point EventAt{};      ///< When the last event was passed on.
   bool MayHaveRun = false;
   bool Streaming = false; ///< The caller has the head of a stream.
   bool Paused = false;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -37,6 +37,10 @@
 /// Extra attempts saved up in quiet times; a share of what all gateways have.
 constexpr double SavedAttempts = 8;
 
+/// Time after which callers of a gateway without a routing document come back:
+/// an election of control and the first update.
+constexpr duration StartTime = std::chrono::milliseconds(1200);
+
 constexpr int Success = 200;
 constexpr int Unavailable = 503;
 
@@ -81,8 +85,9 @@
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  secondsOf(Settings.Gateway.SessionSeconds),
                  CandidatePart * Settings.Gateway.ExposureShare),
-        Context{TheLoop, Directory, ExtraAttempts, Rollouts, model_ladder(),
-                false,   {}},
+        Inquirer(TheLoop), Context{TheLoop,  Directory, ExtraAttempts,
+                                   Rollouts, Inquirer,  model_ladder(),
+                                   false,    {}},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.FollowMembers = true;
@@ -105,8 +110,7 @@
   auto handle(const std::shared_ptr<caller_connection> &Caller,
               caller_request &&Request) -> void {
     if (!Table || draining())
-      return Caller->reply(Unavailable,
-                           platform::ownHeaders(Request.Id, ElsewhereTime), "");
+      return refuse(Caller, Request.Id);
     auto Task = std::make_shared<forward_task>(Context, Table, Caller,
                                                std::move(Request));
     Tasks.insert(Task);
@@ -222,6 +226,20 @@
     return steady_clock::now() - ListReadAt > OwnReadAge;
   }
 
+  // After the loss of all processes the other gateways wait for control as
+  // well, so a caller that comes back at once is refused again.
+  auto refuse(const std::shared_ptr<caller_connection> &Caller,
+              const std::string &RequestId) -> void {
+    const auto After = Table ? ElsewhereTime : StartTime;
+    Caller->reply(Unavailable, platform::ownHeaders(RequestId, After), "");
+    logInfo(log_category::entry, "request refused",
+            {{"request", RequestId},
+             {"status", Unavailable},
+             {"reason",
+              Table ? "this gateway stops" : "no routing document is known"},
+             {"retry_after_ms", After / std::chrono::milliseconds(1)}});
+  }
+
   [[nodiscard]] auto draining() const -> bool {
     return Stopping && steady_clock::now() - StoppingAt >= DrainTime;
   }
@@ -271,6 +289,7 @@
   traffic_budget ExtraAttempts;
   platform::instance_poller Poller;
   rollout_recorder Rollouts;
+  backend_inquirer Inquirer;
   gateway_context Context;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
   std::shared_ptr<const routing_table> Table;
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -68,6 +68,16 @@
   addCounts(batchOf(Rollout).Next, Outcome);
 }
 
+auto rollout_recorder::failures(const std::string &Service) const
+    -> std::uint64_t {
+  std::uint64_t Sum = 0;
+  if (const auto Place = Batches.find(Service); Place != Batches.end())
+    for (const auto *Rows : {&Place->second.Next, &Place->second.Sending})
+      for (const auto &Row : *Rows)
+        Sum += Row.Errors;
+  return Sum;
+}
+
 auto rollout_recorder::batchOf(const service_rollout &Rollout) -> batch & {
   auto &Batch = Batches[Rollout.Service];
   if (Batch.To != Rollout.To) {
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -50,6 +50,10 @@
   /// from here.
   auto ended(const std::string &Session, version_arm Arm) -> void;
 
+  /// \return failed attempts of a service that wait to be reported.
+  [[nodiscard]] auto failures(const std::string &Service) const
+      -> std::uint64_t;
+
 private:
   struct batch {
     std::string To;
--- a/src/routing/backend_type.h
+++ b/src/routing/backend_type.h
@@ -33,4 +33,18 @@
   double Pace = 1; ///< Time that work takes now, 1 as usual.
 };
 
+/// A request that a backend server says it runs.
+struct running_request {
+  std::string Id;
+  std::uint32_t Events = 0; ///< Made so far.
+};
+
+/// What a backend server says of its own work; some hundred milliseconds old.
+struct backend_report {
+  std::uint32_t Running = 0;
+  std::uint32_t Waiting = 0;
+  bool ListsRuns = false; ///< Runs are stated.
+  std::vector<running_request> Runs;
+};
+
 } // namespace acacianotch
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -51,7 +51,10 @@
       std::make_shared<std::deque<scripted_answer>>();
   std::vector<std::string> Requests; ///< Heads with bodies, as received.
   std::uint16_t Port = 0;
-  int Closed = 0; ///< Connections that the gateway has closed.
+  /// Answer to a question for its report; without one it stays silent.
+  std::string Report;
+  int Questions = 0; ///< For its report.
+  int Closed = 0;    ///< Connections that the gateway has closed.
 
   auto sendLate(const std::string &Text) -> void {
     REQUIRE_FALSE(Connections.empty());
@@ -106,6 +109,16 @@
     return Head.substr(At, Head.find('\r', At) - At);
   }
 
+  auto sendReport(slot &Slot) -> void {
+    ++Questions;
+    if (Report.empty())
+      return;
+    const auto Text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+                      "Content-Length: " +
+                      std::to_string(Report.size()) + "\r\n\r\n" + Report;
+    bufferevent_write(Slot.Socket.get(), Text.data(), Text.size());
+  }
+
   auto handle(slot &Slot) -> void {
     const auto End = Slot.Received.find("\r\n\r\n");
     if (End == std::string::npos)
@@ -115,6 +128,8 @@
       return;
     const auto Request = Slot.Received.substr(0, Size);
     Slot.Received.erase(0, Size);
+    if (Request.starts_with("GET /api/report "))
+      return sendReport(Slot);
     Requests.push_back(Request);
     if (Answers->empty())
       return;
@@ -148,8 +163,9 @@
         Control(*Loop, {address{"127.0.0.1", 1}}, rpc_options()),
         Directory(*Loop, node_id("g"), zone_id("a"), 1), Extra(1.0, 10.0),
         Recorder(*Loop, Control, "g", std::chrono::seconds(5), 0.08),
-        Context{*Loop, Directory, Extra, Recorder, model_ladder({60, 1.0}),
-                false, {},        {}} {
+        Inquirer(*Loop), Context{*Loop,    Directory, Extra,
+                                 Recorder, Inquirer,  model_ladder({60, 1.0}),
+                                 false,    {},        {}} {
     auto Created = caller_server::create(
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
@@ -208,6 +224,7 @@
   backend_directory Directory;
   traffic_budget Extra;
   rollout_recorder Recorder;
+  backend_inquirer Inquirer;
   gateway_context Context;
   std::shared_ptr<const routing_table> Table;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -71,6 +71,34 @@
   raw_caller Caller;
 };
 
+/// Lists the first server with the version that serves and the second one with
+/// a version on trial.
+auto followTrial(setting &Setting) -> void {
+  backend_record Old;
+  Old.Id = "old";
+  Old.Service = "s";
+  Old.Version = "v1";
+  Old.Slots = 8;
+  Old.Address = {"127.0.0.1", Setting.First.Port};
+  auto New = Old;
+  New.Id = "new";
+  New.Version = "v2";
+  New.Address = {"127.0.0.1", Setting.Second.Port};
+  Setting.Gateway.Directory.follow({Old, New});
+  service_rollout Rollout;
+  Rollout.Service = "s";
+  Rollout.To = "v2";
+  catalogue_view View;
+  node_update Update;
+  Update.Epoch = epoch{1};
+  Update.Revision = revision{1};
+  Update.Chunks = 1;
+  Update.Payload =
+      encodeChanges({{std::string(ServiceRolloutPrefix) + "s", Rollout}});
+  REQUIRE(View.apply(Update, {}).ok());
+  Setting.Gateway.Directory.followRollouts(View);
+}
+
 } // namespace
 
 // Guards against changed answers: status, seal and body are the server's.
@@ -243,29 +271,7 @@
 // Guards against requests that a version on trial fails again and again.
 TEST_CASE("a request that fails on trial is repeated on the serving version") {
   setting Setting(route(route_kind::idempotent));
-  backend_record Old;
-  Old.Id = "old";
-  Old.Service = "s";
-  Old.Version = "v1";
-  Old.Slots = 8;
-  Old.Address = {"127.0.0.1", Setting.First.Port};
-  auto New = Old;
-  New.Id = "new";
-  New.Version = "v2";
-  New.Address = {"127.0.0.1", Setting.Second.Port};
-  Setting.Gateway.Directory.follow({Old, New});
-  service_rollout Rollout;
-  Rollout.Service = "s";
-  Rollout.To = "v2";
-  catalogue_view View;
-  node_update Update;
-  Update.Epoch = epoch{1};
-  Update.Revision = revision{1};
-  Update.Chunks = 1;
-  Update.Payload =
-      encodeChanges({{std::string(ServiceRolloutPrefix) + "s", Rollout}});
-  REQUIRE(View.apply(Update, {}).ok());
-  Setting.Gateway.Directory.followRollouts(View);
+  followTrial(Setting);
   Setting.Second.Answers = std::make_shared<std::deque<scripted_answer>>();
   *Setting.Second.Answers = {
       {std::string("HTTP/1.1 500 Internal Server Error\r\n"
@@ -351,3 +357,49 @@
   Setting.Caller.request("GET", "q2");
   CHECK(Setting.received("done"));
 }
+
+// Guards against a stream that is left, and whose prompt is read again, while
+// its server works on it.
+TEST_CASE("a silent stream stays at a server that works on it") {
+  auto Route = route(route_kind::streaming);
+  Route.TargetLatency = std::chrono::seconds(1);
+  setting Setting(Route);
+  Setting.First.Report = R"({"queued":1,"active":1,"runs":[]})";
+  Setting.Second.Report = Setting.First.Report;
+  Setting.answer({{""}, {streamHead() + chunk(eventOf(1)) + "0\r\n\r\n"}});
+  Setting.Caller.request("POST", "r1", "prompt");
+  // It is left after three objectives at last.
+  REQUIRE(Setting.received("0\r\n\r\n"));
+  CHECK(Setting.First.Questions + Setting.Second.Questions >= 2);
+  CHECK(Setting.Gateway.Context.Counters.Retries == 1);
+}
+
+// Guards against a stream that waits for long at a server that lost it.
+TEST_CASE("a silent stream leaves a server that does not have it") {
+  auto Route = route(route_kind::streaming);
+  Route.TargetLatency = std::chrono::seconds(60);
+  setting Setting(Route);
+  Setting.First.Report = R"({"queued":0,"active":0,"runs":[]})";
+  Setting.Second.Report = Setting.First.Report;
+  Setting.answer({{""}, {streamHead() + chunk(eventOf(1)) + "0\r\n\r\n"}});
+  Setting.Caller.request("POST", "s1", "prompt");
+  REQUIRE(Setting.received("0\r\n\r\n"));
+  CHECK(Setting.Gateway.Context.Counters.Retries == 1);
+}
+
+// Guards against a rollout that is stopped because servers crashed: each crash
+// breaks many requests at once.
+TEST_CASE("broken connections do not count against a version") {
+  setting Setting(route(route_kind::non_idempotent));
+  followTrial(Setting);
+  Setting.answer({{"", true}});
+  Setting.Caller.request("GET", "u1");
+  REQUIRE(Setting.received("HTTP/1.1 502"));
+  CHECK(Setting.Gateway.Recorder.failures("s") == 0);
+  Setting.answer({{std::string("HTTP/1.1 500 Internal Server Error\r\n"
+                               "X-Acacianotch-Request-Id: $ID\r\n"
+                               "Content-Length: 0\r\n\r\n")}});
+  Setting.Caller.request("GET", "u2");
+  REQUIRE(Setting.received("HTTP/1.1 500"));
+  CHECK(Setting.Gateway.Recorder.failures("s") == 1);
+}
