--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -240,6 +240,28 @@
     return kj::READY_NOW;
   }
 
+  auto exchangeWork(ExchangeWorkContext Context) -> kj::Promise<void> override {
+    auto Results = Context.getResults();
+    Results.setAccepted(Service.confirmedEpoch().has_value());
+    if (!Results.getAccepted())
+      return kj::READY_NOW;
+    const auto Params = Context.getParams();
+    const auto Count =
+        std::min(Params.getServers().size(), Params.getWork().size());
+    std::vector<server_work> Rows;
+    for (unsigned Index = 0; Index < Count; ++Index)
+      Rows.push_back({Params.getServers()[Index], Params.getWork()[Index]});
+    const auto Others = Service.workExchange().exchange(
+        toString(Params.getNode()), std::move(Rows), steady_clock::now());
+    auto Servers = Results.initServers(static_cast<unsigned>(Others.size()));
+    auto Work = Results.initWork(static_cast<unsigned>(Others.size()));
+    for (unsigned Index = 0; Index < Others.size(); ++Index) {
+      Servers.set(Index, Others[Index].Server);
+      Work.set(Index, Others[Index].Work);
+    }
+    return kj::READY_NOW;
+  }
+
   auto query(QueryContext Context) -> kj::Promise<void> override {
     const auto Params = Context.getParams();
     const auto Arguments =
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -5,6 +5,7 @@
 #include "control/group_join.h"
 #include "control/replica_host.h"
 #include "control/subscriptions.h"
+#include "control/work_exchange.h"
 
 #include <acacianotch.capnp.h>
 
@@ -64,6 +65,7 @@
 
   [[nodiscard]] auto replica() -> replica_host & { return *Host; }
   [[nodiscard]] auto nodeSubscriptions() -> subscriptions & { return *Nodes; }
+  [[nodiscard]] auto workExchange() -> work_exchange & { return Work; }
   [[nodiscard]] auto state() const -> const catalogue_state & { return State; }
   [[nodiscard]] auto counters() const -> const control_counters & {
     return Counters;
@@ -87,6 +89,7 @@
 
   event_loop &Loop;
   catalogue_state State;
+  work_exchange Work;
   std::unique_ptr<replica_host> Host;
   std::unique_ptr<subscriptions> Nodes;
   std::map<log_index, proposal> Proposals;
--- /dev/null
+++ b/src/control/work_exchange.cpp
@@ -0,0 +1,65 @@
+/// \file Merges the work that gateways have waiting at backend servers.
+#include "control/work_exchange.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace acacianotch {
+
+namespace {
+
+/// A gateway that is silent for ten of its intervals has ended or is cut off,
+/// and its work with it.
+constexpr duration LongestAge = std::chrono::seconds(1);
+
+} // namespace
+
+auto work_exchange::take(const std::vector<server_work> &Rows) -> void {
+  for (const auto &Row : Rows)
+    Sums[Row.Server] += Row.Work;
+}
+
+auto work_exchange::giveBack(const std::vector<server_work> &Rows) -> void {
+  for (const auto &Row : Rows) {
+    const auto Place = Sums.find(Row.Server);
+    Place->second -= Row.Work;
+    if (Place->second == 0)
+      Sums.erase(Place);
+  }
+}
+
+auto work_exchange::dropOld(time_point Now) -> void {
+  std::erase_if(Statements, [&](const auto &Row) {
+    const auto Old = Now - Row.second.At > LongestAge;
+    if (Old)
+      giveBack(Row.second.Rows);
+    return Old;
+  });
+}
+
+auto work_exchange::exchange(const std::string &Node,
+                             std::vector<server_work> Rows, time_point Now)
+    -> std::vector<server_work> {
+  // A server named twice would be taken back twice from one sum.
+  std::sort(Rows.begin(), Rows.end(), [](const auto &Left, const auto &Right) {
+    return Left.Server < Right.Server;
+  });
+  const auto SameServer = [](const auto &Left, const auto &Right) {
+    return Left.Server == Right.Server;
+  };
+  Rows.erase(std::unique(Rows.begin(), Rows.end(), SameServer), Rows.end());
+  dropOld(Now);
+  auto &Statement = Statements[Node];
+  giveBack(Statement.Rows);
+  constexpr std::uint64_t Most = std::numeric_limits<std::uint32_t>::max();
+  std::vector<server_work> Others;
+  Others.reserve(Sums.size());
+  for (const auto &[Server, Work] : Sums)
+    Others.push_back(
+        {Server, static_cast<std::uint32_t>(std::min(Work, Most))});
+  Statement = {std::move(Rows), Now};
+  take(Statement.Rows);
+  return Others;
+}
+
+} // namespace acacianotch
--- a/src/controller/model_ladder.cpp
+++ b/src/controller/model_ladder.cpp
@@ -66,8 +66,7 @@
     return std::nullopt;
   if (Answer.Models.size() != Answer.Steps || Answer.Models[Last].Price <= 0)
     return Last;
-  const auto Cost = Settings.CostShare + Settings.CostPerRank * Answer.Rank;
-  auto Best = 1 - wrongShare(*Answer.Confidence);
+  auto Best = (1 - wrongShare(*Answer.Confidence)) * Answer.Worth;
   if (Answer.ObjectiveShare > 1)
     Best *= Settings.LateShare;
   std::optional<std::size_t> Chosen;
@@ -76,8 +75,9 @@
     const auto Gain =
         gain(Answer.Models[Answer.Step].Name, Model.Name, Step == Last);
     const auto Timely = Model.InTime + (1 - Model.InTime) * Settings.LateShare;
-    const auto Worth = (1 - wrongShare(*Answer.Confidence + Gain)) * Timely -
-                       Cost * Model.Price / Answer.Models[Last].Price;
+    const auto Worth =
+        (1 - wrongShare(*Answer.Confidence + Gain)) * Timely * Answer.Worth -
+        Model.Price;
     if (Worth <= Best)
       continue;
     Best = Worth;
--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -14,7 +14,7 @@
 /// Settings of a ladder. Confidences are 0 to 100.
 struct model_ladder_settings {
   /// Answers whose model is at least this sure are passed on.
-  std::uint32_t MinConfidence = 60;
+  std::uint32_t MinConfidence = 70;
   /// Share of the latency objective after which no larger model is asked: the
   /// rest is left for its first token.
   double LatestShare = 1.0;
@@ -22,13 +22,6 @@
   double EvenConfidence = 50;
   /// Standard deviation of a stated confidence around the true one.
   double ConfidenceNoise = 10;
-  /// What a run of the largest model costs, as a share of a right answer's
-  /// worth on the most urgent routes; other models cost in proportion to
-  /// their prices.
-  double CostShare = 0.15;
-  /// What that share grows by with each rank: answers of less urgent routes
-  /// are worth less, while their runs cost as much.
-  double CostPerRank = 0.15;
   /// Worth of an answer that is late, as a share of one in time.
   double LateShare = 0.3;
 };
@@ -36,7 +29,7 @@
 /// One model of a route's ladder.
 struct ladder_model {
   std::string Name;
-  double Price = 0;
+  double Price = 0;  ///< Of this run, with what it costs other requests.
   double InTime = 1; ///< Probability that its first token comes in time.
 };
 
@@ -47,7 +40,7 @@
   std::optional<std::uint32_t> Confidence;
   double ObjectiveShare = 0; ///< Share of the latency objective that is over.
   bool MayRepeat = false;    ///< Attempts and budget allow another run.
-  std::uint32_t Rank = 0;    ///< Of the route; 0 is the most urgent.
+  double Worth = 1;          ///< Of a right answer, in the unit of the prices.
   std::span<const ladder_model> Models{}; ///< Empty if prices are not known.
 };
 
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -81,6 +81,7 @@
     const auto &Facts = Place->Record;
     Place->Handle = Board.put({backend_id(Facts.Id), zone_id(Facts.Zone),
                                Facts.Slots, Facts.Leaving});
+    Place->Key = serverKey(Facts.Id);
     ByHandle[Place->Handle] = Place.get();
   }
   for (auto Place = Backends.begin(); Place != Backends.end();) {
@@ -244,6 +245,15 @@
   }
 }
 
+auto backend_directory::servers(const std::string &Service) const -> double {
+  double Sum = 0;
+  for (const auto Arm : {version_arm::serving, version_arm::candidate})
+    if (const auto Place = Pools.find(armKey(Service, Arm));
+        Place != Pools.end())
+      Sum += static_cast<double>(Place->second->Members.size());
+  return Sum;
+}
+
 auto backend_directory::suspended() const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(Backends.begin(), Backends.end(),
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "board/backend_board.h"
+#include "board/work_board.h"
 #include "catalogue/catalogue_view.h"
 #include "controller/placement.h"
 #include "core/random_type.h"
@@ -31,6 +32,7 @@
 struct known_backend {
   backend_record Record;
   backend_handle Handle;
+  server_key Key = 0;
   std::vector<std::shared_ptr<backend_channel>> Idle;
   time_point SuspendedUntil{}; ///< After a failed connection.
   bool Suspended = false;
@@ -96,6 +98,9 @@
   /// Ends suspensions that are over and drops connections idle for too long.
   auto tick() -> void;
 
+  /// \return the backend servers of a service that are listed.
+  [[nodiscard]] auto servers(const std::string &Service) const -> double;
+
   /// \return backend servers that get no new work after failures.
   [[nodiscard]] auto suspended() const -> std::size_t;
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -71,12 +71,67 @@
     Pool = Context.Directory.pool(Service, version_arm::serving);
   if (Pool == nullptr)
     return failure::of(errc::no_backend);
+  if (!Request.Prompt.empty())
+    if (const auto Chosen = choosePromptServer(*Pool))
+      return *Chosen;
   place_request Place;
   Place.AffinityKey = affinityKey();
   Place.Exclude = Tried;
   return Pool->Placement.pick(Place);
 }
 
+/// \return how much work a model has with each token, relative to the largest
+/// model of the service.
+auto forward_task::modelWeight(const std::string &Name) const -> double {
+  const auto Place = Table->Services.find(Service);
+  if (Place == Table->Services.end())
+    return 1;
+  double Own = 0;
+  double Largest = 0;
+  for (const auto &Price : Place->second.Models) {
+    Largest = std::max(Largest, Price.Cost);
+    if (Price.Model == Name)
+      Own = Price.Cost;
+  }
+  return Own > 0 ? Own / Largest : 1;
+}
+
+auto forward_task::promptWork() const -> prompt_work {
+  constexpr double Thousand = 1000;
+  double Shared = 0;
+  for (std::size_t Part = 0; Part + 1 < Request.Prompt.size(); ++Part)
+    Shared += Request.Prompt[Part].Tokens;
+  const auto Weight = modelWeight(Model) / Thousand;
+  const auto Whole = std::max<double>(Request.PromptTokens, Shared);
+  return {Whole * Weight, Shared * Weight};
+}
+
+auto forward_task::choosePromptServer(backend_pool &Pool)
+    -> std::optional<backend_handle> {
+  const auto Now = steady_clock::now();
+  auto &Directory = Context.Directory;
+  if (!Context.Work.fresh(Now))
+    return std::nullopt;
+  std::optional<backend_handle> Home;
+  if (const auto Key = affinityKey())
+    Home = Pool.Placement.home(*Key);
+  const auto Waiting = [&](backend_handle Handle) {
+    const auto *Backend = Directory.find(Handle);
+    return Backend == nullptr ? 0 : Context.Work.units(Backend->Key, Now);
+  };
+  const auto Usable = [&](backend_handle Handle) {
+    return Directory.board().eligible(Handle) &&
+           std::find(Tried.begin(), Tried.end(), Handle) == Tried.end();
+  };
+  return placePrompt(Directory.random(), Pool.Members, Home, promptWork(), {},
+                     Waiting, Usable);
+}
+
+auto forward_task::setWork(double Units) -> void {
+  const auto Change = Units - std::exchange(Attempt->Work, Units);
+  Context.Work.add(serverKey(Attempt->BackendId), Change);
+}
+
 /// \return where an engine other than the prompt's usual one can copy the
 /// shared part of the prompt from, which takes far less time than reading it.
 auto forward_task::fetchSource(const known_backend &Chosen)
@@ -118,6 +173,8 @@
   Attempt->Arm = Context.Directory.armOf(*Backend);
   Attempt->Long = Request.PromptTokens > LongPromptTokens;
   Context.Directory.board().started(Chosen, Attempt->Long);
+  if (!Request.Prompt.empty())
+    setWork(promptWork().Whole);
   attempt_terms Terms;
   Terms.Account = Account == nullptr ? "" : Account->Name;
   Terms.Instance = Backend->Record.Id;
@@ -279,6 +336,7 @@
 auto forward_task::releaseAttempt(bool Clean) -> void {
   if (Attempt == nullptr)
     return;
+  setWork(0);
   std::optional<load_report> Report;
   if (const auto &Load = Attempt->Facts.Load)
     Report = {Load->Running, Load->Waiting, 0, Load->Slots, false};
--- a/src/gateway/forward_model.cpp
+++ b/src/gateway/forward_model.cpp
@@ -18,6 +18,13 @@
 /// counts as held up.
 constexpr double SlowFactor = 1.5;
 
+constexpr double Thousand = 1000;
+/// Price of a token of the prompt as a share of that of a generated one.
+constexpr double PromptShare = 0.25;
+/// What a work unit costs the streams beside it for each unit that waits at a
+/// server, in the unit of the models' prices.
+constexpr double LoadPrice = 0.01;
+
 } // namespace
 
 auto forward_task::chooseModel() -> void {
@@ -25,6 +32,8 @@
   if (!Request.AnyModel || Route->Models.empty())
     return;
   Step = model_ladder::first(Route->Models.size());
+  Worth = Context.Worths.estimate(Route->Name, Route->Rank,
+                                  Request.PromptTokens, expectedOutput());
   Model = Route->Models[Step];
 }
 
@@ -36,10 +45,31 @@
   for (const auto &Name : Route->Models)
     for (const auto &Price : Place->second.Models)
       if (Price.Model == Name)
-        Models.push_back({Name, Price.Cost, inTime(Name)});
+        Models.push_back({Name, runPrice(Price), inTime(Name)});
   return Models;
 }
 
+/// \return what a run of a model costs: its price, and what it delays the
+/// streams of the server that reads the prompt.
+auto forward_task::runPrice(const model_price &Price) const -> double {
+  const auto Tokens = expectedOutput() + PromptShare * Request.PromptTokens;
+  const auto Work = modelWeight(Price.Model) * Request.PromptTokens / Thousand;
+  const auto Load = meanWaiting();
+  return Price.Cost * Tokens / Thousand + LoadPrice * Load * Work;
+}
+
+/// \return the tokens that the request is expected to generate.
+auto forward_task::expectedOutput() const -> std::uint32_t {
+  const auto Most = Request.MaxOutputTokens;
+  return std::min(Request.LikelyOutputTokens.value_or(Most), Most);
+}
+
+/// \return the work units that wait at a server of the service, on average.
+auto forward_task::meanWaiting() const -> double {
+  const auto Servers = Context.Directory.servers(Service);
+  return Servers == 0 ? 0 : Context.Work.total(steady_clock::now()) / Servers;
+}
+
 /// \return the probability that the first token of \p Name, asked now, comes
 /// within the latency objective.
 auto forward_task::inTime(const std::string &Name) const -> double {
@@ -86,7 +116,7 @@
   Answer.MayRepeat = Sent + 1 < Route->MaxAttempts;
   const auto Models = ladderModels();
   Answer.Models = Models;
-  Answer.Rank = Route->Rank;
+  Answer.Worth = Worth;
   const auto Next = Context.Ladder.next(Answer);
   if (!Next || !Context.ExtraAttempts.tryTake())
     return std::nullopt;
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -18,6 +18,10 @@
 /// running requests end on a full backend server.
 constexpr duration RetryAfterTime = std::chrono::milliseconds(200);
 
+/// Work units that a stream of the largest model counts for while it goes on:
+/// each makes the steps of its server a little longer.
+constexpr double RunningWork = 0.1;
+
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
@@ -124,6 +128,8 @@
   Context.Directory.noteProgress(Attempt->Backend);
   Attempt->HeardAt = steady_clock::now();
   Attempt->Facts = Facts;
+  if (Attempt->Work > 0)
+    setWork(RunningWork * modelWeight(Model));
   Attempt->Head = std::move(Head);
   if (Route->Kind != route_kind::streaming || !Facts.success())
     return;
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -1,8 +1,11 @@
 /// \file Forwards one caller's request to backend servers.
 #pragma once
 
+#include "board/work_board.h"
+#include "controller/answer_worth.h"
 #include "controller/first_token_time.h"
 #include "controller/model_ladder.h"
+#include "controller/prompt_placement.h"
 #include "controller/silence.h"
 #include "controller/traffic_budget.h"
 #include "gateway/backend_directory.h"
@@ -59,7 +62,9 @@
   traffic_budget &ExtraAttempts;
   rollout_recorder &Rollouts;
   backend_inquirer &Inquirer;
+  work_board &Work;
   model_ladder Ladder;
+  answer_worth Worths{};
   bool Stopping = false; ///< The process ends soon; answers must be quick.
   gateway_counters Counters;
   gateway_times Times;
@@ -96,6 +101,7 @@
     version_arm Arm = version_arm::serving;
     std::uint32_t Asked = 0; ///< Times its server was asked in this silence.
     silent_state State = silent_state::unknown; ///< As the server said.
+    double Work = 0;                            ///< Units on the work board.
     bool Long = false;
     bool Streams = false; ///< Its body goes to the caller as it arrives.
   };
@@ -113,6 +119,14 @@
   [[nodiscard]] auto fetchSource(const known_backend &Chosen)
       -> std::optional<address>;
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
+  [[nodiscard]] auto choosePromptServer(backend_pool &Pool)
+      -> std::optional<backend_handle>;
+  [[nodiscard]] auto promptWork() const -> prompt_work;
+  [[nodiscard]] auto modelWeight(const std::string &Name) const -> double;
+  [[nodiscard]] auto runPrice(const model_price &Price) const -> double;
+  [[nodiscard]] auto expectedOutput() const -> std::uint32_t;
+  [[nodiscard]] auto meanWaiting() const -> double;
+  auto setWork(double Units) -> void;
   auto tryNext() -> void;
   auto recordOutcome(bool Failed) -> void;
   auto leaveTrial() -> void;
@@ -161,6 +175,7 @@
   std::string Service;
   version_arm Arm = version_arm::serving;
   std::string Model;
+  double Worth = 0;     ///< Of a right answer; see answer_worth.
   std::size_t Step = 0; ///< Position of the model on the route's ladder.
   /// Step and confidence of the last model that answered.
   std::optional<std::pair<std::size_t, std::uint32_t>> Dropped;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -4,6 +4,7 @@
 #include "core/log_func.h"
 #include "gateway/caller_server.h"
 #include "gateway/forward_task.h"
+#include "gateway/work_reporter.h"
 #include "net/http_server.h"
 #include "node/admin_server.h"
 #include "node/log_query.h"
@@ -85,9 +86,9 @@
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  secondsOf(Settings.Gateway.SessionSeconds),
                  CandidatePart * Settings.Gateway.ExposureShare),
-        Inquirer(TheLoop), Context{TheLoop,  Directory, ExtraAttempts,
-                                   Rollouts, Inquirer,  model_ladder(),
-                                   false,    {}},
+        Inquirer(TheLoop), Reporter(TheLoop, Link, Work, Settings.Node.Id),
+        Context{TheLoop,  Directory, ExtraAttempts, Rollouts,
+                Inquirer, Work,      model_ladder()},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.FollowMembers = true;
@@ -104,6 +105,7 @@
     Server = &TheServer;
     Link.start();
     Poller.start([this] { return listIsOld(); });
+    Reporter.start();
     Ticker->start(TickInterval);
   }
 
@@ -290,6 +292,8 @@
   platform::instance_poller Poller;
   rollout_recorder Rollouts;
   backend_inquirer Inquirer;
+  work_board Work;
+  work_reporter Reporter;
   gateway_context Context;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
   std::shared_ptr<const routing_table> Table;
--- /dev/null
+++ b/src/gateway/work_reporter.cpp
@@ -0,0 +1,73 @@
+/// \file Exchanges waiting work with the other gateways through control.
+#include "gateway/work_reporter.h"
+
+#include "core/log_func.h"
+
+#include <optional>
+#include <vector>
+
+namespace acacianotch {
+
+namespace {
+
+/// A long prompt occupies a server for some hundred milliseconds, so the
+/// others should know of it within a part of that.
+constexpr duration Interval = std::chrono::milliseconds(100);
+/// An answer takes some milliseconds; a leader that is cut off gives none.
+constexpr duration AnswerLimit = std::chrono::milliseconds(400);
+
+using answer = std::optional<std::vector<server_work>>;
+
+auto readRows(const auto &Response) -> answer {
+  std::vector<server_work> Rows;
+  const auto Servers = Response.getServers();
+  const auto Work = Response.getWork();
+  if (!Response.getAccepted() || Servers.size() != Work.size())
+    return std::nullopt;
+  Rows.reserve(Servers.size());
+  for (unsigned Index = 0; Index < Servers.size(); ++Index)
+    Rows.push_back({Servers[Index], Work[Index]});
+  return Rows;
+}
+
+} // namespace
+
+work_reporter::work_reporter(event_loop &TheLoop, node_link &TheLink,
+                             work_board &TheBoard, std::string TheNode)
+    : Loop(TheLoop), Link(TheLink), Board(TheBoard), Node(std::move(TheNode)),
+      Timer(TheLoop.repeating([this] { tick(); })) {}
+
+auto work_reporter::start() -> void { Timer->start(Interval); }
+
+auto work_reporter::tick() -> void {
+  auto *Leader = Link.leaderPeer();
+  if (Call.running() || Leader == nullptr)
+    return;
+  auto Control = Leader->as<wire::Control>();
+  if (!Control)
+    return;
+  const auto Rows = Board.own();
+  auto Request = Control->exchangeWorkRequest();
+  Request.setNode(Node.c_str());
+  auto Servers = Request.initServers(static_cast<unsigned>(Rows.size()));
+  auto Work = Request.initWork(static_cast<unsigned>(Rows.size()));
+  for (unsigned Index = 0; Index < Rows.size(); ++Index) {
+    Servers.set(Index, Rows[Index].Server);
+    Work.set(Index, Rows[Index].Work);
+  }
+  auto Answer = Request.send().then(
+      [](auto &&Response) { return readRows(Response); },
+      [](kj::Exception &&Exception) -> answer {
+        logDebug(log_category::placement, "an exchange of work failed",
+                 {{"error", Exception.getDescription().cStr()}});
+        return std::nullopt;
+      });
+  auto Limit =
+      Loop.delay(AnswerLimit).then([]() -> answer { return std::nullopt; });
+  Call.start(Answer.exclusiveJoin(kj::mv(Limit)), [this](const answer &Others) {
+    if (Others)
+      Board.setOthers(*Others, steady_clock::now());
+  });
+}
+
+} // namespace acacianotch
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -156,4 +156,8 @@
   join @3 (address :Text, token :UInt64, replica :UInt64) -> (grant :JoinGrant);
   # Asks for membership. A replica without identity sends replica 0; a token,
   # new with each start, makes a repeated call harmless.
+  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32)) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32));
+  # What a gateway has waiting at backend servers, for the sum of what all
+  # others have. Servers are named by a hash, work is in thousandths of a unit.
+  # Not accepted by a process that does not lead.
 }
--- a/src/net/wire/acacianotch.capnp.c++
+++ b/src/net/wire/acacianotch.capnp.c++
@@ -2310,7 +2310,7 @@
   0, 7, i_9130c04f9655d99c, nullptr, nullptr, { &s_9130c04f9655d99c, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<63> b_fd00c6892a8e2253 = {
+static const ::capnp::_::AlignedData<74> b_fd00c6892a8e2253 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
      83,  34, 142,  42, 137, 198,   0, 253,
      18,   0,   0,   0,   3,   0,   0,   0,
@@ -2320,47 +2320,55 @@
      21,   0,   0,   0, 210,   0,   0,   0,
      33,   0,   0,   0,   7,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     29,   0,   0,   0,   7,   1,   0,   0,
-    197,   0,   0,   0,  23,   0,   0,   0,
+     29,   0,   0,   0,  71,   1,   0,   0,
+    241,   0,   0,   0,  23,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      97,  99,  97,  99, 105,  97, 110, 111,
     116,  99, 104,  46,  99,  97, 112, 110,
     112,  58,  67, 111, 110, 116, 114, 111,
     108,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   1,   0,   1,   0,
-     16,   0,   0,   0,   3,   0,   5,   0,
+     20,   0,   0,   0,   3,   0,   5,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
      72, 246, 151,  13, 152, 171, 112, 219,
     144,  58,   0, 244, 216, 153,  53, 159,
-    113,   0,   0,   0,  82,   0,   0,   0,
+    145,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    105,   0,   0,   0,   7,   0,   0,   0,
+    137,   0,   0,   0,   7,   0,   0,   0,
       1,   0,   0,   0,   0,   0,   0,   0,
     192,  89, 153, 115, 186,  40, 236, 236,
     161, 230, 219, 165, 184,  81,  55, 168,
-     93,   0,   0,   0,  66,   0,   0,   0,
+    125,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     81,   0,   0,   0,   7,   0,   0,   0,
+    113,   0,   0,   0,   7,   0,   0,   0,
       2,   0,   0,   0,   0,   0,   0,   0,
      40, 222, 167, 232, 153,  90,  90, 151,
     192,  27,  58,  14, 183, 170, 169, 223,
-     69,   0,   0,   0,  82,   0,   0,   0,
+    101,   0,   0,   0,  82,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     61,   0,   0,   0,   7,   0,   0,   0,
+     93,   0,   0,   0,   7,   0,   0,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
     113, 210,   5, 112,  31, 178,  27, 254,
     236, 165,  90, 187,  74, 186, 187, 155,
-     49,   0,   0,   0,  42,   0,   0,   0,
+     81,   0,   0,   0,  42,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-     37,   0,   0,   0,   7,   0,   0,   0,
+     69,   0,   0,   0,   7,   0,   0,   0,
+      4,   0,   0,   0,   0,   0,   0,   0,
+     70,  81,  13,  85, 111, 112, 135, 185,
+     22, 198, 206,  95, 179,  22,  90, 254,
+     57,   0,   0,   0, 106,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     49,   0,   0,   0,   7,   0,   0,   0,
     115, 117,  98, 115,  99, 114, 105,  98,
     101,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
@@ -2371,6 +2379,9 @@
       0,   0,   0,   0,   0,   0,   1,   0,
     106, 111, 105, 110,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   1,   0,
+    101, 120,  99, 104,  97, 110, 103, 101,
+     87, 111, 114, 107,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   1,   0,
       4,   0,   0,   0,   1,   0,   1,   0,
     140,  28, 154, 223,  53,  36, 250, 158,
       0,   0,   0,   0,   0,   0,   0,   0, }
@@ -2383,15 +2394,17 @@
   &s_9efa2435df9a1c8c,
   &s_9f3599d8f4003a90,
   &s_a83751b8a5dbe6a1,
+  &s_b987706f550d5146,
   &s_db70ab980d97f648,
   &s_dfa9aab70e3a1bc0,
   &s_ecec28ba739959c0,
   &s_fe1bb21f7005d271,
+  &s_fe5a16b35fcec616,
 };
-static const uint16_t m_fd00c6892a8e2253[] = {1, 3, 2, 0};
+static const uint16_t m_fd00c6892a8e2253[] = {4, 1, 3, 2, 0};
 const ::capnp::_::RawSchema s_fd00c6892a8e2253 = {
-  0xfd00c6892a8e2253, b_fd00c6892a8e2253.words, 63, d_fd00c6892a8e2253, m_fd00c6892a8e2253,
-  9, 4, nullptr, nullptr, nullptr, { &s_fd00c6892a8e2253, nullptr, nullptr, 0, 0, nullptr }
+  0xfd00c6892a8e2253, b_fd00c6892a8e2253.words, 74, d_fd00c6892a8e2253, m_fd00c6892a8e2253,
+  11, 5, nullptr, nullptr, nullptr, { &s_fd00c6892a8e2253, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
 static const ::capnp::_::AlignedData<80> b_db70ab980d97f648 = {
@@ -2854,6 +2867,173 @@
   1, 1, i_9bbbba4abb5aa5ec, nullptr, nullptr, { &s_9bbbba4abb5aa5ec, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<72> b_b987706f550d5146 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     70,  81,  13,  85, 111, 112, 135, 185,
+     26,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      3,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 114,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 110, 116, 114, 111,
+    108,  46, 101, 120,  99, 104,  97, 110,
+    103, 101,  87, 111, 114, 107,  36,  80,
+     97, 114,  97, 109, 115,   0,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     64,   0,   0,   0,   3,   0,   1,   0,
+     76,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     73,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     96,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   2,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     93,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     88,   0,   0,   0,   3,   0,   1,   0,
+    116,   0,   0,   0,   2,   0,   1,   0,
+    110, 111, 100, 101,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     12,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 111, 114, 107,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_b987706f550d5146 = b_b987706f550d5146.words;
+#if !CAPNP_LITE
+static const uint16_t m_b987706f550d5146[] = {0, 1, 2};
+static const uint16_t i_b987706f550d5146[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_b987706f550d5146 = {
+  0xb987706f550d5146, b_b987706f550d5146.words, 72, nullptr, m_b987706f550d5146,
+  0, 3, i_b987706f550d5146, nullptr, nullptr, { &s_b987706f550d5146, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
+static const ::capnp::_::AlignedData<73> b_fe5a16b35fcec616 = {
+  {   0,   0,   0,   0,   5,   0,   6,   0,
+     22, 198, 206,  95, 179,  22,  90, 254,
+     26,   0,   0,   0,   1,   0,   1,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      2,   0,   7,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     21,   0,   0,   0, 122,   1,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     33,   0,   0,   0, 175,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,  99,  97,  99, 105,  97, 110, 111,
+    116,  99, 104,  46,  99,  97, 112, 110,
+    112,  58,  67, 111, 110, 116, 114, 111,
+    108,  46, 101, 120,  99, 104,  97, 110,
+    103, 101,  87, 111, 114, 107,  36,  82,
+    101, 115, 117, 108, 116, 115,   0,   0,
+     12,   0,   0,   0,   3,   0,   4,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     69,   0,   0,   0,  74,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     68,   0,   0,   0,   3,   0,   1,   0,
+     80,   0,   0,   0,   2,   0,   1,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   1,   0,   1,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     77,   0,   0,   0,  66,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     72,   0,   0,   0,   3,   0,   1,   0,
+    100,   0,   0,   0,   2,   0,   1,   0,
+      2,   0,   0,   0,   1,   0,   0,   0,
+      0,   0,   1,   0,   2,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     97,   0,   0,   0,  42,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     92,   0,   0,   0,   3,   0,   1,   0,
+    120,   0,   0,   0,   2,   0,   1,   0,
+     97,  99,  99, 101, 112, 116, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      1,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    115, 101, 114, 118, 101, 114, 115,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+    119, 111, 114, 107,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   3,   0,   1,   0,
+      8,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+     14,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0,
+      0,   0,   0,   0,   0,   0,   0,   0, }
+};
+::capnp::word const* const bp_fe5a16b35fcec616 = b_fe5a16b35fcec616.words;
+#if !CAPNP_LITE
+static const uint16_t m_fe5a16b35fcec616[] = {0, 1, 2};
+static const uint16_t i_fe5a16b35fcec616[] = {0, 1, 2};
+const ::capnp::_::RawSchema s_fe5a16b35fcec616 = {
+  0xfe5a16b35fcec616, b_fe5a16b35fcec616.words, 73, nullptr, m_fe5a16b35fcec616,
+  0, 3, i_fe5a16b35fcec616, nullptr, nullptr, { &s_fe5a16b35fcec616, nullptr, nullptr, 0, 0, nullptr }
+};
+#endif  // !CAPNP_LITE
 }  // namespace schemas
 }  // namespace capnp
 
@@ -3263,6 +3443,16 @@
       "acacianotch.capnp:Control", "join",
       0xfd00c6892a8e2253ull, 3);
 }
+::capnp::Request< ::acacianotch::wire::Control::ExchangeWorkParams,  ::acacianotch::wire::Control::ExchangeWorkResults>
+Control::Client::exchangeWorkRequest(::kj::Maybe< ::capnp::MessageSize> sizeHint) {
+  return newCall< ::acacianotch::wire::Control::ExchangeWorkParams,  ::acacianotch::wire::Control::ExchangeWorkResults>(
+      0xfd00c6892a8e2253ull, 4, sizeHint);
+}
+::kj::Promise<void> Control::Server::exchangeWork(ExchangeWorkContext) {
+  return ::capnp::Capability::Server::internalUnimplemented(
+      "acacianotch.capnp:Control", "exchangeWork",
+      0xfd00c6892a8e2253ull, 4);
+}
 ::capnp::Capability::Server::DispatchCallResult Control::Server::dispatchCall(
     uint64_t interfaceId, uint16_t methodId,
     ::capnp::CallContext< ::capnp::AnyPointer, ::capnp::AnyPointer> context) {
@@ -3303,6 +3493,12 @@
              ::acacianotch::wire::Control::JoinParams,  ::acacianotch::wire::Control::JoinResults>(context)),
         false
       };
+    case 4:
+      return {
+        exchangeWork(::capnp::Capability::Server::internalGetTypedContext<
+             ::acacianotch::wire::Control::ExchangeWorkParams,  ::acacianotch::wire::Control::ExchangeWorkResults>(context)),
+        false
+      };
     default:
       (void)context;
       return ::capnp::Capability::Server::internalUnimplemented(
@@ -3382,6 +3578,22 @@
 constexpr ::capnp::_::RawSchema const* Control::JoinResults::_capnpPrivate::schema;
 #endif  // !CAPNP_LITE
 
+// Control::ExchangeWorkParams
+constexpr uint16_t Control::ExchangeWorkParams::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::ExchangeWorkParams::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::ExchangeWorkParams::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::ExchangeWorkParams::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
+// Control::ExchangeWorkResults
+constexpr uint16_t Control::ExchangeWorkResults::_capnpPrivate::dataWordSize;
+constexpr uint16_t Control::ExchangeWorkResults::_capnpPrivate::pointerCount;
+#if !CAPNP_LITE
+constexpr ::capnp::Kind Control::ExchangeWorkResults::_capnpPrivate::kind;
+constexpr ::capnp::_::RawSchema const* Control::ExchangeWorkResults::_capnpPrivate::schema;
+#endif  // !CAPNP_LITE
+
 
 }  // namespace
 }  // namespace
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -52,6 +52,8 @@
 CAPNP_DECLARE_SCHEMA(dfa9aab70e3a1bc0);
 CAPNP_DECLARE_SCHEMA(fe1bb21f7005d271);
 CAPNP_DECLARE_SCHEMA(9bbbba4abb5aa5ec);
+CAPNP_DECLARE_SCHEMA(b987706f550d5146);
+CAPNP_DECLARE_SCHEMA(fe5a16b35fcec616);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -453,6 +455,8 @@
   struct ReplicateResults;
   struct JoinParams;
   struct JoinResults;
+  struct ExchangeWorkParams;
+  struct ExchangeWorkResults;
 
   #if !CAPNP_LITE
   struct _capnpPrivate {
@@ -582,6 +586,36 @@
   };
 };
 
+struct Control::ExchangeWorkParams {
+  ExchangeWorkParams() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 0, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Control::ExchangeWorkResults {
+  ExchangeWorkResults() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fe5a16b35fcec616, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 // =======================================================================================
 
 class LoadReport::Reader {
@@ -2990,6 +3024,8 @@
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
   ::capnp::Request< ::acacianotch::wire::Control::JoinParams,  ::acacianotch::wire::Control::JoinResults> joinRequest(
       ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
+  ::capnp::Request< ::acacianotch::wire::Control::ExchangeWorkParams,  ::acacianotch::wire::Control::ExchangeWorkResults> exchangeWorkRequest(
+      ::kj::Maybe< ::capnp::MessageSize> sizeHint = nullptr);
 
 protected:
   Client() = default;
@@ -3023,6 +3059,10 @@
   typedef  ::acacianotch::wire::Control::JoinResults JoinResults;
   typedef ::capnp::CallContext<JoinParams, JoinResults> JoinContext;
   virtual ::kj::Promise<void> join(JoinContext context);
+  typedef  ::acacianotch::wire::Control::ExchangeWorkParams ExchangeWorkParams;
+  typedef  ::acacianotch::wire::Control::ExchangeWorkResults ExchangeWorkResults;
+  typedef ::capnp::CallContext<ExchangeWorkParams, ExchangeWorkResults> ExchangeWorkContext;
+  virtual ::kj::Promise<void> exchangeWork(ExchangeWorkContext context);
 
   inline  ::acacianotch::wire::Control::Client thisCap() {
     return ::capnp::Capability::Server::thisCap()
@@ -3732,6 +3772,207 @@
 };
 #endif  // !CAPNP_LITE
 
+class Control::ExchangeWorkParams::Reader {
+public:
+  typedef ExchangeWorkParams Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode() const;
+  inline  ::capnp::Text::Reader getNode() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
+
+  inline bool hasWork() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWork() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ExchangeWorkParams::Builder {
+public:
+  typedef ExchangeWorkParams Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasNode();
+  inline  ::capnp::Text::Builder getNode();
+  inline void setNode( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initNode(unsigned int size);
+  inline void adoptNode(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownNode();
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getServers();
+  inline void setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServers(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
+
+  inline bool hasWork();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWork();
+  inline void setWork( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWork(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWork(unsigned int size);
+  inline void adoptWork(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWork();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ExchangeWorkParams::Pipeline {
+public:
+  typedef ExchangeWorkParams Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Control::ExchangeWorkResults::Reader {
+public:
+  typedef ExchangeWorkResults Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
+
+  inline bool hasWork() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWork() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Control::ExchangeWorkResults::Builder {
+public:
+  typedef ExchangeWorkResults Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getAccepted();
+  inline void setAccepted(bool value);
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getServers();
+  inline void setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServers(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
+
+  inline bool hasWork();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getWork();
+  inline void setWork( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWork(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initWork(unsigned int size);
+  inline void adoptWork(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWork();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Control::ExchangeWorkResults::Pipeline {
+public:
+  typedef ExchangeWorkResults Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint32_t LoadReport::Reader::getRunning() const {
@@ -6639,6 +6880,206 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Control::ExchangeWorkParams::Reader::hasNode() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkParams::Builder::hasNode() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Control::ExchangeWorkParams::Reader::getNode() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Control::ExchangeWorkParams::Builder::getNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkParams::Builder::setNode( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Control::ExchangeWorkParams::Builder::initNode(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkParams::Builder::adoptNode(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Control::ExchangeWorkParams::Builder::disownNode() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ExchangeWorkParams::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkParams::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::ExchangeWorkParams::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkParams::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkParams::Builder::setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Control::ExchangeWorkParams::Builder::setServers(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkParams::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkParams::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Control::ExchangeWorkParams::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ExchangeWorkParams::Reader::hasWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkParams::Builder::hasWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::ExchangeWorkParams::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkParams::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkParams::Builder::setWork( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Control::ExchangeWorkParams::Builder::setWork(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkParams::Builder::initWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkParams::Builder::adoptWork(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Control::ExchangeWorkParams::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ExchangeWorkResults::Reader::getAccepted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::ExchangeWorkResults::Builder::getAccepted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::ExchangeWorkResults::Builder::setAccepted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Control::ExchangeWorkResults::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkResults::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::ExchangeWorkResults::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkResults::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkResults::Builder::setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Control::ExchangeWorkResults::Builder::setServers(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkResults::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkResults::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Control::ExchangeWorkResults::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Control::ExchangeWorkResults::Reader::hasWork() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkResults::Builder::hasWork() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Control::ExchangeWorkResults::Reader::getWork() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkResults::Builder::getWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkResults::Builder::setWork( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Control::ExchangeWorkResults::Builder::setWork(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Control::ExchangeWorkResults::Builder::initWork(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkResults::Builder::adoptWork(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Control::ExchangeWorkResults::Builder::disownWork() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -99,9 +99,14 @@
 }
 
 auto node_link::leader() const -> std::optional<address> {
-  if (!Heard || Subscription == nullptr)
+  const auto *Peer = leaderPeer();
+  if (Peer == nullptr)
     return std::nullopt;
-  return Chosen->peerAddress();
+  return Peer->peerAddress();
+}
+
+auto node_link::leaderPeer() const -> rpc_peer * {
+  return Heard && Subscription != nullptr ? Chosen : nullptr;
 }
 
 auto node_link::subscribe() -> void {
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -44,6 +44,9 @@
   /// \return the RPC address of the leader while it sends updates.
   [[nodiscard]] auto leader() const -> std::optional<address>;
 
+  /// \return the leader while it sends updates, or null.
+  [[nodiscard]] auto leaderPeer() const -> rpc_peer *;
+
   /// Whether the node follows the members that control names. Off where the
   /// settings name other addresses, such as relays, on purpose.
   bool FollowMembers = false;
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -163,9 +163,13 @@
         Control(*Loop, {address{"127.0.0.1", 1}}, rpc_options()),
         Directory(*Loop, node_id("g"), zone_id("a"), 1), Extra(1.0, 10.0),
         Recorder(*Loop, Control, "g", std::chrono::seconds(5), 0.08),
-        Inquirer(*Loop), Context{*Loop,    Directory, Extra,
-                                 Recorder, Inquirer,  model_ladder({60, 1.0}),
-                                 false,    {},        {}} {
+        Inquirer(*Loop), Context{*Loop,
+                                 Directory,
+                                 Extra,
+                                 Recorder,
+                                 Inquirer,
+                                 Work,
+                                 model_ladder({60, 1.0})} {
     auto Created = caller_server::create(
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
@@ -225,6 +229,7 @@
   traffic_budget Extra;
   rollout_recorder Recorder;
   backend_inquirer Inquirer;
+  work_board Work;
   gateway_context Context;
   std::shared_ptr<const routing_table> Table;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
--- a/test/model_ladder_test.cpp
+++ b/test/model_ladder_test.cpp
@@ -1,4 +1,5 @@
 /// \file Which model of a ladder is asked next.
+#include "controller/answer_worth.h"
 #include "controller/first_token_time.h"
 #include "controller/model_ladder.h"
 
@@ -11,7 +12,7 @@
 namespace {
 
 auto models() -> std::vector<ladder_model> {
-  return {{"small", 1}, {"middle", 8}, {"large", 16}};
+  return {{"small", 0.01}, {"middle", 0.075}, {"large", 0.15}};
 }
 
 auto answer(std::uint32_t Confidence, const std::vector<ladder_model> &Models)
@@ -61,16 +62,43 @@
   CHECK(Ladder.next(answer(5, Models)).has_value());
 }
 
-// Guards against less urgent routes that spend as much as urgent ones.
-TEST_CASE("less urgent routes accept less sure answers") {
+// Guards against answers of little worth that cost as much as large ones.
+TEST_CASE("less is spent on answers of less worth") {
   const model_ladder Ladder;
   const auto Models = models();
   auto Answer = answer(56, Models);
   CHECK(Ladder.next(Answer).has_value());
-  Answer.Rank = 3;
+  Answer.Worth = 0.4;
   CHECK_FALSE(Ladder.next(Answer));
 }
 
+// Guards against large models that are asked while their servers are busy, for
+// answers that are worth less than the delay of others.
+TEST_CASE("a run that delays others must be worth it") {
+  const model_ladder Ladder;
+  auto Models = models();
+  CHECK(Ladder.next(answer(20, Models)) == 2U);
+  Models[1].Price += 0.9;
+  Models[2].Price += 1.8;
+  CHECK_FALSE(Ladder.next(answer(20, Models)));
+  auto Answer = answer(20, Models);
+  Answer.Worth = 5;
+  CHECK(Ladder.next(Answer) == 2U);
+}
+
+// Guards against worth that is the same for all sizes and ranks.
+TEST_CASE("the worth of an answer follows rank and size") {
+  answer_worth Worths;
+  for (int Round = 0; Round < 500; ++Round)
+    static_cast<void>(Worths.estimate("long", 0, 10'000, 400));
+  const auto Usual = Worths.estimate("long", 0, 10'000, 400);
+  CHECK(Usual == doctest::Approx(5).epsilon(0.01));
+  CHECK(Worths.estimate("long", 0, 20'000, 800) > 1.6 * Usual);
+  CHECK(Worths.estimate("long", 0, 900'000, 800) <
+        doctest::Approx(3.2 * Usual));
+  CHECK(Worths.estimate("long", 1, 10'000, 400) < 0.5 * Usual);
+}
+
 // Guards against times of long prompts that are expected as those of short
 // ones, and against an expectation from too few answers.
 TEST_CASE("the time to the first token follows the prompt's length") {
