--- a/src/controller/prompt_placement.h
+++ b/src/controller/prompt_placement.h
@@ -15,6 +15,7 @@
 struct prompt_work {
   double Whole = 0;  ///< Its prompt is read whole.
   double Shared = 0; ///< Part of it that other requests share.
+  double Away = 0;   ///< What it costs to use another than its usual server.
 };
 
 /// Settings of the placement of prompts.
@@ -27,7 +28,7 @@
   double ChoicesPerUnit = 0.5;
   /// What a shared part costs at another server than its usual one, as a share
   /// of reading it: it is copied from there.
-  double AwayShare = 0.8;
+  double AwayShare = 0.3;
 };
 
 /// \return the work of reading a prompt at its usual server, or at another.
@@ -35,7 +36,7 @@
 expectedWork(const prompt_work &Prompt, bool AtHome,
              const prompt_placement_settings &Settings) -> double {
   const auto Own = Prompt.Whole - Prompt.Shared;
-  return AtHome ? Own : Own + Settings.AwayShare * Prompt.Shared;
+  return AtHome ? Own : Own + Prompt.Away + Settings.AwayShare * Prompt.Shared;
 }
 
 /// Chooses the server where a prompt is read first: \p Waiting tells the units
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -19,6 +19,9 @@
 /// Shared prompt tokens from which a copy is worth a transfer; a transfer has a
 /// set-up time of some milliseconds.
 constexpr std::uint32_t FetchTokens = 512;
+/// Work units that 1,000 shared tokens count for away from their usual server:
+/// they are copied there, or read again, and both have a price.
+constexpr double AwayUnits = 0.5;
 /// Prompts above this many tokens count as long work.
 constexpr std::uint32_t LongPromptTokens = 4096;
 
@@ -103,7 +106,7 @@
     Shared += Request.Prompt[Part].Tokens;
   const auto Weight = modelWeight(Model) / Thousand;
   const auto Whole = std::max<double>(Request.PromptTokens, Shared);
-  return {Whole * Weight, Shared * Weight};
+  return {Whole * Weight, Shared * Weight, AwayUnits * Shared / Thousand};
 }
 
 auto forward_task::choosePromptServer(backend_pool &Pool)
