Add: [Soak] randomized runs of the real processes with faults from outside; the stand-in has several servers, streams and reports

Phases alternate: processes that are killed, frozen and told to stop, wiped disks and torn logs, connections that are silent, one-way, slow or reset, servers that leave and start anew; then planned work alone. The deployment of platform_test moves to the support folder, for both.

--- /dev/null
+++ b/test/process/support/platform_deployment.cpp
@@ -0,0 +1,202 @@
+#include "process/support/platform_deployment.h"
+
+#include "process/support/port_block.h"
+
+#include <cstdlib>
+#include <fstream>
+#include <set>
+#include <stdexcept>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr int HttpOk = 200;
+constexpr int HttpSeeOther = 307;
+constexpr int HttpServerError = 500;
+
+auto plainText(std::uint16_t Port) -> std::string {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+} // namespace
+
+auto loopbackText(std::uint16_t Port) -> std::string {
+  return '"' + plainText(Port) + '"';
+}
+
+platform_deployment::platform_deployment(const platform_options &TheOptions)
+    : Platform(nextPort()), Options(TheOptions) {
+  auto Pattern =
+      (std::filesystem::temp_directory_path() / "acacianotch-test-XXXXXX")
+          .string();
+  if (mkdtemp(Pattern.data()) == nullptr)
+    throw std::runtime_error("cannot make a folder for the test");
+  Folder = Pattern;
+  for (std::size_t Index = 0; Index < Options.Replicas; ++Index)
+    Replicas.push_back(makeReplica());
+  for (auto &Each : Replicas)
+    Seeds += (Seeds.empty() ? "" : ", ") + loopbackText(Each.Rpc);
+  for (auto &Each : Replicas)
+    start(Each, true);
+  startStandin();
+  for (std::size_t Index = 0; Index < Options.Gateways; ++Index) {
+    Gateways.push_back(makeGateway());
+    start(Gateways.back());
+  }
+}
+
+platform_deployment::~platform_deployment() {
+  Gateways.clear();
+  Standin.reset();
+  Replicas.clear();
+  std::error_code Ignored;
+  if (!Kept)
+    std::filesystem::remove_all(Folder, Ignored);
+}
+
+auto platform_deployment::startStandin() -> void {
+  std::vector<std::string> Words{PROGRAM_FOLDER "/standin_platform", "--listen",
+                                 plainText(Platform)};
+  for (std::size_t Index = 0; Index < Options.Servers; ++Index) {
+    const auto Listen = nextPort();
+    const auto Listed = nextPort();
+    ServerRelays.push_back(std::make_unique<tcp_relay>(Listed, Listen));
+    Words.emplace_back("--server");
+    Words.push_back(plainText(Listen) + "," + plainText(Listed));
+  }
+  Standin = std::make_unique<child_process>(Words, log("standin"));
+}
+
+auto platform_deployment::makeReplica() -> control_row {
+  control_row Made;
+  Made.Name = "control-" + std::to_string(Names++);
+  Made.Rpc = nextPort();
+  Made.Operator = nextPort();
+  Made.Admin = nextPort();
+  return Made;
+}
+
+auto platform_deployment::makeGateway() -> gateway_row {
+  gateway_row Made;
+  Made.Name = "gateway-" + std::to_string(Names++);
+  Made.Http = nextPort();
+  Made.Ready = nextPort();
+  Made.Admin = nextPort();
+  Made.Callers = Made.Http;
+  if (!Options.CallerRelays)
+    return Made;
+  Made.Callers = nextPort();
+  Made.Relay = std::make_unique<tcp_relay>(Made.Callers, Made.Http);
+  return Made;
+}
+
+auto platform_deployment::start(control_row &Each, bool Bootstrap) -> void {
+  const auto File = Folder / (Each.Name + ".toml");
+  std::filesystem::create_directories(data(Each));
+  std::ofstream(File) << "role = \"control\"\n[node]\nid = \"" << Each.Name
+                      << "\"\nzone = \"a\"\n[control]\n"
+                      << (Each.Relay
+                              ? ""
+                              : "data_folder = \"" + data(Each).string() + "\"")
+                      << "\nseeds = [" << Seeds
+                      << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
+                      << "\noperator_listen = " << loopbackText(Each.Operator)
+                      << "\n[gateway]\nbackends = " << loopbackText(Platform)
+                      << "\nbackend_interval_ms = 100"
+                      << "\n[rpc]\nlisten = " << loopbackText(Each.Rpc)
+                      << "\n[admin]\nlisten = " << loopbackText(Each.Admin)
+                      << "\n";
+  Each.Process = startDaemon(File, Each.Name);
+}
+
+auto platform_deployment::start(gateway_row &Each) -> void {
+  start(Each, Seeds, Platform);
+}
+
+auto platform_deployment::start(gateway_row &Each, const std::string &Addresses,
+                                std::uint16_t ListPort) -> void {
+  const auto File = Folder / (Each.Name + ".toml");
+  std::ofstream(File) << "role = \"gateway\"\n[node]\nid = \"" << Each.Name
+                      << "\"\nzone = \"a\"\n[control]\naddresses = ["
+                      << Addresses
+                      << "]\n[http]\nlisten = " << loopbackText(Each.Http)
+                      << "\n[admin]\nlisten = " << loopbackText(Each.Admin)
+                      << "\n[gateway]\nready_listen = "
+                      << loopbackText(Each.Ready)
+                      << "\nbackends = " << loopbackText(ListPort)
+                      << "\nbackend_interval_ms = 100\ngrace_s = "
+                      << Options.GraceSeconds << "\n";
+  Each.Process = startDaemon(File, Each.Name);
+}
+
+auto platform_deployment::order(const std::string &Method,
+                                const std::string &Path,
+                                const std::string &Body,
+                                std::chrono::milliseconds Limit)
+    -> http_answer {
+  http_answer Answer;
+  const auto Clear = waitUntil(
+      [&] {
+        for (const auto &Each : Replicas) {
+          Answer = http_call(Each.Operator, httpRequest(Method, Path, {}, Body))
+                       .finish();
+          if (Answer.Status >= HttpOk && Answer.Status != HttpSeeOther &&
+              Answer.Status < HttpServerError)
+            return true;
+        }
+        return false;
+      },
+      Limit);
+  return Clear ? Answer : http_answer{};
+}
+
+auto platform_deployment::call(const std::string &Path,
+                               const std::string &Key) const -> http_answer {
+  return http_call(Gateways.front().Callers,
+                   httpRequest(
+                       "GET", Path,
+                       {{"X-Acacianotch-Request-Id", "q1"}, {"X-Api-Key", Key}},
+                       ""))
+      .finish();
+}
+
+auto platform_deployment::waitServed(const std::string &Path) const -> bool {
+  return waitUntil([&] { return call(Path).Status == HttpOk; });
+}
+
+auto platform_deployment::votersAre(const control_row &Each,
+                                    const std::vector<const control_row *> &Of)
+    -> bool {
+  const auto Dump = httpGet(Each.Admin, "/dump").json();
+  if (!Dump.is_object())
+    return false;
+  std::set<std::string> Known;
+  for (const auto &Row : Dump.value("members", nlohmann::json::array()))
+    if (Row.value("voter", false))
+      Known.insert(Row.value("address", ""));
+  std::set<std::string> Wanted;
+  for (const auto *Row : Of)
+    Wanted.insert(plainText(Row->Rpc));
+  return Known == Wanted;
+}
+
+auto platform_deployment::data(const control_row &Each) const
+    -> std::filesystem::path {
+  return Folder / Each.Name;
+}
+
+auto platform_deployment::startDaemon(const std::filesystem::path &File,
+                                      const std::string &Name)
+    -> std::unique_ptr<child_process> {
+  return std::make_unique<child_process>(
+      std::vector<std::string>{PROGRAM_FOLDER "/acacianotchd", "--settings",
+                               File},
+      log(Name));
+}
+
+auto platform_deployment::log(const std::string &Name) const -> std::string {
+  return Folder / (Name + ".log");
+}
+
+} // namespace acacianotch
--- a/test/process/support/tcp_relay.cpp
+++ b/test/process/support/tcp_relay.cpp
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr int TurnMs = 10;
+/// Delay of a slow relay: several times what work on loopback takes.
+constexpr auto SlowTime = std::chrono::milliseconds(60);
 constexpr int Backlog = 64;
 constexpr std::size_t ReadSize = 65536;
 
@@ -37,7 +39,12 @@
 
 auto tcp_relay::run() -> void {
   while (!Stop) {
-    if (Cut)
+    if (ResetDue.exchange(false))
+      resetAll();
+    const auto Now = Mode.load();
+    if (Now == relay_mode::slow)
+      std::this_thread::sleep_for(SlowTime);
+    if (Now == relay_mode::silent)
       std::this_thread::sleep_for(std::chrono::milliseconds(TurnMs));
     else
       turn();
@@ -48,7 +55,8 @@
   std::vector<pollfd> Waits = {{Listener, POLLIN, 0}};
   for (const auto &[Socket, Peer] : Other)
     Waits.push_back({Socket, POLLIN, 0});
-  if (poll(Waits.data(), Waits.size(), TurnMs) <= 0 || Cut)
+  if (poll(Waits.data(), Waits.size(), TurnMs) <= 0 ||
+      Mode == relay_mode::silent)
     return;
   for (const auto &Wait : Waits) {
     if (Wait.revents == 0)
@@ -62,10 +70,11 @@
 
 auto tcp_relay::accept() -> void {
   const auto Near = accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC);
-  const auto Far = connectLoopback(Target);
-  if (Near >= 0 && Far >= 0) {
-    Other[Near] = Far;
-    Other[Far] = Near;
+  const auto Out = connectLoopback(Target);
+  if (Near >= 0 && Out >= 0) {
+    Other[Near] = Out;
+    Other[Out] = Near;
+    Far.insert(Out);
     return;
   }
   if (Near >= 0)
@@ -77,12 +86,25 @@
   const auto To = Other[From];
   const auto Count = recv(From, Buffer.data(), Buffer.size(), 0);
   const auto Size = static_cast<std::size_t>(Count);
+  if (Count > 0 && Mode == relay_mode::one_way && Far.contains(From))
+    return;
   if (Count > 0 && send(To, Buffer.data(), Size, MSG_NOSIGNAL) == Count)
     return;
-  Other.erase(From);
-  Other.erase(To);
-  close(From);
-  close(To);
+  for (const auto Socket : {From, To}) {
+    Other.erase(Socket);
+    Far.erase(Socket);
+    close(Socket);
+  }
+}
+
+auto tcp_relay::resetAll() -> void {
+  const linger Abort{1, 0};
+  for (const auto &[Socket, Peer] : Other) {
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Abort, sizeof(Abort));
+    close(Socket);
+  }
+  Other.clear();
+  Far.clear();
 }
 
 } // namespace acacianotch
