--- a/test/process/support/port_block.cpp
+++ b/test/process/support/port_block.cpp
@@ -64,7 +64,9 @@
 auto nextPort() -> std::uint16_t {
   static const auto Base = takeBlock();
   static std::uint16_t Used = 0;
-  while (++Used < BlockSize) {
+  // A long program starts over; ports of processes that have ended are free.
+  for (std::uint16_t Try = 1; Try < BlockSize; ++Try) {
+    Used = static_cast<std::uint16_t>(Used % (BlockSize - 1) + 1);
     const auto Port = static_cast<std::uint16_t>(Base + Used);
     const auto Socket = bindLoopback(Port);
     if (Socket < 0)
