Fix: [Gateway] servers that are gone get no more work; suspended servers are known to all gateways

Now 421 ends the use of a server under this id, refusals are remembered for all attempts, and a gateway states much work at servers that it has suspended. Tests: unit.gateway_forward_test, unit.prompt_placement_test (not run against the old code).

--- a/src/control/work_exchange.cpp
+++ b/src/control/work_exchange.cpp
@@ -12,6 +12,26 @@
 /// and its work with it.
 constexpr duration LongestAge = std::chrono::seconds(1);
 
+constexpr std::uint64_t MostWork = std::numeric_limits<std::uint32_t>::max();
+
+auto bounded(std::uint64_t Work) -> std::uint32_t {
+  return static_cast<std::uint32_t>(std::min(Work, MostWork));
+}
+
+/// \return one row for each server, so that what is taken can be given back.
+auto mergedRows(const std::vector<server_work> &Rows)
+    -> std::vector<server_work> {
+  std::map<server_key, std::uint64_t> Sums;
+  for (const auto &Row : Rows)
+    if (Row.Work > 0)
+      Sums[Row.Server] += Row.Work;
+  std::vector<server_work> Merged;
+  Merged.reserve(Sums.size());
+  for (const auto &[Server, Work] : Sums)
+    Merged.push_back({Server, bounded(Work)});
+  return Merged;
+}
+
 } // namespace
 
 auto work_exchange::take(const std::vector<server_work> &Rows) -> void {
@@ -40,23 +60,14 @@
 auto work_exchange::exchange(const std::string &Node,
                              std::vector<server_work> Rows, time_point Now)
     -> std::vector<server_work> {
-  // A server named twice would be taken back twice from one sum.
-  std::sort(Rows.begin(), Rows.end(), [](const auto &Left, const auto &Right) {
-    return Left.Server < Right.Server;
-  });
-  const auto SameServer = [](const auto &Left, const auto &Right) {
-    return Left.Server == Right.Server;
-  };
-  Rows.erase(std::unique(Rows.begin(), Rows.end(), SameServer), Rows.end());
+  Rows = mergedRows(Rows);
   dropOld(Now);
   auto &Statement = Statements[Node];
   giveBack(Statement.Rows);
-  constexpr std::uint64_t Most = std::numeric_limits<std::uint32_t>::max();
   std::vector<server_work> Others;
   Others.reserve(Sums.size());
   for (const auto &[Server, Work] : Sums)
-    Others.push_back(
-        {Server, static_cast<std::uint32_t>(std::min(Work, Most))});
+    Others.push_back({Server, bounded(Work)});
   Statement = {std::move(Rows), Now};
   take(Statement.Rows);
   return Others;
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -221,6 +221,17 @@
       {{"backend", Backend->Record.Id}, {"service", Backend->Record.Service}});
 }
 
+auto backend_directory::noteGone(backend_handle Handle) -> void {
+  auto *Backend = find(Handle);
+  if (Backend == nullptr || Backend->Record.Leaving)
+    return;
+  Backend->Record.Leaving = true;
+  const auto &Facts = Backend->Record;
+  Board.put({backend_id(Facts.Id), zone_id(Facts.Zone), Facts.Slots, true});
+  logInfo(log_category::placement, "backend server was replaced",
+          {{"backend", Facts.Id}, {"service", Facts.Service}});
+}
+
 auto backend_directory::noteProgress(backend_handle Handle) -> void {
   if (auto *Backend = find(Handle))
     Backend->LastByteAt = steady_clock::now();
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -82,6 +82,10 @@
   /// time in a row.
   auto suspend(backend_handle Handle) -> void;
 
+  /// Sends no new work to a backend server that another one has replaced at its
+  /// address; the list will say so later.
+  auto noteGone(backend_handle Handle) -> void;
+
   /// Notes that a part of an answer came.
   auto noteProgress(backend_handle Handle) -> void;
 
--- a/src/gateway/forward_model.cpp
+++ b/src/gateway/forward_model.cpp
@@ -145,9 +145,9 @@
   const auto Slow = slowAttempt();
   const auto Backend = Attempt->Backend;
   releaseAttempt(false);
-  Tried.clear();
-  if (Slow)
-    Tried.push_back(Backend);
+  // Servers that refused it are left out still.
+  if (!Slow)
+    std::erase(Tried, Backend);
   Step = Next;
   Model = Route->Models[Step];
   tryNext();
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -195,6 +195,8 @@
 auto forward_task::handleAnswer() -> void {
   if (Attempt->Facts.NotRun) {
     ++Sent;
+    if (Attempt->Facts.Gone)
+      Context.Directory.noteGone(Attempt->Backend);
     releaseAttempt(true);
     if (Streaming && !attemptsLeft())
       return failUnknown(BadGateway, "a broken stream could not go on");
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -61,6 +61,7 @@
   int Status = 0;
   std::string RequestId;
   bool NotRun = false; ///< The backend server states that it ran nothing.
+  bool Gone = false;   ///< The expected backend server is not there any more.
   bool Sealed = false; ///< It is the answer of a backend server's work.
   std::optional<backend_load> Load;
   std::optional<std::uint32_t> Confidence; ///< 0 to 100.
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -16,6 +16,10 @@
 /// An answer takes some milliseconds; a leader that is cut off gives none.
 constexpr duration AnswerLimit = std::chrono::milliseconds(400);
 
+/// Stated for a suspended server, in thousandths of a unit: more than usually
+/// waits anywhere.
+constexpr std::uint32_t SuspendedWork = 20'000;
+
 using answer = std::optional<std::vector<server_work>>;
 
 auto readRows(const auto &Response) -> answer {
@@ -33,12 +37,24 @@
 } // namespace
 
 work_reporter::work_reporter(event_loop &TheLoop, node_link &TheLink,
-                             work_board &TheBoard, std::string TheNode)
-    : Loop(TheLoop), Link(TheLink), Board(TheBoard), Node(std::move(TheNode)),
-      Timer(TheLoop.repeating([this] { tick(); })) {}
+                             work_board &TheBoard,
+                             const backend_directory &TheDirectory,
+                             std::string TheNode)
+    : Loop(TheLoop), Link(TheLink), Board(TheBoard), Directory(TheDirectory),
+      Node(std::move(TheNode)), Timer(TheLoop.repeating([this] { tick(); })) {}
 
 auto work_reporter::start() -> void { Timer->start(Interval); }
 
+// A server without work would look best to the others although this gateway
+// has just found that it does not answer.
+auto work_reporter::statement() const -> std::vector<server_work> {
+  auto Rows = Board.own();
+  for (const auto &[Id, Backend] : Directory.backends())
+    if (Backend->Suspended)
+      Rows.push_back({Backend->Key, SuspendedWork});
+  return Rows;
+}
+
 auto work_reporter::tick() -> void {
   auto *Leader = Link.leaderPeer();
   if (Call.running() || Leader == nullptr)
@@ -46,7 +62,7 @@
   auto Control = Leader->as<wire::Control>();
   if (!Control)
     return;
-  const auto Rows = Board.own();
+  const auto Rows = statement();
   auto Request = Control->exchangeWorkRequest();
   Request.setNode(Node.c_str());
   auto Servers = Request.initServers(static_cast<unsigned>(Rows.size()));
--- a/src/gateway/work_reporter.h
+++ b/src/gateway/work_reporter.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "board/work_board.h"
+#include "gateway/backend_directory.h"
 #include "net/event_loop.h"
 #include "node/node_link.h"
 #include "node/sequential_call.h"
@@ -16,17 +17,19 @@
 class work_reporter {
 public:
   work_reporter(event_loop &Loop, node_link &Link, work_board &Board,
-                std::string Node);
+                const backend_directory &Directory, std::string Node);
 
   /// Starts to exchange.
   auto start() -> void;
 
 private:
   auto tick() -> void;
+  [[nodiscard]] auto statement() const -> std::vector<server_work>;
 
   event_loop &Loop;
   node_link &Link;
   work_board &Board;
+  const backend_directory &Directory;
   std::string Node;
   std::unique_ptr<loop_timer> Timer;
   sequential_call Call;
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -206,7 +206,8 @@
   constexpr int Misdirected = 421;
   answer_facts Facts;
   Facts.Status = Head.Status;
-  Facts.NotRun = Head.find(NotRunName) != nullptr || Head.Status == Misdirected;
+  Facts.Gone = Head.Status == Misdirected;
+  Facts.NotRun = Head.find(NotRunName) != nullptr || Facts.Gone;
   Facts.Sealed = Head.find(SealName) != nullptr;
   if (const auto *Id = Head.find(RequestIdName))
     Facts.RequestId = *Id;
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -403,3 +403,25 @@
   REQUIRE(Setting.received("HTTP/1.1 500"));
   CHECK(Setting.Gateway.Recorder.failures("s") == 1);
 }
+
+// Guards against a server that was replaced at its address and draws all work,
+// because none waits there.
+TEST_CASE("a server that is gone gets no more work") {
+  setting Setting(route(route_kind::non_idempotent));
+  Setting.answer({{"HTTP/1.1 421 Misdirected Request\r\n"
+                   "X-Acacianotch-Request-Id: $ID\r\n"
+                   "Content-Length: 0\r\n\r\n"},
+                  whole("moved")});
+  Setting.Caller.request("POST", "v1", "body");
+  REQUIRE(Setting.received("moved"));
+  for (int Number = 0; Number < 8; ++Number) {
+    Setting.Caller.Received.clear();
+    Setting.answer({whole("again")});
+    Setting.Caller.request("POST", "w" + std::to_string(Number), "body");
+    REQUIRE(Setting.received("again"));
+  }
+  const auto First = Setting.First.Requests.size();
+  const auto Second = Setting.Second.Requests.size();
+  CHECK(std::min(First, Second) == 1);
+  CHECK(std::max(First, Second) == 9);
+}
--- a/test/prompt_placement_test.cpp
+++ b/test/prompt_placement_test.cpp
@@ -98,6 +98,18 @@
   CHECK(Exchange.exchange("one", {}, Now) == rows{{B, 2}});
 }
 
+// Guards against a statement that names a server twice, as one does that has
+// work at a server which it has just suspended.
+TEST_CASE("work at one server is added up") {
+  work_exchange Exchange;
+  const auto Now = steady_clock::now();
+  using rows = std::vector<server_work>;
+  CHECK(Exchange.exchange("one", {{A, 10}, {B, 0}, {A, 4}}, Now).empty());
+  CHECK(Exchange.exchange("two", {}, Now) == rows{{A, 14}});
+  CHECK(Exchange.exchange("one", {}, Now).empty());
+  CHECK(Exchange.exchange("two", {}, Now).empty());
+}
+
 // Guards against the work of a gateway that was killed.
 TEST_CASE("the work of a silent gateway is dropped") {
   work_exchange Exchange;
