Change: [Control] nodes get changed rows of the platform's list in parts; the exchange of work names the servers that a gateway uses

All 3,001 rows of the list went to each of 300 gateways on each change, and the work at all servers ten times a second: 5.7 MB/s at the leader, documents acknowledged after 10 s. Tests: unit.backend_list_test, unit.prompt_placement_test.

--- a/src/board/work_board.cpp
+++ b/src/board/work_board.cpp
@@ -61,13 +61,11 @@
   return Sum;
 }
 
-auto work_board::own() const -> std::vector<server_work> {
-  std::vector<server_work> Rows;
-  Rows.reserve(Own.size());
-  for (const auto &[Server, Units] : Own)
-    Rows.push_back(
-        {Server, static_cast<std::uint32_t>(std::lround(Units * Thousand))});
-  return Rows;
+auto work_board::ownWork(server_key Server) const -> std::uint32_t {
+  const auto Place = Own.find(Server);
+  if (Place == Own.end())
+    return 0;
+  return static_cast<std::uint32_t>(std::lround(Place->second * Thousand));
 }
 
 } // namespace acacianotch
--- a/src/board/work_board.h
+++ b/src/board/work_board.h
@@ -46,8 +46,8 @@
   /// \return whether the work of the others is known.
   [[nodiscard]] auto fresh(time_point Now) const -> bool;
 
-  /// \return the work of this process, servers without any left out.
-  [[nodiscard]] auto own() const -> std::vector<server_work>;
+  /// \return the work of this process at a server.
+  [[nodiscard]] auto ownWork(server_key Server) const -> std::uint32_t;
 
 private:
   std::unordered_map<server_key, double> Own;
--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// Changes of the platform's list in one update, about 20 KB, so that changes
+/// of the catalogue are not held up behind a long list.
+constexpr std::size_t MaxBackendChanges = 256;
 constexpr duration ConfirmInterval = std::chrono::milliseconds(500);
 
 auto fill(wire::NodeUpdate::Builder Out, const node_update &Update) -> void {
@@ -31,7 +34,7 @@
   node_row Node;
   wire::NodeSink::Client Sink;
   std::deque<node_update> Queue;  ///< Chunks still to send.
-  std::uint64_t SentBackends = 0; ///< Number of the list sent last.
+  std::uint64_t SentBackends = 0; ///< Last change of the list that was sent.
   bool Waiting = false;           ///< For an acknowledgement.
   bool Ended = false;
   kj::Own<kj::PromiseFulfiller<void>> Done;
@@ -113,11 +116,11 @@
     for (unsigned Index = 0; Index < List.size(); ++Index)
       List.set(Index, Addresses[Index].c_str());
   }
-  if (Backends.Number != 0) {
-    const auto WithRows = Subscriber.SentBackends != Backends.Number;
-    writeBackends(Body.initBackends(), Backends, WithRows, steady_clock::now());
-    Subscriber.SentBackends = Backends.Number;
-  }
+  if (Backends.number() != 0)
+    writeBackends(
+        Body.initBackends(),
+        Backends.changesAfter(Subscriber.SentBackends, MaxBackendChanges),
+        steady_clock::now() - Backends.readAt());
   Subscriber.Waiting = true;
   Subscriber.Call = Request.send()
                         .then(
@@ -140,7 +143,7 @@
   Node.Running = Ack.getLoad().getRunning();
   Node.Queued = Ack.getLoad().getQueued();
   const auto Behind = Node.Acknowledged != State.currentRevision() ||
-                      Subscriber.SentBackends != Backends.Number;
+                      Subscriber.SentBackends != Backends.number();
   if (!Behind)
     return;
   // The promise of this call must not be replaced while it runs.
--- a/src/control/work_exchange.cpp
+++ b/src/control/work_exchange.cpp
@@ -23,8 +23,7 @@
     -> std::vector<server_work> {
   std::map<server_key, std::uint64_t> Sums;
   for (const auto &Row : Rows)
-    if (Row.Work > 0)
-      Sums[Row.Server] += Row.Work;
+    Sums[Row.Server] += Row.Work;
   std::vector<server_work> Merged;
   Merged.reserve(Sums.size());
   for (const auto &[Server, Work] : Sums)
@@ -36,12 +35,15 @@
 
 auto work_exchange::take(const std::vector<server_work> &Rows) -> void {
   for (const auto &Row : Rows)
-    Sums[Row.Server] += Row.Work;
+    if (Row.Work > 0)
+      Sums[Row.Server] += Row.Work;
 }
 
 auto work_exchange::giveBack(const std::vector<server_work> &Rows) -> void {
   for (const auto &Row : Rows) {
     const auto Place = Sums.find(Row.Server);
+    if (Place == Sums.end())
+      continue;
     Place->second -= Row.Work;
     if (Place->second == 0)
       Sums.erase(Place);
@@ -65,9 +67,9 @@
   auto &Statement = Statements[Node];
   giveBack(Statement.Rows);
   std::vector<server_work> Others;
-  Others.reserve(Sums.size());
-  for (const auto &[Server, Work] : Sums)
-    Others.push_back({Server, bounded(Work)});
+  for (const auto &Row : Rows)
+    if (const auto Place = Sums.find(Row.Server); Place != Sums.end())
+      Others.push_back({Row.Server, bounded(Place->second)});
   Statement = {std::move(Rows), Now};
   take(Statement.Rows);
   return Others;
--- a/src/control/work_exchange.h
+++ b/src/control/work_exchange.h
@@ -13,7 +13,8 @@
 /// for each server that a gateway names.
 class work_exchange {
 public:
-  /// Takes what \p Node has waiting. \return the sum of all other nodes.
+  /// Takes what \p Node has waiting at the servers that it uses, also where it
+  /// is nothing. \return the sum of all other nodes at these servers.
   [[nodiscard]] auto exchange(const std::string &Node,
                               std::vector<server_work> Rows, time_point Now)
       -> std::vector<server_work>;
--- a/src/controller/subset.cpp
+++ b/src/controller/subset.cpp
@@ -107,6 +107,8 @@
   const auto Missing =
       Settings.MinSize > Local.size() ? Settings.MinSize - Local.size() : 0;
   Remote = takeHighest(Far, std::max<std::size_t>(Missing, Settings.SpillSize));
+  All = Local;
+  All.insert(All.end(), Remote.begin(), Remote.end());
   // A cached prefix saves more than the extra hop between zones costs, so a
   // pool that is small in the own zone has its affinity over all zones.
   auto OnRing = Local;
--- a/src/controller/subset.h
+++ b/src/controller/subset.h
@@ -77,6 +77,11 @@
     return Remote;
   }
 
+  /// \return all chosen members.
+  [[nodiscard]] auto members() const -> std::span<const backend_handle> {
+    return All;
+  }
+
   /// \return the ring for session and prefix affinity.
   [[nodiscard]] auto ring() const -> const affinity_ring & { return Ring; }
 
@@ -85,6 +90,7 @@
   zone_id Zone;
   std::vector<backend_handle> Local;
   std::vector<backend_handle> Remote;
+  std::vector<backend_handle> All;
   affinity_ring Ring;
 };
 
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -31,12 +31,17 @@
                                                              : ServingSuffix);
 }
 
-/// All gateways must agree on where a prompt is cached, so each uses all
-/// backend servers of a service.
+/// Servers of one pool that a gateway uses. Up to this size all gateways agree
+/// on where a prompt is cached; above, what they exchange stays bounded.
+constexpr std::uint32_t MaxServers = 96;
+/// Makes the subset as large as MaxServers, whatever the number of gateways.
+constexpr std::uint32_t ManyEntries = 1U << 16U;
+
 auto placementSettings() -> placement_settings {
   placement_settings Settings;
-  Settings.Subset.MinSize = 4096;
-  Settings.Subset.SpillSize = 4096;
+  Settings.Subset.MinSize = MaxServers;
+  Settings.Subset.SpillSize = 0;
+  Settings.Subset.Entries = ManyEntries;
   // A prompt holds up the tokens of all requests beside it, so a cached prefix
   // is worth a few more requests than elsewhere, not half of the slots.
   Settings.AffinityFreeLoad = 0.06;
@@ -265,6 +270,15 @@
   return Sum;
 }
 
+auto backend_directory::promptServers() const -> std::vector<prompt_server> {
+  std::vector<prompt_server> Servers;
+  for (const auto &[Key, Pool] : Pools)
+    for (const auto Handle : Pool->Placement.subset().members())
+      if (const auto Place = ByHandle.find(Handle); Place != ByHandle.end())
+        Servers.push_back({Place->second->Key, Place->second->Suspended});
+  return Servers;
+}
+
 auto backend_directory::suspended() const -> std::size_t {
   return static_cast<std::size_t>(
       std::count_if(Backends.begin(), Backends.end(),
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -41,6 +41,12 @@
   std::uint32_t Suspensions = 0; ///< In a row.
 };
 
+/// What the exchange of work needs of a backend server.
+struct prompt_server {
+  server_key Key = 0;
+  bool Suspended = false;
+};
+
 /// Follows the platform's list and the rollouts with one pool for each service
 /// and arm, and keeps idle connections.
 class backend_directory {
@@ -105,6 +111,10 @@
   /// \return the backend servers of a service that are listed.
   [[nodiscard]] auto servers(const std::string &Service) const -> double;
 
+  /// \return the backend servers of which several share the prompts of a
+  /// service, as far as this gateway uses them.
+  [[nodiscard]] auto promptServers() const -> std::vector<prompt_server>;
+
   /// \return backend servers that get no new work after failures.
   [[nodiscard]] auto suspended() const -> std::size_t;
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -126,8 +126,8 @@
     return Directory.board().eligible(Handle) &&
            std::find(Tried.begin(), Tried.end(), Handle) == Tried.end();
   };
-  return placePrompt(Directory.random(), Pool.Members, Home, promptWork(), {},
-                     Waiting, Usable);
+  return placePrompt(Directory.random(), Pool.Placement.subset().members(),
+                     Home, promptWork(), {}, Waiting, Usable);
 }
 
 auto forward_task::setWork(double Units) -> void {
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -48,10 +48,11 @@
 // A server without work would look best to the others although this gateway
 // has just found that it does not answer.
 auto work_reporter::statement() const -> std::vector<server_work> {
-  auto Rows = Board.own();
-  for (const auto &[Id, Backend] : Directory.backends())
-    if (Backend->Suspended)
-      Rows.push_back({Backend->Key, SuspendedWork});
+  std::vector<server_work> Rows;
+  for (const auto &Server : Directory.promptServers()) {
+    const auto Work = Board.ownWork(Server.Key);
+    Rows.push_back({Server.Key, Server.Suspended ? SuspendedWork : Work});
+  }
   return Rows;
 }
 
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -80,22 +80,26 @@
 }
 
 struct BackendRow {
-  # One backend server of the platform's list.
+  # One backend server of the platform's list. Texts that many rows share are
+  # positions in the list's texts.
   id @0 :Text;
-  service @1 :Text;
-  address @2 :Text;
-  zone @3 :Text;
-  version @4 :Text;
-  slots @5 :UInt32;
-  leaving @6 :Bool;
-  startedMs @7 :UInt64;      # Wall clock, milliseconds since 1970.
+  address @1 :Text;
+  startedMs @2 :UInt64;      # Wall clock, milliseconds since 1970.
+  slots @3 :UInt32;
+  service @4 :UInt16;
+  zone @5 :UInt16;
+  version @6 :UInt16;
+  leaving @7 :Bool;
 }
 
 struct BackendList {
-  # The platform's list as the leader read it last.
+  # Part of the platform's list as the leader read it last.
   ageMs @0 :UInt32;          # Time since that read.
-  hasRows @1 :Bool;          # False if they are those sent before.
-  rows @2 :List(BackendRow);
+  whole @1 :Bool;            # Replaces all that was sent before.
+  complete @2 :Bool;         # No change is missing after this part.
+  rows @3 :List(BackendRow);
+  texts @4 :List(Text);
+  removed @5 :List(Text);    # Ids that are no longer listed.
 }
 
 struct NodeUpdate {
@@ -157,7 +161,7 @@
   # Asks for membership. A replica without identity sends replica 0; a token,
   # new with each start, makes a repeated call harmless.
   exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32)) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32));
-  # What a gateway has waiting at backend servers, for the sum of what all
-  # others have. Servers are named by a hash, work is in thousandths of a unit.
-  # Not accepted by a process that does not lead.
+  # What a gateway has waiting at the backend servers that it uses, for what all
+  # others have there. Servers are named by a hash, work is in thousandths of a
+  # unit. Not accepted by a process that does not lead.
 }
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -259,7 +259,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cb7466c86da9de2b, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cb7466c86da9de2b, 3, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -274,7 +274,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ea6c14b6e9b5c9ef, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ea6c14b6e9b5c9ef, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1874,23 +1874,20 @@
   inline bool hasId() const;
   inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
   inline bool hasAddress() const;
   inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool hasZone() const;
-  inline  ::capnp::Text::Reader getZone() const;
-
-  inline bool hasVersion() const;
-  inline  ::capnp::Text::Reader getVersion() const;
+  inline  ::uint64_t getStartedMs() const;
 
   inline  ::uint32_t getSlots() const;
 
-  inline bool getLeaving() const;
+  inline  ::uint16_t getService() const;
 
-  inline  ::uint64_t getStartedMs() const;
+  inline  ::uint16_t getZone() const;
+
+  inline  ::uint16_t getVersion() const;
+
+  inline bool getLeaving() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1927,13 +1924,6 @@
   inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
   inline bool hasAddress();
   inline  ::capnp::Text::Builder getAddress();
   inline void setAddress( ::capnp::Text::Reader value);
@@ -1941,29 +1931,24 @@
   inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline bool hasZone();
-  inline  ::capnp::Text::Builder getZone();
-  inline void setZone( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initZone(unsigned int size);
-  inline void adoptZone(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownZone();
-
-  inline bool hasVersion();
-  inline  ::capnp::Text::Builder getVersion();
-  inline void setVersion( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initVersion(unsigned int size);
-  inline void adoptVersion(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownVersion();
+  inline  ::uint64_t getStartedMs();
+  inline void setStartedMs( ::uint64_t value);
 
   inline  ::uint32_t getSlots();
   inline void setSlots( ::uint32_t value);
 
+  inline  ::uint16_t getService();
+  inline void setService( ::uint16_t value);
+
+  inline  ::uint16_t getZone();
+  inline void setZone( ::uint16_t value);
+
+  inline  ::uint16_t getVersion();
+  inline void setVersion( ::uint16_t value);
+
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
-  inline  ::uint64_t getStartedMs();
-  inline void setStartedMs( ::uint64_t value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2009,11 +1994,19 @@
 
   inline  ::uint32_t getAgeMs() const;
 
-  inline bool getHasRows() const;
+  inline bool getWhole() const;
+
+  inline bool getComplete() const;
 
   inline bool hasRows() const;
   inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Reader getRows() const;
 
+  inline bool hasTexts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getTexts() const;
+
+  inline bool hasRemoved() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getRemoved() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2045,8 +2038,11 @@
   inline  ::uint32_t getAgeMs();
   inline void setAgeMs( ::uint32_t value);
 
-  inline bool getHasRows();
-  inline void setHasRows(bool value);
+  inline bool getWhole();
+  inline void setWhole(bool value);
+
+  inline bool getComplete();
+  inline void setComplete(bool value);
 
   inline bool hasRows();
   inline  ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>::Builder getRows();
@@ -2055,6 +2051,22 @@
   inline void adoptRows(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BackendRow,  ::capnp::Kind::STRUCT>> disownRows();
 
+  inline bool hasTexts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getTexts();
+  inline void setTexts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setTexts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initTexts(unsigned int size);
+  inline void adoptTexts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownTexts();
+
+  inline bool hasRemoved();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getRemoved();
+  inline void setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initRemoved(unsigned int size);
+  inline void adoptRemoved(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownRemoved();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5366,182 +5378,122 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool BackendRow::Reader::hasService() const {
+inline bool BackendRow::Reader::hasAddress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool BackendRow::Builder::hasService() {
+inline bool BackendRow::Builder::hasAddress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader BackendRow::Reader::getService() const {
+inline  ::capnp::Text::Reader BackendRow::Reader::getAddress() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder BackendRow::Builder::getService() {
+inline  ::capnp::Text::Builder BackendRow::Builder::getAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void BackendRow::Builder::setService( ::capnp::Text::Reader value) {
+inline void BackendRow::Builder::setAddress( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder BackendRow::Builder::initService(unsigned int size) {
+inline  ::capnp::Text::Builder BackendRow::Builder::initAddress(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void BackendRow::Builder::adoptService(
+inline void BackendRow::Builder::adoptAddress(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownService() {
+inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownAddress() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool BackendRow::Reader::hasAddress() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool BackendRow::Builder::hasAddress() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BackendRow::Reader::getAddress() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BackendRow::Builder::getAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void BackendRow::Builder::setAddress( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder BackendRow::Builder::initAddress(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void BackendRow::Builder::adoptAddress(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownAddress() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline  ::uint64_t BackendRow::Reader::getStartedMs() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool BackendRow::Reader::hasZone() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline bool BackendRow::Builder::hasZone() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader BackendRow::Reader::getZone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder BackendRow::Builder::getZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void BackendRow::Builder::setZone( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder BackendRow::Builder::initZone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+inline  ::uint64_t BackendRow::Builder::getStartedMs() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BackendRow::Builder::adoptZone(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+inline void BackendRow::Builder::setStartedMs( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
-inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownZone() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS));
+
+inline  ::uint32_t BackendRow::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline bool BackendRow::Reader::hasVersion() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline  ::uint32_t BackendRow::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline bool BackendRow::Builder::hasVersion() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+inline void BackendRow::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Reader BackendRow::Reader::getVersion() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint16_t BackendRow::Reader::getService() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline  ::capnp::Text::Builder BackendRow::Builder::getVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+
+inline  ::uint16_t BackendRow::Builder::getService() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
 }
-inline void BackendRow::Builder::setVersion( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+inline void BackendRow::Builder::setService( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
-inline  ::capnp::Text::Builder BackendRow::Builder::initVersion(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+
+inline  ::uint16_t BackendRow::Reader::getZone() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline void BackendRow::Builder::adoptVersion(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+
+inline  ::uint16_t BackendRow::Builder::getZone() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
 }
-inline ::capnp::Orphan< ::capnp::Text> BackendRow::Builder::disownVersion() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS));
+inline void BackendRow::Builder::setZone( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t BackendRow::Reader::getSlots() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t BackendRow::Reader::getVersion() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t BackendRow::Builder::getSlots() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint16_t BackendRow::Builder::getVersion() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void BackendRow::Builder::setSlots( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void BackendRow::Builder::setVersion( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline bool BackendRow::Reader::getLeaving() const {
   return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
 }
 
 inline bool BackendRow::Builder::getLeaving() {
   return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS);
 }
 inline void BackendRow::Builder::setLeaving(bool value) {
   _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t BackendRow::Reader::getStartedMs() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t BackendRow::Builder::getStartedMs() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void BackendRow::Builder::setStartedMs( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t BackendList::Reader::getAgeMs() const {
@@ -5558,20 +5510,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool BackendList::Reader::getHasRows() const {
+inline bool BackendList::Reader::getWhole() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
 
-inline bool BackendList::Builder::getHasRows() {
+inline bool BackendList::Builder::getWhole() {
   return _builder.getDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS);
 }
-inline void BackendList::Builder::setHasRows(bool value) {
+inline void BackendList::Builder::setWhole(bool value) {
   _builder.setDataField<bool>(
       ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BackendList::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+
+inline bool BackendList::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS);
+}
+inline void BackendList::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<33>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool BackendList::Reader::hasRows() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -5606,6 +5572,82 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool BackendList::Reader::hasTexts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendList::Builder::hasTexts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader BackendList::Reader::getTexts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BackendList::Builder::getTexts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BackendList::Builder::setTexts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void BackendList::Builder::setTexts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BackendList::Builder::initTexts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BackendList::Builder::adoptTexts(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> BackendList::Builder::disownTexts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool BackendList::Reader::hasRemoved() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool BackendList::Builder::hasRemoved() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader BackendList::Reader::getRemoved() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BackendList::Builder::getRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void BackendList::Builder::setRemoved( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void BackendList::Builder::setRemoved(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder BackendList::Builder::initRemoved(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void BackendList::Builder::adoptRemoved(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> BackendList::Builder::disownRemoved() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t NodeUpdate::Reader::getEpoch() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -5,6 +5,7 @@
 #include "net/kj_func.h"
 
 #include <chrono>
+#include <utility>
 
 namespace acacianotch {
 
@@ -202,9 +203,24 @@
   if (!OnBackends)
     return;
   const duration Age = std::chrono::milliseconds(Backends.getAgeMs());
-  if (!Backends.getHasRows())
+  auto Changes = readBackends(Backends);
+  if (Changes.Whole)
+    Listed.clear();
+  ListChanged = ListChanged || Changes.Whole || !Changes.Rows.empty() ||
+                !Changes.Removed.empty();
+  for (auto &Row : Changes.Rows)
+    Listed[Row.Id] = std::move(Row);
+  for (const auto &Id : Changes.Removed)
+    Listed.erase(Id);
+  // A part of a list names too few servers.
+  if (!Changes.Complete)
+    return;
+  if (!std::exchange(ListChanged, false))
     return OnBackends(Age, nullptr);
-  const auto Rows = readBackends(Backends);
+  std::vector<backend_record> Rows;
+  Rows.reserve(Listed.size());
+  for (const auto &[Id, Row] : Listed)
+    Rows.push_back(Row);
   OnBackends(Age, &Rows);
 }
 
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -7,6 +7,7 @@
 #include "node/leader_client.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 
@@ -37,7 +38,7 @@
   auto onChange(std::function<void()> Callback) -> void;
 
   /// Runs for each update with the time since the leader read the platform's
-  /// list, and with the list if it has changed.
+  /// list, and with the whole list if it has changed.
   std::function<void(duration Age, const std::vector<backend_record> *Listed)>
       OnBackends;
 
@@ -79,6 +80,8 @@
       std::make_shared<std::uint64_t>(0);
   time_point AckedAt{}; ///< When the last acknowledgement was sent.
   time_point HeardAt{};
+  std::map<std::string, backend_record> Listed; ///< By id, as control sent it.
+  bool ListChanged = false; ///< Since OnBackends had the list.
   kj::Maybe<kj::Promise<void>> Subscription;
   std::unique_ptr<loop_timer> Retry;
   std::unique_ptr<loop_timer> Watchdog;
--- a/test/backend_list_test.cpp
+++ b/test/backend_list_test.cpp
@@ -21,21 +21,84 @@
   return Row;
 }
 
+auto idsOf(const backend_changes &Changes) -> std::vector<std::string> {
+  std::vector<std::string> Ids;
+  for (const auto &Row : Changes.Rows)
+    Ids.push_back(Row.Id);
+  return Ids;
+}
+
+using ids = std::vector<std::string>;
+
 } // namespace
 
 // Guards against fields that get lost between control and a gateway.
 TEST_CASE("a list is read as it was written") {
   backend_list List;
-  CHECK(List.take({record("i-1"), record("i-2")}, time_point{}));
+  auto Other = record("i-2");
+  Other.Zone = "b";
+  CHECK(List.take({record("i-1"), Other}, time_point{}));
+  std::uint64_t Since = 0;
+  const auto Sent = List.changesAfter(Since, 10);
   capnp::MallocMessageBuilder Message;
   auto Root = Message.initRoot<wire::BackendList>();
-  const auto Later = time_point{} + std::chrono::milliseconds(700);
-  writeBackends(Root, List, true, Later);
+  writeBackends(Root, Sent, std::chrono::milliseconds(700));
   CHECK(Root.getAgeMs() == 700);
-  CHECK(Root.getHasRows());
-  CHECK(readBackends(Root.asReader()) == List.Rows);
-  writeBackends(Root, List, false, Later);
-  CHECK_FALSE(Root.getHasRows());
+  const auto Read = readBackends(Root.asReader());
+  CHECK(Read.Rows == std::vector{record("i-1"), Other});
+  CHECK(Read.Whole);
+  CHECK(Read.Complete);
+}
+
+// Guards against servers that are gone or leave and that a node which got the
+// list before is not told of.
+TEST_CASE("a node gets what has changed since its last part") {
+  backend_list List;
+  CHECK(List.take({record("i-1"), record("i-2"), record("i-3")}, {}));
+  std::uint64_t Since = 0;
+  CHECK(idsOf(List.changesAfter(Since, 10)) == ids{"i-1", "i-2", "i-3"});
+  auto Other = record("i-2");
+  Other.Leaving = false;
+  CHECK(List.take({Other, record("i-3")}, {}));
+  const auto Part = List.changesAfter(Since, 10);
+  CHECK_FALSE(Part.Whole);
+  CHECK(idsOf(Part) == ids{"i-2"});
+  CHECK(Part.Removed == ids{"i-1"});
+  CHECK(Since == List.number());
+  const auto Nothing = List.changesAfter(Since, 10);
+  CHECK(Nothing.Rows.empty());
+  CHECK(Nothing.Complete);
+  CHECK(List.take({Other, record("i-3"), record("i-1")}, {}));
+  CHECK(idsOf(List.changesAfter(Since, 10)) == ids{"i-1"});
+}
+
+// Guards against a long list that holds up other updates, and against a part
+// that is taken for the whole.
+TEST_CASE("a long list goes out in parts") {
+  backend_list List;
+  CHECK(List.take({record("i-1"), record("i-2"), record("i-3")}, {}));
+  std::uint64_t Since = 0;
+  const auto First = List.changesAfter(Since, 2);
+  CHECK(First.Whole);
+  CHECK_FALSE(First.Complete);
+  const auto Second = List.changesAfter(Since, 2);
+  CHECK_FALSE(Second.Whole);
+  CHECK(Second.Complete);
+  CHECK(idsOf(Second) == ids{"i-3"});
+}
+
+// Guards against removals that are forgotten and leave a server in use.
+TEST_CASE("a node that lacks a forgotten removal gets the whole list") {
+  backend_list List;
+  CHECK(List.take({record("keep"), record("gone")}, {}));
+  std::uint64_t Since = 0;
+  CHECK(List.changesAfter(Since, 10).Complete);
+  for (int Round = 0; Round < 5000; ++Round) {
+    CHECK(List.take({record("keep"), record("r" + std::to_string(Round))}, {}));
+  }
+  const auto Part = List.changesAfter(Since, 10'000);
+  CHECK(Part.Whole);
+  CHECK(idsOf(Part) == ids{"keep", "r4999"});
 }
 
 // Guards against a list that is sent to every node again and again, and against
@@ -44,11 +107,11 @@
   backend_list List;
   CHECK(List.take({}, time_point{}));
   CHECK(List.take({record("i-1")}, time_point{}));
-  const auto Number = List.Number;
+  const auto Number = List.number();
   auto Warming = record("i-1");
   Warming.Warmup = std::chrono::seconds(3);
   const auto Later = time_point{} + std::chrono::seconds(1);
   CHECK_FALSE(List.take({Warming}, Later));
-  CHECK(List.Number == Number);
-  CHECK(List.ReadAt == Later);
+  CHECK(List.number() == Number);
+  CHECK(List.readAt() == Later);
 }
--- a/test/prompt_placement_test.cpp
+++ b/test/prompt_placement_test.cpp
@@ -82,32 +82,34 @@
   CHECK_FALSE(Board.fresh(Later));
   CHECK(Board.units(A, Later) == doctest::Approx(2));
   Board.add(A, -2);
-  CHECK(Board.own().empty());
+  CHECK(Board.ownWork(A) == 0);
 }
 
 // Guards against a gateway's own work that comes back to it as that of others,
-// and against sums that keep what was taken back.
-TEST_CASE("each gateway gets the work of the others") {
+// against sums that keep what was taken back, and against answers that grow
+// with servers which the gateway does not use.
+TEST_CASE("each gateway gets the work of the others where it works") {
   work_exchange Exchange;
   const auto Now = steady_clock::now();
   using rows = std::vector<server_work>;
   CHECK(Exchange.exchange("one", {{A, 10}}, Now).empty());
   CHECK(Exchange.exchange("two", {{A, 5}, {B, 1}}, Now) == rows{{A, 10}});
-  CHECK(Exchange.exchange("one", {}, Now) == rows{{A, 5}, {B, 1}});
+  CHECK(Exchange.exchange("one", {{A, 0}}, Now) == rows{{A, 5}});
+  CHECK(Exchange.exchange("one", {{A, 0}, {B, 0}}, Now) ==
+        rows{{A, 5}, {B, 1}});
   CHECK(Exchange.exchange("two", {{B, 2}}, Now).empty());
-  CHECK(Exchange.exchange("one", {}, Now) == rows{{B, 2}});
+  CHECK(Exchange.exchange("one", {{A, 0}, {B, 0}}, Now) == rows{{B, 2}});
 }
 
-// Guards against a statement that names a server twice, as one does that has
-// work at a server which it has just suspended.
+// Guards against a statement that names a server twice.
 TEST_CASE("work at one server is added up") {
   work_exchange Exchange;
   const auto Now = steady_clock::now();
   using rows = std::vector<server_work>;
   CHECK(Exchange.exchange("one", {{A, 10}, {B, 0}, {A, 4}}, Now).empty());
-  CHECK(Exchange.exchange("two", {}, Now) == rows{{A, 14}});
+  CHECK(Exchange.exchange("two", {{A, 0}}, Now) == rows{{A, 14}});
   CHECK(Exchange.exchange("one", {}, Now).empty());
-  CHECK(Exchange.exchange("two", {}, Now).empty());
+  CHECK(Exchange.exchange("two", {{A, 0}}, Now).empty());
 }
 
 // Guards against the work of a gateway that was killed.
