--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -171,7 +171,8 @@
         {"caller_left", Counters.CallerLeft},
         {"retries", Counters.Retries},
         {"resumed", Counters.Resumed},
-        {"escalations", Counters.Escalations}};
+        {"escalations", Counters.Escalations},
+        {"inquiries", Inquirer.calls()}};
     if (What == "dump")
       Answer["backends"] = backendRows();
     return Answer;
