Codechange: [Gateway] one sum of shared tokens, prices only for answers in doubt; one check for running rollouts, one loopback address in tests

Read of the whole change. What stood twice or was done for nothing: - The shared tokens of a prompt were summed in two places; the request tells. - Each answer of a ladder summed the work at all servers for each model, also when it was sure; now once, and only for an answer in doubt. - The key of a server on the work board was hashed again at each change. - Three commands checked that a rollout runs; findRunning does, findRollout is for the one that ends it. - model_ladder::first was left of a removed choice; promptServers named all used servers. - loopbackText existed twice with different results; two tests of silent streams and seven publications in platform_test repeated themselves. No check or bound changes.

--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -22,7 +22,7 @@
   Context.Changed.push_back(std::string(ServiceRolloutPrefix) + Service);
 }
 
-auto findRunning(catalogue_data &Data, const std::string &Service,
+auto findRollout(catalogue_data &Data, const std::string &Service,
                  const std::string &To) -> service_rollout * {
   const auto Place = Data.ServiceRollouts.find(Service);
   const auto Found =
@@ -30,6 +30,14 @@
   return Found ? &Place->second : nullptr;
 }
 
+auto findRunning(catalogue_data &Data, const std::string &Service,
+                 const std::string &To) -> service_rollout * {
+  auto *Rollout = findRollout(Data, Service, To);
+  const auto Running =
+      Rollout != nullptr && Rollout->State == rollout_state::running;
+  return Running ? Rollout : nullptr;
+}
+
 auto addCounts(std::vector<arm_counts> &Rows, const arm_counts &More) -> void {
   const auto Place =
       std::find_if(Rows.begin(), Rows.end(), [&](const arm_counts &Row) {
@@ -98,7 +106,7 @@
 
 auto execute(catalogue_data &Data, command_context &Context,
              const end_service_rollout &Body) -> command_result {
-  auto *Rollout = findRunning(Data, Body.Service, Body.To);
+  auto *Rollout = findRollout(Data, Body.Service, Body.To);
   if (Rollout == nullptr)
     return command_result::of(errc::unknown_entry, Body.Service);
   if (Body.State != rollout_state::done && Body.State != rollout_state::aborted)
@@ -119,7 +127,7 @@
 auto execute(catalogue_data &Data, command_context &Context,
              const report_service_evidence &Body) -> command_result {
   const auto *Rollout = findRunning(Data, Body.Service, Body.To);
-  if (Rollout == nullptr || Rollout->State != rollout_state::running)
+  if (Rollout == nullptr)
     return command_result::of(errc::unknown_entry, Body.Service);
   if (Context.DryRun)
     return {};
@@ -141,7 +149,7 @@
 auto execute(catalogue_data &Data, command_context &Context,
              const shift_service_rollout &Body) -> command_result {
   auto *Rollout = findRunning(Data, Body.Service, Body.To);
-  if (Rollout == nullptr || Rollout->State != rollout_state::running)
+  if (Rollout == nullptr)
     return command_result::of(errc::unknown_entry, Body.Service);
   if (Context.DryRun || Rollout->Shifted)
     return {};
@@ -153,7 +161,7 @@
 auto execute(catalogue_data &Data, command_context &Context,
              const open_service_rollout &Body) -> command_result {
   auto *Rollout = findRunning(Data, Body.Service, Body.To);
-  if (Rollout == nullptr || Rollout->State != rollout_state::running)
+  if (Rollout == nullptr)
     return command_result::of(errc::unknown_entry, Body.Service);
   if (Context.DryRun || !Rollout->Collecting)
     return {};
--- a/src/controller/model_ladder.cpp
+++ b/src/controller/model_ladder.cpp
@@ -55,15 +55,18 @@
   return std::erfc(Deviations / std::sqrt(2.0)) / 2;
 }
 
+auto model_ladder::inDoubt(const ladder_answer &Answer) const -> bool {
+  return Answer.Step + 1 < Answer.Steps && Answer.MayRepeat &&
+         Answer.Confidence && *Answer.Confidence < Settings.MinConfidence &&
+         Answer.ObjectiveShare <= Settings.LatestShare;
+}
+
 // The cost of the run that is dropped is spent either way.
 auto model_ladder::next(const ladder_answer &Answer) const
     -> std::optional<std::size_t> {
-  const auto Last = Answer.Steps - 1;
-  if (Answer.Step >= Last || !Answer.MayRepeat || !Answer.Confidence)
-    return std::nullopt;
-  if (*Answer.Confidence >= Settings.MinConfidence ||
-      Answer.ObjectiveShare > Settings.LatestShare)
+  if (!inDoubt(Answer))
     return std::nullopt;
+  const auto Last = Answer.Steps - 1;
   if (Answer.Models.size() != Answer.Steps || Answer.Models[Last].Price <= 0)
     return Last;
   auto Best = (1 - wrongShare(*Answer.Confidence)) * Answer.Worth;
--- a/src/controller/model_ladder.h
+++ b/src/controller/model_ladder.h
@@ -52,10 +52,8 @@
 public:
   explicit model_ladder(model_ladder_settings Values = {}) : Settings(Values) {}
 
-  /// \return the first model for a route with \p Steps models.
-  [[nodiscard]] static auto first(std::size_t /*Steps*/) -> std::size_t {
-    return 0;
-  }
+  /// \return whether a larger model may answer better, whatever it costs.
+  [[nodiscard]] auto inDoubt(const ladder_answer &Answer) const -> bool;
 
   /// \return the model that should answer in place of this one, if any.
   [[nodiscard]] auto next(const ladder_answer &Answer) const
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -270,8 +270,8 @@
   return Sum;
 }
 
-auto backend_directory::promptServers() const -> std::vector<prompt_server> {
-  std::vector<prompt_server> Servers;
+auto backend_directory::usedServers() const -> std::vector<used_server> {
+  std::vector<used_server> Servers;
   for (const auto &[Key, Pool] : Pools)
     for (const auto Handle : Pool->Placement.subset().members())
       if (const auto Place = ByHandle.find(Handle); Place != ByHandle.end())
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -42,7 +42,7 @@
 };
 
 /// What the exchange of work needs of a backend server.
-struct prompt_server {
+struct used_server {
   server_key Key = 0;
   bool Suspended = false;
 };
@@ -111,9 +111,8 @@
   /// \return the backend servers of a service that are listed.
   [[nodiscard]] auto servers(const std::string &Service) const -> double;
 
-  /// \return the backend servers of which several share the prompts of a
-  /// service, as far as this gateway uses them.
-  [[nodiscard]] auto promptServers() const -> std::vector<prompt_server>;
+  /// \return the backend servers of all pools that this gateway sends work to.
+  [[nodiscard]] auto usedServers() const -> std::vector<used_server>;
 
   /// \return backend servers that get no new work after failures.
   [[nodiscard]] auto suspended() const -> std::size_t;
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -97,9 +97,7 @@
 
 auto forward_task::promptWork() const -> prompt_work {
   constexpr double Thousand = 1000;
-  double Shared = 0;
-  for (std::size_t Part = 0; Part + 1 < Request.Prompt.size(); ++Part)
-    Shared += Request.Prompt[Part].Tokens;
+  const double Shared = Request.sharedTokens();
   const auto Weight = modelWeight(Model) / Thousand;
   const auto Whole = std::max<double>(Request.PromptTokens, Shared);
   return {Whole * Weight, Shared * Weight, AwayUnits * Shared / Thousand};
@@ -128,7 +126,7 @@
 
 auto forward_task::setWork(double Units) -> void {
   const auto Change = Units - std::exchange(Attempt->Work, Units);
-  Context.Work.add(serverKey(Attempt->BackendId), Change);
+  Context.Work.add(Attempt->Key, Change);
 }
 
 /// \return where an engine other than the prompt's usual one can copy the
@@ -136,10 +134,7 @@
 auto forward_task::fetchSource(const known_backend &Chosen)
     -> std::optional<address> {
   const auto Key = affinityKey();
-  std::uint32_t Shared = 0;
-  for (std::size_t Part = 0; Part + 1 < Request.Prompt.size(); ++Part)
-    Shared += Request.Prompt[Part].Tokens;
-  if (!Key || Shared < FetchTokens)
+  if (!Key || Request.sharedTokens() < FetchTokens)
     return std::nullopt;
   auto *Pool = Context.Directory.pool(Service, Context.Directory.armOf(Chosen));
   if (Pool == nullptr)
@@ -165,6 +160,7 @@
   Attempt = std::make_unique<attempt>();
   Attempt->Backend = Chosen;
   Attempt->BackendId = Backend->Record.Id;
+  Attempt->Key = Backend->Key;
   Attempt->Channel = *Channel;
   Attempt->SentAt = steady_clock::now();
   Attempt->HeardAt = Attempt->SentAt;
--- a/src/gateway/forward_model.cpp
+++ b/src/gateway/forward_model.cpp
@@ -31,7 +31,6 @@
   Model = Request.Model;
   if (!Request.AnyModel || Route->Models.empty())
     return;
-  Step = model_ladder::first(Route->Models.size());
   Worth = Context.Worths.estimate(Route->Name, Route->Rank,
                                   Request.PromptTokens, expectedOutput());
   Model = Route->Models[Step];
@@ -42,20 +41,22 @@
   const auto Place = Table->Services.find(Service);
   if (Place == Table->Services.end())
     return Models;
+  const auto Waiting = meanWaiting();
   for (const auto &Name : Route->Models)
     for (const auto &Price : Place->second.Models)
       if (Price.Model == Name)
-        Models.push_back({Name, runPrice(Price), inTime(Name)});
+        Models.push_back({Name, runPrice(Price, Waiting), inTime(Name)});
   return Models;
 }
 
 /// \return what a run of a model costs: its price, and what it delays the
-/// streams of the server that reads the prompt.
-auto forward_task::runPrice(const model_price &Price) const -> double {
+/// streams of the server that reads the prompt while \p Waiting units wait at
+/// each one.
+auto forward_task::runPrice(const model_price &Price, double Waiting) const
+    -> double {
   const auto Tokens = expectedOutput() + PromptShare * Request.PromptTokens;
   const auto Work = modelWeight(Price.Model) * Request.PromptTokens / Thousand;
-  const auto Load = meanWaiting();
-  return Price.Cost * Tokens / Thousand + LoadPrice * Load * Work;
+  return Price.Cost * Tokens / Thousand + LoadPrice * Waiting * Work;
 }
 
 /// \return the tokens that the request is expected to generate.
@@ -114,6 +115,8 @@
   Answer.ObjectiveShare =
       Elapsed / std::chrono::duration<double>(Route->TargetLatency);
   Answer.MayRepeat = Sent + 1 < Route->MaxAttempts;
+  if (!Context.Ladder.inDoubt(Answer))
+    return std::nullopt;
   const auto Models = ladderModels();
   Answer.Models = Models;
   Answer.Worth = Worth;
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -91,6 +91,7 @@
   struct attempt {
     backend_handle Backend;
     std::string BackendId;
+    server_key Key = 0; ///< Of its backend server on the work board.
     std::shared_ptr<backend_channel> Channel;
     answer_facts Facts;
     http_head Head;
@@ -123,7 +124,8 @@
       -> std::optional<backend_handle>;
   [[nodiscard]] auto promptWork() const -> prompt_work;
   [[nodiscard]] auto modelWeight(const std::string &Name) const -> double;
-  [[nodiscard]] auto runPrice(const model_price &Price) const -> double;
+  [[nodiscard]] auto runPrice(const model_price &Price, double Waiting) const
+      -> double;
   [[nodiscard]] auto expectedOutput() const -> std::uint32_t;
   [[nodiscard]] auto meanWaiting() const -> double;
   auto setWork(double Units) -> void;
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -42,6 +42,15 @@
   [[nodiscard]] auto path() const -> std::string_view {
     return std::string_view(Target).substr(0, Target.find('?'));
   }
+
+  /// \return the tokens of the prompt that other requests may share: all but
+  /// those of its last part.
+  [[nodiscard]] auto sharedTokens() const -> std::uint32_t {
+    std::uint32_t Shared = 0;
+    for (std::size_t Part = 0; Part + 1 < Prompt.size(); ++Part)
+      Shared += Prompt[Part].Tokens;
+    return Shared;
+  }
 };
 
 /// What the gateway adds to a request for one backend server.
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -49,7 +49,7 @@
 // has just found that it does not answer.
 auto work_reporter::statement() const -> std::vector<server_work> {
   std::vector<server_work> Rows;
-  for (const auto &Server : Directory.promptServers()) {
+  for (const auto &Server : Directory.usedServers()) {
     const auto Work = Board.ownWork(Server.Key);
     Rows.push_back({Server.Key, Server.Suspended ? SuspendedWork : Work});
   }
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -99,6 +99,17 @@
   Setting.Gateway.Directory.followRollouts(View);
 }
 
+/// Sends a stream that the first server asked leaves without an answer, while
+/// both answer questions with \p Report, and waits for its end.
+auto streamPastSilence(setting &Setting, const std::string &Report) -> void {
+  Setting.First.Report = Report;
+  Setting.Second.Report = Report;
+  Setting.answer({{""}, {streamHead() + chunk(eventOf(1)) + "0\r\n\r\n"}});
+  Setting.Caller.request("POST", "r1", "prompt");
+  REQUIRE(Setting.received("0\r\n\r\n"));
+  CHECK(Setting.Gateway.Context.Counters.Retries == 1);
+}
+
 } // namespace
 
 // Guards against changed answers: status, seal and body are the server's.
@@ -364,14 +375,9 @@
   auto Route = route(route_kind::streaming);
   Route.TargetLatency = std::chrono::seconds(1);
   setting Setting(Route);
-  Setting.First.Report = R"({"queued":1,"active":1,"runs":[]})";
-  Setting.Second.Report = Setting.First.Report;
-  Setting.answer({{""}, {streamHead() + chunk(eventOf(1)) + "0\r\n\r\n"}});
-  Setting.Caller.request("POST", "r1", "prompt");
   // It is left after three objectives at last.
-  REQUIRE(Setting.received("0\r\n\r\n"));
+  streamPastSilence(Setting, R"({"queued":1,"active":1,"runs":[]})");
   CHECK(Setting.First.Questions + Setting.Second.Questions >= 2);
-  CHECK(Setting.Gateway.Context.Counters.Retries == 1);
 }
 
 // Guards against a stream that waits for long at a server that lost it.
@@ -379,12 +385,7 @@
   auto Route = route(route_kind::streaming);
   Route.TargetLatency = std::chrono::seconds(60);
   setting Setting(Route);
-  Setting.First.Report = R"({"queued":0,"active":0,"runs":[]})";
-  Setting.Second.Report = Setting.First.Report;
-  Setting.answer({{""}, {streamHead() + chunk(eventOf(1)) + "0\r\n\r\n"}});
-  Setting.Caller.request("POST", "s1", "prompt");
-  REQUIRE(Setting.received("0\r\n\r\n"));
-  CHECK(Setting.Gateway.Context.Counters.Retries == 1);
+  streamPastSilence(Setting, R"({"queued":0,"active":0,"runs":[]})");
 }
 
 // Guards against a rollout that is stopped because servers crashed: each crash
--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -35,6 +35,14 @@
           {"tenants", {{{"name", "club"}, {"api-keys", {"key"}}}}}};
 }
 
+/// Publishes a configuration and checks that it is acknowledged.
+auto publish(platform_deployment &System, int Version,
+             const std::string &Prefix = "/a/") -> void {
+  CHECK(
+      System.order("PUT", "/api/config", configuration(Version, Prefix).dump())
+          .Status == HttpOk);
+}
+
 } // namespace
 
 // Guards against a path with a gap: order, replication, spread, list of backend
@@ -53,8 +61,7 @@
   CHECK(System.call("/b/x").Status == HttpNotFound);
   CHECK(httpGet(System.Gateways[0].Ready, "/api/ready").Status == HttpOk);
   CHECK(System.order("PUT", "/api/config", "{").Status == HttpBadRequest);
-  CHECK(System.order("PUT", "/api/config", configuration(2, "/c/").dump())
-            .Status == HttpOk);
+  publish(System, 2, "/c/");
   CHECK(System.order("GET", "/api/config").Body == Text);
   System.Gateways[0].Process->signal(SIGHUP);
   CHECK(System.call("/a/x").Status == HttpOk);
@@ -66,8 +73,7 @@
 // group that an operator has to repair.
 TEST_CASE("a replica that lost its disk joins again by itself") {
   platform_deployment System;
-  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
-        HttpOk);
+  publish(System, 3);
   auto &Lost = System.Replicas[1];
   Lost.Process->kill();
   std::filesystem::remove_all(System.data(Lost));
@@ -78,8 +84,7 @@
   }));
   // The repaired replica is needed for a majority now.
   System.Replicas[0].Process->kill();
-  CHECK(System.order("PUT", "/api/config", configuration(4, "/d/").dump())
-            .Status == HttpOk);
+  publish(System, 4, "/d/");
   REQUIRE(System.waitServed("/d/x"));
 }
 
@@ -87,8 +92,7 @@
 // against gateways that know only the first members.
 TEST_CASE("a replica at another address takes the place of one that is gone") {
   platform_deployment System;
-  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
-        HttpOk);
+  publish(System, 3);
   REQUIRE(System.waitServed("/a/x"));
   System.Replicas[2].Process->kill();
   System.Replicas.push_back(System.makeReplica());
@@ -99,8 +103,7 @@
         Added, {&System.Replicas[0], &System.Replicas[1], &Added});
   }));
   System.Replicas[0].Process->kill();
-  CHECK(System.order("PUT", "/api/config", configuration(5, "/e/").dump())
-            .Status == HttpOk);
+  publish(System, 5, "/e/");
   REQUIRE(System.waitServed("/e/x"));
 }
 
@@ -108,8 +111,7 @@
 // their settings leads.
 TEST_CASE("a gateway that knows one follower finds the leader") {
   platform_deployment System;
-  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
-        HttpOk);
+  publish(System, 3);
   REQUIRE(System.waitServed("/a/x"));
   const auto Follower =
       std::find_if(System.Replicas.begin(), System.Replicas.end(),
@@ -121,7 +123,7 @@
                    });
   REQUIRE(Follower != System.Replicas.end());
   System.Gateways[0].Process->kill();
-  System.start(System.Gateways[0], loopbackText(Follower->Rpc),
+  System.start(System.Gateways[0], quotedLoopback(Follower->Rpc),
                System.Platform);
   REQUIRE(System.waitServed("/a/x"));
 }
@@ -130,8 +132,7 @@
 // memory, and against gateways that know only such a process.
 TEST_CASE("a control process without a data folder names the leader") {
   platform_deployment System;
-  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
-        HttpOk);
+  publish(System, 3);
   auto Relay = System.makeReplica();
   Relay.Relay = true;
   System.start(Relay, false);
@@ -142,7 +143,7 @@
   REQUIRE(waitUntil([&] { return Ask().Status == HttpSeeOther; }));
   CHECK(Ask().header("location").find("/api/config") != std::string::npos);
   System.Gateways[0].Process->kill();
-  System.start(System.Gateways[0], loopbackText(Relay.Rpc), System.Platform);
+  System.start(System.Gateways[0], quotedLoopback(Relay.Rpc), System.Platform);
   REQUIRE(System.waitServed("/a/x"));
 }
 
@@ -151,10 +152,9 @@
 TEST_CASE(
     "a gateway that cannot reach the platform gets the list from control") {
   platform_deployment System;
-  CHECK(System.order("PUT", "/api/config", configuration(3).dump()).Status ==
-        HttpOk);
+  publish(System, 3);
   System.Gateways[0].Process->kill();
-  System.start(System.Gateways[0], loopbackText(System.Replicas[0].Rpc),
+  System.start(System.Gateways[0], quotedLoopback(System.Replicas[0].Rpc),
                nextPort());
   REQUIRE(System.waitServed("/a/x"));
 }
--- a/test/process/support/deployment.cpp
+++ b/test/process/support/deployment.cpp
@@ -16,10 +16,6 @@
 
 constexpr auto Secret = "process-test-cluster-secret\n";
 
-auto loopbackText(std::uint16_t Port) -> std::string {
-  return "127.0.0.1:" + std::to_string(Port);
-}
-
 auto tomlText(const std::string &Text) -> std::string {
   return '"' + Text + '"';
 }
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -15,14 +15,10 @@
 constexpr int HttpSeeOther = 307;
 constexpr int HttpServerError = 500;
 
-auto plainText(std::uint16_t Port) -> std::string {
-  return "127.0.0.1:" + std::to_string(Port);
-}
-
 } // namespace
 
-auto loopbackText(std::uint16_t Port) -> std::string {
-  return '"' + plainText(Port) + '"';
+auto quotedLoopback(std::uint16_t Port) -> std::string {
+  return '"' + loopbackText(Port) + '"';
 }
 
 platform_deployment::platform_deployment(const platform_options &TheOptions)
@@ -36,7 +32,7 @@
   for (std::size_t Index = 0; Index < Options.Replicas; ++Index)
     Replicas.push_back(makeReplica());
   for (auto &Each : Replicas)
-    Seeds += (Seeds.empty() ? "" : ", ") + loopbackText(Each.Rpc);
+    Seeds += (Seeds.empty() ? "" : ", ") + quotedLoopback(Each.Rpc);
   for (auto &Each : Replicas)
     start(Each, true);
   startStandin();
@@ -57,13 +53,13 @@
 
 auto platform_deployment::startStandin() -> void {
   std::vector<std::string> Words{PROGRAM_FOLDER "/standin_platform", "--listen",
-                                 plainText(Platform)};
+                                 loopbackText(Platform)};
   for (std::size_t Index = 0; Index < Options.Servers; ++Index) {
     const auto Listen = nextPort();
     const auto Listed = nextPort();
     ServerRelays.push_back(std::make_unique<tcp_relay>(Listed, Listen));
     Words.emplace_back("--server");
-    Words.push_back(plainText(Listen) + "," + plainText(Listed));
+    Words.push_back(loopbackText(Listen) + "," + loopbackText(Listed));
   }
   Standin = std::make_unique<child_process>(Words, log("standin"));
 }
@@ -101,11 +97,11 @@
                               : "data_folder = \"" + data(Each).string() + "\"")
                       << "\nseeds = [" << Seeds
                       << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
-                      << "\noperator_listen = " << loopbackText(Each.Operator)
-                      << "\n[gateway]\nbackends = " << loopbackText(Platform)
+                      << "\noperator_listen = " << quotedLoopback(Each.Operator)
+                      << "\n[gateway]\nbackends = " << quotedLoopback(Platform)
                       << "\nbackend_interval_ms = 100"
-                      << "\n[rpc]\nlisten = " << loopbackText(Each.Rpc)
-                      << "\n[admin]\nlisten = " << loopbackText(Each.Admin)
+                      << "\n[rpc]\nlisten = " << quotedLoopback(Each.Rpc)
+                      << "\n[admin]\nlisten = " << quotedLoopback(Each.Admin)
                       << "\n";
   Each.Process = startDaemon(File, Each.Name);
 }
@@ -120,11 +116,11 @@
   std::ofstream(File) << "role = \"gateway\"\n[node]\nid = \"" << Each.Name
                       << "\"\nzone = \"a\"\n[control]\naddresses = ["
                       << Addresses
-                      << "]\n[http]\nlisten = " << loopbackText(Each.Http)
-                      << "\n[admin]\nlisten = " << loopbackText(Each.Admin)
+                      << "]\n[http]\nlisten = " << quotedLoopback(Each.Http)
+                      << "\n[admin]\nlisten = " << quotedLoopback(Each.Admin)
                       << "\n[gateway]\nready_listen = "
-                      << loopbackText(Each.Ready)
-                      << "\nbackends = " << loopbackText(ListPort)
+                      << quotedLoopback(Each.Ready)
+                      << "\nbackends = " << quotedLoopback(ListPort)
                       << "\nbackend_interval_ms = 100\ngrace_s = "
                       << Options.GraceSeconds << "\n";
   Each.Process = startDaemon(File, Each.Name);
@@ -177,7 +173,7 @@
       Known.insert(Row.value("address", ""));
   std::set<std::string> Wanted;
   for (const auto *Row : Of)
-    Wanted.insert(plainText(Row->Rpc));
+    Wanted.insert(loopbackText(Row->Rpc));
   return Known == Wanted;
 }
 
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -118,6 +118,6 @@
 };
 
 /// \return \p Port on loopback, in quotes.
-[[nodiscard]] auto loopbackText(std::uint16_t Port) -> std::string;
+[[nodiscard]] auto quotedLoopback(std::uint16_t Port) -> std::string;
 
 } // namespace acacianotch
--- a/test/process/support/port_block.cpp
+++ b/test/process/support/port_block.cpp
@@ -77,4 +77,8 @@
   throw std::runtime_error("all ports of this test program are used");
 }
 
+auto loopbackText(std::uint16_t Port) -> std::string {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
 } // namespace acacianotch
--- a/test/process/support/port_block.h
+++ b/test/process/support/port_block.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace acacianotch {
 
@@ -15,4 +16,7 @@
 /// the range from which the kernel takes those of outgoing connections.
 [[nodiscard]] auto nextPort() -> std::uint16_t;
 
+/// \return the address of a loopback port.
+[[nodiscard]] auto loopbackText(std::uint16_t Port) -> std::string;
+
 } // namespace acacianotch
