Add: [Control] one log line for each answered order, and metrics of commits

Change: replicas and relays write 'answered an operator request' with subject, status, outcome, wait, role, leader and the age of that knowledge, lease, term and commit index. A proposal whose result is unknown has a line of its own. acacianotch_commits_total and acacianotch_commit_seconds, which were listed and never filled, are now. The operators' interface of a relay accepted bodies of 4 MiB where replicas accept 8; both use one constant.

--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -73,6 +73,20 @@
       .Set(static_cast<double>(Service.state().currentRevision()));
 }
 
+/// Counts commands and the time that proposals wait in \p Metrics, which
+/// outlives the service's commands.
+auto observeCommands(control_service &Service, metrics_registry &Metrics)
+    -> void {
+  Service.OnApplied = [&Metrics](std::string_view Name) {
+    Metrics.counter(metric::commits, {{"command", std::string(Name)}})
+        .Increment();
+  };
+  Service.OnProposalDone = [&Histogram = Metrics.histogram(
+                                metric::commit_seconds, {})](duration Waited) {
+    Histogram.Observe(std::chrono::duration<double>(Waited).count());
+  };
+}
+
 } // namespace
 
 auto initialiseControl(const settings &Settings) -> result<void> {
@@ -197,6 +211,7 @@
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
+  observeCommands(Service, (*Admin)->metrics());
   const graceful_shutdown Shutdown(
       **Loop, Settings.ShutdownDeadline, [] {}, [] { return true; });
   Service.start();
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -104,7 +104,8 @@
   }
   ++Counters.Proposed;
   auto Pair = kj::newPromiseAndFulfiller<command_result>();
-  Proposals[Position->Index] = {Position->Term, kj::mv(Pair.fulfiller)};
+  Proposals[Position->Index] = {Position->Term, steady_clock::now(),
+                                kj::mv(Pair.fulfiller)};
   return kj::mv(Pair.promise);
 }
 
@@ -125,6 +126,8 @@
     return;
   }
   completeProposal(Record, State.apply(*Command, Record.Index));
+  if (OnApplied)
+    OnApplied(commandName(*Command));
   if (State.currentRevision() != Before)
     Loop.defer([this] { Nodes->push(); });
 }
@@ -140,8 +143,23 @@
   Proposals.erase(Found);
   const auto StillLeader = Proposal.Term == Record.Term &&
                            Host->node().leaseHeld(steady_clock::now());
-  Proposal.Fulfiller->fulfill(StillLeader ? std::move(Result)
-                                          : refuse(errc::no_quorum));
+  complete(Record.Index, Proposal,
+           StillLeader ? std::move(Result) : refuse(errc::no_quorum));
+}
+
+auto control_service::complete(log_index Index, proposal &Proposal,
+                               command_result Result) -> void {
+  const auto Waited = steady_clock::now() - Proposal.ProposedAt;
+  if (OnProposalDone)
+    OnProposalDone(Waited);
+  if (Result.Code == errc::no_quorum)
+    logWarning(log_category::control, "a proposed command has no known result",
+               {{"index", Index},
+                {"term", Proposal.Term},
+                {"current_term", Host->node().term()},
+                {"error", errcRow(Result.Code).Name},
+                {"waited_ms", Waited / std::chrono::milliseconds(1)}});
+  Proposal.Fulfiller->fulfill(std::move(Result));
 }
 
 auto control_service::roleChanged() -> void {
@@ -151,7 +169,7 @@
     return;
   }
   for (auto &[Index, Proposal] : Proposals)
-    Proposal.Fulfiller->fulfill(refuse(errc::no_quorum));
+    complete(Index, Proposal, refuse(errc::no_quorum));
   Proposals.clear();
   Nodes->endAll();
 }
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -9,9 +9,11 @@
 
 #include <acacianotch.capnp.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace acacianotch {
 
@@ -61,6 +63,12 @@
                             std::uint64_t Replica)>
       OnJoin;
 
+  /// Runs for each applied command, with its name.
+  std::function<void(std::string_view Name)> OnApplied;
+  /// Runs when the result of a command that this replica proposed is known,
+  /// with the time since its arrival.
+  std::function<void(duration Waited)> OnProposalDone;
+
   /// \return the answer to a query of the command-line client.
   [[nodiscard]] auto query(std::string_view What, const json &Arguments)
       -> result<json>;
@@ -76,6 +84,7 @@
 private:
   struct proposal {
     log_term Term = 0;
+    time_point ProposedAt;
     kj::Own<kj::PromiseFulfiller<command_result>> Fulfiller;
   };
 
@@ -85,6 +94,8 @@
   auto apply(const log_record &Record) -> void;
   auto completeProposal(const log_record &Record, command_result Result)
       -> void;
+  auto complete(log_index Index, proposal &Proposal, command_result Result)
+      -> void;
   auto roleChanged() -> void;
   auto nextTimeMs() -> std::uint64_t;
   auto startLogClock() -> void;
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -14,10 +14,9 @@
 
 constexpr std::string_view ConfigurationPath = "/api/config";
 constexpr std::string_view RolloutsPath = "/api/rollouts";
-/// Largest accepted request body, bytes.
-constexpr std::size_t MaxBodyBytes = 8ULL * 1024 * 1024;
 
 constexpr int StatusOk = 200;
+constexpr int TemporaryRedirect = 307;
 constexpr int BadRequest = 400;
 constexpr int NotFound = 404;
 constexpr int MethodNotAllowed = 405;
@@ -33,16 +32,6 @@
 
 const http_headers JsonHeaders{{"Content-Type", "application/json"}};
 
-auto replyJson(const std::shared_ptr<http_exchange> &Exchange, int Status,
-               const json &Body) -> void {
-  Exchange->reply(Status, JsonHeaders, printJson(Body));
-}
-
-auto replyError(const std::shared_ptr<http_exchange> &Exchange, int Status,
-                const std::string &Reason) -> void {
-  replyJson(Exchange, Status, {{"error", Reason}});
-}
-
 } // namespace
 
 auto operator_api::create(event_loop &Loop, const address &Address,
@@ -50,10 +39,11 @@
     -> result<std::unique_ptr<operator_api>> {
   std::unique_ptr<operator_api> Api(new operator_api(Service));
   http_server_options Options;
-  Options.MaxBodyBytes = MaxBodyBytes;
+  Options.MaxBodyBytes = MaxOperatorBodyBytes;
   auto Http = http_server::create(
-      Loop, Address, Options,
-      [Self = Api.get()](const exchange &Exchange) { Self->handle(Exchange); });
+      Loop, Address, Options, [Self = Api.get()](const exchange &Exchange) {
+        Self->handle({Exchange, steady_clock::now(), ""});
+      });
   if (!Http)
     return Http.error();
   Api->Http = std::move(Http).value();
@@ -61,57 +51,97 @@
   return Api;
 }
 
-auto operator_api::handle(const exchange &Exchange) -> void {
-  const auto Path = Exchange->path();
-  const auto Method = Exchange->method();
+auto operator_api::handle(operator_request Request) -> void {
+  const auto Path = Request.Exchange->path();
+  const auto Method = Request.Exchange->method();
   if (Path == ConfigurationPath) {
     if (Method == "PUT")
-      return putConfiguration(Exchange);
+      return putConfiguration(std::move(Request));
     if (Method == "GET")
-      return getConfiguration(Exchange);
-    return replyError(Exchange, MethodNotAllowed, "PUT or GET is expected");
+      return getConfiguration(Request);
+    return replyError(Request, MethodNotAllowed, "PUT or GET is expected");
   }
   if (Path == RolloutsPath && Method == "POST")
-    return startRollout(Exchange);
+    return startRollout(std::move(Request));
   const auto RolloutPrefix = std::string(RolloutsPath) + "/";
-  if (Path.starts_with(RolloutPrefix) && Method == "GET")
-    return getRollout(Exchange, Path.substr(RolloutPrefix.size()));
-  replyError(Exchange, NotFound, "unknown path");
+  if (Path.starts_with(RolloutPrefix) && Method == "GET") {
+    Request.Subject = Path.substr(RolloutPrefix.size());
+    return getRollout(std::move(Request));
+  }
+  replyError(Request, NotFound, "unknown path");
+}
+
+// Which process an order reached, what that process believed about the leader
+// and how long the order waited is known to nobody else.
+auto operator_api::reply(const operator_request &Request, int Status,
+                         const http_headers &Headers, std::string_view Body,
+                         std::string_view Outcome) -> void {
+  const auto &Node = Service.replica().node();
+  const auto Now = steady_clock::now();
+  constexpr auto Millisecond = std::chrono::milliseconds(1);
+  logInfo(log_category::control, "answered an operator request",
+          {{"method", Request.Exchange->method()},
+           {"path", Request.Exchange->path()},
+           {"subject", Request.Subject},
+           {"status", Status},
+           {"outcome", Outcome},
+           {"ms", (Now - Request.ReceivedAt) / Millisecond},
+           {"caller_left", Request.Exchange->closed()},
+           {"role", RaftRoleNames.name(Node.role())},
+           {"leader", Service.replica().leaderAddress()},
+           {"leader_age_ms", Node.leaderContactAge(Now) / Millisecond},
+           {"lease", Node.leaseHeld(Now)},
+           {"term", Node.term()},
+           {"committed", Node.commitIndex()},
+           {"uncommitted", Node.lastIndex() - Node.commitIndex()}});
+  Request.Exchange->reply(Status, Headers, Body);
 }
 
-auto operator_api::replyRedirect(const exchange &Exchange) -> void {
+auto operator_api::replyJson(const operator_request &Request, int Status,
+                             const json &Body, std::string_view Outcome)
+    -> void {
+  reply(Request, Status, JsonHeaders, printJson(Body), Outcome);
+}
+
+auto operator_api::replyError(const operator_request &Request, int Status,
+                              const std::string &Reason) -> void {
+  replyJson(Request, Status, {{"error", Reason}}, Reason);
+}
+
+auto operator_api::replyRedirect(const operator_request &Request) -> void {
   const auto Leader = parseAddress(Service.replica().leaderAddress());
   const auto IsLeader = Service.replica().node().role() == raft_role::leader;
-  redirectToLeader(Exchange,
-                   Leader && !IsLeader ? std::optional(*Leader) : std::nullopt,
-                   Port);
+  if (!Leader || IsLeader)
+    return replyError(Request, ServiceUnavailable, "no leader is known");
+  reply(Request, TemporaryRedirect,
+        {{"Location", leaderLocation(*Request.Exchange, *Leader, Port)}}, "",
+        "redirected to the leader");
 }
 
-auto operator_api::putConfiguration(const exchange &Exchange) -> void {
-  auto Text = Exchange->body();
+auto operator_api::putConfiguration(operator_request Request) -> void {
+  auto Text = Request.Exchange->body();
   const auto Table = decodeConfiguration(Text);
-  if (!Table) {
-    logInfo(log_category::control, "refused an invalid configuration",
-            {{"reason", Table.error().Detail}});
-    return replyError(Exchange, BadRequest, Table.error().Detail);
-  }
-  execute(Exchange, publish_routing{Table->Number, {std::move(Text)}});
+  if (!Table)
+    return replyError(Request, BadRequest, Table.error().Detail);
+  Request.Subject = std::to_string(Table->Number);
+  execute(std::move(Request),
+          publish_routing{Table->Number, {std::move(Text)}});
 }
 
-auto operator_api::getConfiguration(const exchange &Exchange) -> void {
+auto operator_api::getConfiguration(const operator_request &Request) -> void {
   if (!Service.confirmedEpoch())
-    return replyRedirect(Exchange);
+    return replyRedirect(Request);
   const auto &Document = Service.state().data().Routing;
   if (!Document)
-    return replyError(Exchange, ServiceUnavailable,
-                      "no configuration is known");
-  Exchange->reply(StatusOk, JsonHeaders, Document->Text.Bytes);
+    return replyError(Request, ServiceUnavailable, "no configuration is known");
+  reply(Request, StatusOk, JsonHeaders, Document->Text.Bytes,
+        std::to_string(Document->Number));
 }
 
-auto operator_api::startRollout(const exchange &Exchange) -> void {
-  const auto Body = parseJson(Exchange->body());
+auto operator_api::startRollout(operator_request Request) -> void {
+  const auto Body = parseJson(Request.Exchange->body());
   if (!Body || !Body->is_object())
-    return replyError(Exchange, BadRequest, "an object is expected");
+    return replyError(Request, BadRequest, "an object is expected");
   const auto Text = [&](const char *Key) {
     const auto Found = Body->find(Key);
     return Found != Body->end() && Found->is_string()
@@ -130,51 +160,54 @@
         static_cast<std::uint32_t>(std::llround(Count * MillisecondsPerSecond));
   }
   if (Rollout.Service.empty() || Rollout.To.empty())
-    return replyError(Exchange, BadRequest, "service or target is missing");
-  execute(Exchange, std::move(Rollout));
+    return replyError(Request, BadRequest, "service or target is missing");
+  Request.Subject = Rollout.Service + "/" + Rollout.To;
+  execute(std::move(Request), std::move(Rollout));
 }
 
-auto operator_api::getRollout(const exchange &Exchange, const std::string &Name)
-    -> void {
+auto operator_api::getRollout(operator_request Request) -> void {
   if (!Service.confirmedEpoch())
-    return replyRedirect(Exchange);
+    return replyRedirect(Request);
   const auto &Rollouts = Service.state().data().ServiceRollouts;
-  const auto Found = Rollouts.find(Name);
+  const auto Found = Rollouts.find(Request.Subject);
   if (Found == Rollouts.end())
-    return replyError(Exchange, NotFound, "no rollout of this service");
-  replyJson(Exchange, StatusOk,
-            {{"state", WireStates.name(Found->second.State)},
-             {"target", Found->second.To}});
+    return replyError(Request, NotFound, "no rollout of this service");
+  const auto State = WireStates.name(Found->second.State);
+  replyJson(Request, StatusOk, {{"state", State}, {"target", Found->second.To}},
+            State);
 }
 
-auto operator_api::execute(const exchange &Exchange, command_body Body)
+auto operator_api::execute(operator_request Request, command_body Body)
     -> void {
   command Command;
   Command.Issuer = "operator";
   Command.Body = std::move(Body);
   Service.execute(encodeCommand(Command))
-      .then([this, Exchange](const command_result &Result) {
-        replyResult(Exchange, Result);
+      .then([this, Request](const command_result &Result) {
+        replyResult(Request, Result);
       })
-      .detach([Exchange](kj::Exception &&Exception) {
-        replyError(Exchange, ServiceUnavailable,
-                   Exception.getDescription().cStr());
+      .detach([Exchange = Request.Exchange](kj::Exception &&Exception) {
+        logWarning(log_category::control, "an operator's command failed",
+                   {{"error", Exception.getDescription().cStr()}});
+        Exchange->reply(ServiceUnavailable, JsonHeaders, "{}");
       });
 }
 
-auto operator_api::replyResult(const exchange &Exchange,
+auto operator_api::replyResult(const operator_request &Request,
                                const command_result &Result) -> void {
   switch (Result.Code) {
   case errc::ok:
-    return replyJson(Exchange, StatusOk, json::object());
+    return replyJson(Request, StatusOk, json::object(), Result.Detail);
   case errc::not_leader:
-    return replyRedirect(Exchange);
+    return replyRedirect(Request);
   case errc::bad_request:
-    return replyError(Exchange, BadRequest, Result.Detail);
+    return replyError(Request, BadRequest, Result.Detail);
   case errc::revision_conflict:
-    return replyError(Exchange, Conflict, Result.Detail);
+    return replyError(Request, Conflict, Result.Detail);
   default:
-    return replyError(Exchange, ServiceUnavailable, Result.Detail);
+    return replyError(Request, ServiceUnavailable,
+                      std::string(errcRow(Result.Code).Name) + " " +
+                          Result.Detail);
   }
 }
 
--- a/src/platform/operator_api.h
+++ b/src/platform/operator_api.h
@@ -21,17 +21,32 @@
 private:
   using exchange = std::shared_ptr<http_exchange>;
 
+  /// A request that has not been answered.
+  struct operator_request {
+    exchange Exchange;
+    time_point ReceivedAt;
+    /// Number of the configuration, or service and target of the rollout.
+    std::string Subject;
+  };
+
   explicit operator_api(control_service &TheService) : Service(TheService) {}
 
-  auto handle(const exchange &Exchange) -> void;
-  auto putConfiguration(const exchange &Exchange) -> void;
-  auto getConfiguration(const exchange &Exchange) -> void;
-  auto startRollout(const exchange &Exchange) -> void;
-  auto getRollout(const exchange &Exchange, const std::string &Name) -> void;
-  auto execute(const exchange &Exchange, command_body Body) -> void;
-  auto replyResult(const exchange &Exchange, const command_result &Result)
-      -> void;
-  auto replyRedirect(const exchange &Exchange) -> void;
+  auto handle(operator_request Request) -> void;
+  auto putConfiguration(operator_request Request) -> void;
+  auto getConfiguration(const operator_request &Request) -> void;
+  auto startRollout(operator_request Request) -> void;
+  auto getRollout(operator_request Request) -> void;
+  auto execute(operator_request Request, command_body Body) -> void;
+  auto replyResult(const operator_request &Request,
+                   const command_result &Result) -> void;
+  auto replyError(const operator_request &Request, int Status,
+                  const std::string &Reason) -> void;
+  auto replyJson(const operator_request &Request, int Status, const json &Body,
+                 std::string_view Outcome) -> void;
+  auto reply(const operator_request &Request, int Status,
+             const http_headers &Headers, std::string_view Body,
+             std::string_view Outcome) -> void;
+  auto replyRedirect(const operator_request &Request) -> void;
 
   control_service &Service;
   std::uint16_t Port = 0;
--- a/src/platform/operator_redirect.h
+++ b/src/platform/operator_redirect.h
@@ -6,20 +6,24 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace acacianotch::platform {
 
-/// Redirects a request to \p Port at the leader's IP address; all replicas
-/// listen for operators at this port. \p Leader is the leader's RPC address;
-/// without a leader the answer is 503.
-auto redirectToLeader(const std::shared_ptr<http_exchange> &Exchange,
-                      const std::optional<address> &Leader, std::uint16_t Port)
-    -> void;
+/// Largest request body that any process accepts from operators, bytes.
+inline constexpr std::size_t MaxOperatorBodyBytes = 8ULL * 1024 * 1024;
+
+/// \return the URL of the target of \p Exchange at \p Port of \p Leader's IP
+/// address; all replicas listen for operators at this port.
+[[nodiscard]] auto leaderLocation(const http_exchange &Exchange,
+                                  const address &Leader, std::uint16_t Port)
+    -> std::string;
 
 /// Operators' interface of a process without a replica: redirects every request
-/// to the leader.
+/// to the leader, or answers 503 if none is known.
 class operator_redirect {
 public:
+  /// Returns the leader's RPC address, if known.
   using leader_source = std::function<std::optional<address>()>;
 
   /// \return the interface; `address_in_use` if the address is taken.
--- a/src/replication/raft_node.h
+++ b/src/replication/raft_node.h
@@ -27,6 +27,7 @@
 #pragma once
 
 #include "core/clock_type.h"
+#include "core/enum_table.h"
 #include "core/id_type.h"
 #include "core/random_type.h"
 #include "core/result.h"
@@ -89,6 +90,14 @@
   leader
 };
 
+/// Names of the roles in log lines.
+inline constexpr enum_table<raft_role, 4> RaftRoleNames{{{
+    {raft_role::follower, "follower"},
+    {raft_role::pre_candidate, "pre_candidate"},
+    {raft_role::candidate, "candidate"},
+    {raft_role::leader, "leader"},
+}}};
+
 /// Actions for the host to execute.
 struct raft_effects {
   std::vector<envelope> Messages;    ///< To send; may be lost or reordered.
@@ -173,6 +182,12 @@
   [[nodiscard]] auto membersCommitted() const -> bool {
     return Log.membersIndex() <= CommitIndex;
   }
+  /// \return the time since the last message from a leader, or since the start
+  /// if there was none; zero if this replica leads.
+  [[nodiscard]] auto leaderContactAge(time_point Now) const -> duration {
+    return Role == raft_role::leader ? duration::zero()
+                                     : Now - LastLeaderContact;
+  }
   /// \return the replication progress of the other replicas; empty unless this
   /// replica is the leader.
   [[nodiscard]] auto peers() const
