--- /dev/null
+++ b/test/process/replica_repair_test.cpp
@@ -0,0 +1,112 @@
+/// \file Replicas that take part in their group again after a fault has ended.
+#include "process/support/platform_deployment.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <filesystem>
+
+using namespace acacianotch;
+using nlohmann::json;
+
+namespace {
+
+constexpr int HttpOk = 200;
+
+auto configuration(int Version) -> std::string {
+  return json{{"version", Version},
+              {"routes", json::array()},
+              {"services", json::array()}}
+      .dump();
+}
+
+/// Publishes a configuration and checks that it is acknowledged.
+auto publish(platform_deployment &System, int Version) -> void {
+  CHECK(System.sendOperatorRequest("PUT", "/api/config", configuration(Version))
+            .Status == HttpOk);
+}
+
+auto dump(const control_instance &Replica) -> json {
+  return httpGet(Replica.Admin, "/dump").json();
+}
+
+/// \return whether \p Replica is a voter in the members known to \p Witness.
+auto isVoter(const control_instance &Witness, const control_instance &Replica)
+    -> bool {
+  const auto Dump = dump(Witness);
+  if (!Dump.is_object())
+    return false;
+  const auto Members = Dump.value("members", json::array());
+  return std::any_of(Members.begin(), Members.end(), [&](const json &Row) {
+    return Row.value("voter", false) &&
+           Row.value("address", "")
+               .ends_with(":" + std::to_string(Replica.Rpc));
+  });
+}
+
+/// Makes a replica unable to write snapshots and logs, until released.
+class unwritable_disk {
+public:
+  explicit unwritable_disk(std::filesystem::path DataFolder)
+      : Folder(std::move(DataFolder)) {
+    for (const auto *Name : Names)
+      std::filesystem::create_directory(Folder / Name);
+  }
+
+  auto release() -> void {
+    for (const auto *Name : Names)
+      std::filesystem::remove(Folder / Name);
+  }
+
+private:
+  /// The files that replace the snapshot and the log cannot be created while
+  /// folders have their names.
+  static constexpr std::array Names{"snapshot.new", "log.new"};
+
+  std::filesystem::path Folder;
+};
+
+} // namespace
+
+// Guards against a replica that stays out of the group after a failed write.
+TEST_CASE("a replica takes part again when its disk accepts writes again") {
+  platform_options Options;
+  Options.SnapshotEvery = 10;
+  platform_deployment System(Options);
+  publish(System, 1);
+  auto &Repaired = System.Replicas[1];
+  unwritable_disk Disk(System.data(Repaired));
+  int Version = 2;
+  REQUIRE(waitUntil([&] {
+    publish(System, Version++);
+    return dump(Repaired).value("failed", false);
+  }));
+  Disk.release();
+  System.Replicas[0].Process->kill();
+  publish(System, Version);
+  CHECK(System.sendOperatorRequest("GET", "/api/config").Body ==
+        configuration(Version));
+}
+
+// Guards against a replica that was removed while silent and stays out.
+TEST_CASE("a removed replica that comes back with its disk joins again") {
+  platform_deployment System;
+  publish(System, 1);
+  System.Replicas[2].Process->signal(SIGSTOP);
+  System.Replicas.push_back(System.makeReplica());
+  System.start(System.Replicas.back(), false);
+  const auto &Witness = System.Replicas[0];
+  auto &Returning = System.Replicas[2];
+  REQUIRE(waitUntil([&] {
+    return isVoter(Witness, System.Replicas[3]) && !isVoter(Witness, Returning);
+  }));
+  Returning.Process->signal(SIGCONT);
+  REQUIRE(waitUntil([&] { return isVoter(Witness, Returning); }));
+  // From here on a majority needs the replica that came back.
+  System.Replicas[1].Process->kill();
+  publish(System, 2);
+  CHECK(System.sendOperatorRequest("GET", "/api/config").Body ==
+        configuration(2));
+}
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -98,6 +98,7 @@
                                                   data(Replica).string() + "\"")
                       << "\nseeds = [" << Seeds
                       << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
+                      << "\nsnapshot_every = " << Options.SnapshotEvery
                       << "\noperator_listen = "
                       << quotedLoopback(Replica.Operator)
                       << "\n[gateway]\nbackends = " << quotedLoopback(Platform)
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -44,7 +44,8 @@
   /// only backend server.
   std::size_t Servers = 0;
   bool CallerRelays = false;
-  double GraceSeconds = 0; ///< See gateway.grace_s.
+  double GraceSeconds = 0;    ///< See gateway.grace_s.
+  int SnapshotEvery = 10'000; ///< See control.snapshot_every.
 };
 
 /// Control replicas that form a group, gateways and the stand-in for the users'
--- /dev/null
+++ b/test/silent_leader_test.cpp
@@ -0,0 +1,29 @@
+/// \file Knowledge of the leader in replicas that do not vote.
+#include "replication/raft_node.h"
+#include "replication_fixture.h"
+
+#include <doctest/doctest.h>
+
+namespace acacianotch::test {
+
+// Guards against operators who are redirected to a leader that is gone.
+TEST_CASE("a replica without a vote forgets a leader that is silent") {
+  raft_options Options;
+  Options.Id = replica_id{4};
+  Options.Start = time_point{std::chrono::seconds(1)};
+  durable_state Durable;
+  Durable.BaseSnapshot = {0, 0, group(3)};
+  auto Node = raft_node::create(Options, std::move(Durable));
+  REQUIRE(Node.ok());
+  append_request Heartbeat;
+  Heartbeat.Term = 1;
+  const auto Leader = replica_id{1};
+  Node->receive({Leader, Options.Id, Heartbeat}, Options.Start);
+  CHECK(Node->leader() == Leader);
+  Node->tick(Options.Start + Options.Timing.ElectionMin / 2);
+  CHECK(Node->leader() == Leader);
+  Node->tick(Options.Start + Options.Timing.ElectionMax);
+  CHECK(Node->leader() == replica_id::none);
+}
+
+} // namespace acacianotch::test
