Fix: [Control] a replica takes part again after its disk refused writes

Cause: after one failed write or sync replica_host marked the node as failed until the process restarts, and nothing restarts it. The group ran on without its spare replica and without a sign of it to operators; the next loss, which the settings allow, took the majority. Class of fault: a failure that passes, recorded as a state that does not.

Change: the host reopens its data folder every 0.5 s and continues from what it holds, as a restart would. log_file::open rewrites the log, so records that only the page cache holds after a failed sync are made durable first, and a disk that still refuses writes refuses the reopening as well. Safe for votes: the node reads its durable term and vote, and waits for an election timeout as after a restart.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -13,6 +13,8 @@
 
 constexpr const char *SnapshotName = "snapshot";
 constexpr const char *LogName = "log";
+/// Pause before the data folder is reopened after a storage error.
+constexpr duration ReopenInterval = std::chrono::milliseconds(500);
 
 auto readDurable(posix_file_system &Files, const std::string &Folder,
                  const std::vector<std::string> &Frames)
@@ -73,25 +75,29 @@
   return std::optional(replica_id{(*Identity)->Replica});
 }
 
-auto replica_host::open(event_loop &Loop, const replica_host_options &Options,
-                        replica_callbacks Callbacks)
-    -> result<std::unique_ptr<replica_host>> {
-  auto Folder = data_folder::open(Options.DataFolder);
-  if (!Folder)
-    return Folder.error();
-  auto Files = std::make_unique<files>();
-  const auto Identity = requireIdentity(*Files, Options.DataFolder);
+struct replica_host::recovered_replica {
+  log_file<files> Log;
+  raft_node Node;
+  std::uint64_t Group;
+  snapshot BaseSnapshot; ///< State that Node's records continue.
+};
+
+auto replica_host::recoverReplica(files &Files,
+                                  const replica_host_options &Options)
+    -> result<recovered_replica> {
+  const auto Identity = requireIdentity(Files, Options.DataFolder);
   if (!Identity)
     return Identity.error();
-  auto Log = log_file<files>::open(*Files, Options.DataFolder, LogName);
+  auto Log = log_file<files>::open(Files, Options.DataFolder, LogName);
   if (!Log)
     return Log.error();
   if (Log->TornBytes > 0)
     logWarning(log_category::storage, "truncated the unsynced tail of the log",
                {{"bytes", Log->TornBytes}});
-  auto Durable = readDurable(*Files, Options.DataFolder, Log->Frames);
+  auto Durable = readDurable(Files, Options.DataFolder, Log->Frames);
   if (!Durable)
     return Durable.error();
+  auto BaseSnapshot = Durable->BaseSnapshot;
   raft_options Raft;
   Raft.Id = replica_id{Identity->Replica};
   Raft.Start = steady_clock::now();
@@ -100,9 +106,23 @@
   auto Node = raft_node::create(Raft, std::move(*Durable));
   if (!Node)
     return Node.error();
+  return recovered_replica{std::move(Log->Log), std::move(*Node),
+                           Identity->Group, std::move(BaseSnapshot)};
+}
+
+auto replica_host::open(event_loop &Loop, const replica_host_options &Options,
+                        replica_callbacks Callbacks)
+    -> result<std::unique_ptr<replica_host>> {
+  auto Folder = data_folder::open(Options.DataFolder);
+  if (!Folder)
+    return Folder.error();
+  auto Files = std::make_unique<files>();
+  auto Recovered = recoverReplica(*Files, Options);
+  if (!Recovered)
+    return Recovered.error();
   return std::unique_ptr<replica_host>(new replica_host(
       Loop, Options, std::move(Callbacks), std::move(*Folder), std::move(Files),
-      std::move(Log->Log), std::move(*Node), Identity->Group));
+      std::move(Recovered->Log), std::move(Recovered->Node), Recovered->Group));
 }
 
 replica_host::replica_host(event_loop &TheLoop, replica_host_options TheOptions,
@@ -118,7 +138,8 @@
       TickTimer(TheLoop.oneShot([this] {
         Node.tick(steady_clock::now());
         drive();
-      })) {}
+      })),
+      ReopenTimer(TheLoop.oneShot([this] { tryReopen(); })) {}
 
 replica_host::~replica_host() = default;
 
@@ -193,12 +214,8 @@
     send(Envelope);
   if (Effects.Restore) {
     const auto Restored = Callbacks.Restore(*Effects.Restore);
-    if (!Restored) {
-      logError(log_category::replication, "cannot load a snapshot",
-               {{"error", Restored.error().text()}});
-      Node.storageFailed(steady_clock::now());
-      return;
-    }
+    if (!Restored)
+      return handleStorageFailure(Restored.error());
     AppliedIndex = Effects.Restore->Index;
     CompactedIndex = AppliedIndex;
   }
@@ -222,11 +239,53 @@
     Node.synced(Batch.Sequence, steady_clock::now());
     return;
   }
-  logError(
-      log_category::storage,
-      "storage failed; this replica stays out of the group until restarted",
-      {{"error", Stored.error().text()}});
+  handleStorageFailure(Stored.error());
+}
+
+// Until the folder is read again it is unknown what the disk holds, so the
+// replica takes no part. A disk that refuses writes refuses the reopening too.
+auto replica_host::handleStorageFailure(const failure &Failure) -> void {
+  logError(log_category::storage,
+           "storage failed; this replica takes no part until its data folder "
+           "can be reopened",
+           {{"error", Failure.text()},
+            {"applied", AppliedIndex},
+            {"term", Node.term()}});
   Node.storageFailed(steady_clock::now());
+  ReopenTimer->start(ReopenInterval);
+}
+
+auto replica_host::tryReopen() -> void {
+  const auto Reopened = reopen();
+  if (Reopened)
+    return;
+  const auto Error = Reopened.error().text();
+  if (Error != ReopenError)
+    logWarning(log_category::storage, "cannot reopen the data folder",
+               {{"error", Error}});
+  ReopenError = Error;
+  ReopenTimer->start(ReopenInterval);
+}
+
+auto replica_host::reopen() -> result<void> {
+  auto Recovered = recoverReplica(*Files, Options);
+  if (!Recovered)
+    return Recovered.error();
+  // The node replays all records that the snapshot does not cover.
+  if (auto Restored = Callbacks.Restore(Recovered->BaseSnapshot); !Restored)
+    return Restored;
+  Log = std::move(Recovered->Log);
+  Node = std::move(Recovered->Node);
+  Group = Recovered->Group;
+  AppliedIndex = CompactedIndex = Recovered->BaseSnapshot.Index;
+  ReopenError.clear();
+  ReopenTimer->stop();
+  logInfo(log_category::storage, "reopened the data folder",
+          {{"replica", static_cast<std::uint64_t>(Node.id())},
+           {"term", Node.term()},
+           {"last_record", Node.lastIndex()}});
+  scheduleDrive();
+  return {};
 }
 
 // A replica that has just joined knows no members yet. It needs an address to
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -49,7 +49,8 @@
     -> result<std::optional<replica_id>>;
 
 /// Drives a raft_node: sends its messages over RPC, writes its records to the
-/// log file and applies committed records to the state machine.
+/// log file and applies committed records to the state machine. After a storage
+/// error it reopens the data folder until that succeeds.
 class replica_host {
 public:
   /// Opens the data folder. \return `bad_settings` if it has no identity,
@@ -94,6 +95,17 @@
                std::unique_ptr<files> Files, log_file<files> Log,
                raft_node Node, std::uint64_t Group);
 
+  /// What a data folder holds after recovery.
+  struct recovered_replica;
+
+  [[nodiscard]] static auto recoverReplica(files &Files,
+                                           const replica_host_options &Options)
+      -> result<recovered_replica>;
+
+  auto handleStorageFailure(const failure &Failure) -> void;
+  auto tryReopen() -> void;
+  /// Recovers this replica from its data folder, as a restart would.
+  [[nodiscard]] auto reopen() -> result<void>;
   auto scheduleDrive() -> void;
   auto drive() -> void;
   auto applyEffects(raft_effects &Effects) -> void;
@@ -115,6 +127,8 @@
   std::uint64_t Group;
   std::map<std::string, std::unique_ptr<rpc_peer>> Peers;
   std::unique_ptr<loop_timer> TickTimer;
+  std::unique_ptr<loop_timer> ReopenTimer;
+  std::string ReopenError; ///< Reason of the last failed attempt to reopen.
   bool DriveScheduled = false;
   raft_role LastRole = raft_role::follower;
   log_term LastTerm = 0;
--- a/src/replication/raft_node.h
+++ b/src/replication/raft_node.h
@@ -144,7 +144,7 @@
   auto synced(std::uint64_t Sequence, time_point Now) -> void;
 
   /// Reports a failed write or sync. The replica no longer participates,
-  /// because the content of the disk is unknown until a restart.
+  /// because the content of the disk is unknown until it is recovered again.
   auto storageFailed(time_point Now) -> void;
 
   /// Makes \p Data, the state after applying the record at \p Index, the new
