Fix: [Control] a replica that was removed while silent joins its group again

Cause: the leader removes a voter that is silent for 4 s while there are more voters than needed, and a learner after 2 s. Membership was only requested at start and with an empty data folder, so a replica that was frozen or cut off came back under an id that nobody contacts, and stayed out for good.

Change: while no leader contacts it for two election timeouts, a replica asks the seeds and the members it knows whether it is a member; if not, it requests membership and takes part under the new id. Its records stay; the identity is replaced first, so the former id never appears without its votes.

--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -4,6 +4,7 @@
 #include "control/control_relay.h"
 #include "control/control_service.h"
 #include "control/group_join.h"
+#include "control/group_rejoiner.h"
 #include "control/membership_manager.h"
 #include "control/rollout_manager.h"
 #include "core/log_func.h"
@@ -32,8 +33,7 @@
   Options.SnapshotEvery = Control.SnapshotEvery;
   Options.Seed = std::random_device{}();
   Options.Rpc = rpcOptions(Settings);
-  for (const auto &Peer : Control.Peers)
-    Options.InitialAddresses[replica_id{Peer.Id}] = Peer.Address.text();
+  Options.setInitialAddresses(Control.Peers);
   return Options;
 }
 
@@ -103,17 +103,6 @@
 
 namespace {
 
-/// Requests membership for \p Replica, or for a new id if 0.
-auto requestMembership(event_loop &Loop, const settings &Settings,
-                       std::uint64_t Replica, const bool &Stopped)
-    -> std::optional<join_grant> {
-  std::random_device Random;
-  const auto Token = (std::uint64_t{Random()} << 32U) | Random();
-  group_joiner Joiner(Loop, seedAddresses(Settings), Settings.Rpc.Listen, Token,
-                      Replica, rpcOptions(Settings));
-  return Joiner.wait(Stopped);
-}
-
 /// Writes an identity into an empty data folder: that of a seed of a new group,
 /// or one that the existing group grants.
 auto obtainIdentity(event_loop &Loop, const settings &Settings,
@@ -129,11 +118,12 @@
     return initialiseControl(withSeedMembers(Settings));
   }
   logInfo(log_category::replication, "requesting membership of the group");
-  const auto Grant = requestMembership(Loop, Settings, 0, Stopped);
+  group_joiner Joiner(Loop, seedAddresses(Settings), Settings.Rpc.Listen, 0,
+                      rpcOptions(Settings));
+  const auto Grant = Joiner.wait(Stopped);
   if (!Grant)
     return failure::of(errc::shutting_down);
-  for (const auto &Member : Grant->Members)
-    Options.InitialAddresses[replica_id{Member.Id}] = Member.Address.text();
+  Options.setInitialAddresses(Grant->Members);
   logInfo(log_category::replication, "membership granted",
           {{"replica", Grant->Replica}, {"members", Grant->Members.size()}});
   return initialiseReplica(Options.DataFolder, Grant->Group,
@@ -162,7 +152,9 @@
     return Opened.error();
   auto &Service = **Opened;
   std::optional<membership_manager> MembershipManager;
+  std::optional<group_rejoiner> Rejoiner;
   if (SelfForming) {
+    Rejoiner.emplace(**Loop, Service, Settings);
     MembershipManager.emplace(**Loop, Service,
                               2 * Settings.Control.ToleratedLosses + 1);
     Service.OnJoin = [&](const std::string &Address, std::uint64_t Token,
--- a/src/control/group_join.cpp
+++ b/src/control/group_join.cpp
@@ -7,6 +7,8 @@
 #include <acacianotch.capnp.h>
 
 #include <algorithm>
+#include <random>
+#include <utility>
 
 namespace acacianotch {
 
@@ -18,6 +20,11 @@
 /// A reachable replica answers within a few round trips.
 constexpr duration AnswerTimeout = std::chrono::milliseconds(600);
 
+auto randomToken() -> std::uint64_t {
+  std::random_device Random;
+  return (std::uint64_t{Random()} << 32U) | Random();
+}
+
 } // namespace
 
 auto seedAddresses(const settings &Settings) -> std::vector<address> {
@@ -44,19 +51,23 @@
 }
 
 group_joiner::group_joiner(event_loop &TheLoop, std::vector<address> TheSeeds,
-                           address TheOwnAddress, std::uint64_t TheToken,
-                           std::uint64_t TheReplica, const rpc_options &TheRpc)
+                           address TheOwnAddress, std::uint64_t TheReplica,
+                           const rpc_options &TheRpc)
     : Loop(TheLoop), Seeds(std::move(TheSeeds)),
-      OwnAddress(std::move(TheOwnAddress)), Token(TheToken),
+      OwnAddress(std::move(TheOwnAddress)), Token(randomToken()),
       Replica(TheReplica), Rpc(TheRpc),
-      Timer(TheLoop.oneShot([this] { sendRequest(); })) {}
+      Timer(TheLoop.oneShot([this] { sendRequest(); })) {
+  Timer->start(duration::zero());
+}
 
 auto group_joiner::wait(const bool &Stopped) -> std::optional<join_grant> {
-  Timer->start(duration::zero());
   while (!Grant && !Stopped)
     Loop.turn();
-  Call = nullptr;
-  return std::move(Grant);
+  return takeGrant();
+}
+
+auto group_joiner::takeGrant() -> std::optional<join_grant> {
+  return std::exchange(Grant, std::nullopt);
 }
 
 auto group_joiner::scheduleRetry(const std::string &LeaderText) -> void {
--- a/src/control/group_join.h
+++ b/src/control/group_join.h
@@ -34,15 +34,17 @@
 /// is granted.
 class group_joiner {
 public:
-  /// \p OwnAddress is this replica's RPC address; \p Replica is 0 if it has no
-  /// identity yet.
+  /// \p OwnAddress is this replica's RPC address; \p Replica is 0 if it
+  /// requests a new identity.
   group_joiner(event_loop &Loop, std::vector<address> Seeds, address OwnAddress,
-               std::uint64_t Token, std::uint64_t Replica,
-               const rpc_options &Rpc);
+               std::uint64_t Replica, const rpc_options &Rpc);
 
   /// Runs the loop until membership is granted or \p Stopped is set.
   [[nodiscard]] auto wait(const bool &Stopped) -> std::optional<join_grant>;
 
+  /// \return the grant, once; none before it has arrived.
+  [[nodiscard]] auto takeGrant() -> std::optional<join_grant>;
+
 private:
   auto sendRequest() -> void;
   /// Retries after a delay: at \p LeaderText if it is another replica's
@@ -52,7 +54,7 @@
   event_loop &Loop;
   std::vector<address> Seeds;
   address OwnAddress;
-  std::uint64_t Token;
+  std::uint64_t Token; ///< The same in all attempts, so that one is granted.
   std::uint64_t Replica;
   rpc_options Rpc;
   std::map<address, std::unique_ptr<rpc_peer>> Peers;
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -75,6 +75,13 @@
   return std::optional(replica_id{(*Identity)->Replica});
 }
 
+auto replica_host_options::setInitialAddresses(
+    const std::vector<replica_address> &Members) -> void {
+  InitialAddresses.clear();
+  for (const auto &Member : Members)
+    InitialAddresses[replica_id{Member.Id}] = Member.Address.text();
+}
+
 struct replica_host::recovered_replica {
   log_file<files> Log;
   raft_node Node;
@@ -255,6 +262,19 @@
   ReopenTimer->start(ReopenInterval);
 }
 
+// The identity is replaced before anything else changes, so that the former id
+// never appears without the records and votes that it has acknowledged.
+auto replica_host::adoptIdentity(std::uint64_t Replica,
+                                 const std::vector<replica_address> &Members)
+    -> void {
+  Options.setInitialAddresses(Members);
+  auto Adopted = replaceIdentity(*Files, Options.DataFolder, {Group, Replica});
+  if (Adopted)
+    Adopted = reopen();
+  if (!Adopted)
+    handleStorageFailure(Adopted.error());
+}
+
 auto replica_host::tryReopen() -> void {
   const auto Reopened = reopen();
   if (Reopened)
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -7,6 +7,7 @@
 #include "storage/data_folder.h"
 #include "storage/log_file.h"
 #include "storage/posix_file_system.h"
+#include "table/settings_type.h"
 
 #include <acacianotch.capnp.h>
 
@@ -15,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace acacianotch {
 
@@ -27,6 +29,9 @@
   rpc_options Rpc;
   /// Addresses to use for replicas that are not in the known membership.
   std::map<replica_id, std::string> InitialAddresses;
+
+  /// Sets InitialAddresses to those of \p Members.
+  auto setInitialAddresses(const std::vector<replica_address> &Members) -> void;
 };
 
 /// Interface of the state machine to the replica.
@@ -84,6 +89,11 @@
 
   [[nodiscard]] auto group() const -> std::uint64_t { return Group; }
 
+  /// Takes part under the new id \p Replica from now on, with the records that
+  /// this replica has. The group must have removed its present id before.
+  auto adoptIdentity(std::uint64_t Replica,
+                     const std::vector<replica_address> &Members) -> void;
+
   /// \return the RPC address of the leader, if known.
   [[nodiscard]] auto leaderAddress() const -> std::string;
 
--- a/src/storage/identity_file.h
+++ b/src/storage/identity_file.h
@@ -46,6 +46,14 @@
   return std::optional(*Identity);
 }
 
+/// Durably gives \p Folder another identity, or its first one.
+template <file_system files_type>
+[[nodiscard]] auto replaceIdentity(files_type &Files, const std::string &Folder,
+                                   const identity &Identity) -> result<void> {
+  return replaceChecksummedFile(Files, Folder, std::string(IdentityName),
+                                IdentityKind, encodeIdentity(Identity));
+}
+
 /// Writes the identity file of \p Folder; `bad_settings` if it already has one.
 /// The initial snapshot, if any, must be written before, so that a folder with
 /// an identity always has it.
@@ -59,8 +67,7 @@
     return failure::of(errc::bad_settings,
                        Folder + " already belongs to replica " +
                            std::to_string((*Present)->Replica));
-  return replaceChecksummedFile(Files, Folder, std::string(IdentityName),
-                                IdentityKind, encodeIdentity(Identity));
+  return replaceIdentity(Files, Folder, Identity);
 }
 
 } // namespace acacianotch
