Fix: [Replication] a replica without a vote forgets a silent leader

Cause: only the start of an election forgot the leader, and a replica without a vote never starts one. Class of fault: a belief without an expiry.

Change: the election timeout clears the leader of every follower; voters also request pre-votes.

Not shown to be the cause of the report: callers try the next process after the dead one.

--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -38,12 +38,13 @@
 }
 
 /// A pre-vote does not increment the term, so a replica that returns from a
-/// network partition does not depose a working leader.
+/// network partition does not depose a working leader. A replica that is no
+/// voter only forgets the silent leader.
 auto raft_node::startPreVote(time_point Now) -> void {
   resetElectionTimer(Now);
+  becomeFollower(State.Term, replica_id::none, Now);
   if (!Log.members().isVoter(Id))
     return;
-  becomeFollower(State.Term, replica_id::none, Now);
   Role = raft_role::pre_candidate;
   requestVotes(State.Term + 1, true);
   countVote(Id, Now);
