Fix: [Gateway] rollouts are judged by the answers that are missing as well

Cause: an outcome was recorded when an attempt ended. A slow stream ends late or its caller leaves first, so a slow version was seen through its fastest answers, and fewer of them the slower it was. Twenty-five ended requests, timed or not, allowed the shift; slowness needed 12 whole answers on one route, and a ratio of means of 2.5, which half of the answers at 8 times the time reach barely. Class of fault: censored data; the absence of evidence was taken for evidence of health.

Change: the response time is recorded when an answer begins, the pace of a stream after 8 events. An attempt that waits longer than 3 times the predecessor's typical time counts as slow while it waits, and one that ends without an answer, for whatever reason, by the same rule. Times are compared with their standard errors, for each measure and over all; shift and completion need 25 times and a ratio that is safely below the tolerated one.

Evidence: two of the three new cases of unit.rollout_judge_test fail with the former rules (no times, several routes); unit.rollout_recorder_test measures an attempt that waits.

--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -51,6 +51,7 @@
   Place->Errors += More.Errors;
   Place->Timed += More.Timed;
   Place->LogTime += More.LogTime;
+  Place->LogTimeSquares += More.LogTimeSquares;
 }
 
 auto addSession(std::vector<std::uint64_t> &Sorted, std::uint64_t Session)
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -23,14 +23,15 @@
 }}};
 constexpr auto namesOf(version_arm) -> const auto & { return VersionArmNames; }
 
-/// Counts of one arm on one route.
+/// Counts of one arm on one route, or of one measured time there.
 struct arm_counts {
   version_arm Arm = version_arm::invalid;
   std::string Route;
   std::uint64_t Requests = 0;
   std::uint64_t Errors = 0;
-  std::uint64_t Timed = 0; ///< Whole answers whose time was measured.
+  std::uint64_t Timed = 0; ///< Measured times.
   double LogTime = 0;      ///< Sum of their natural logarithms of microseconds.
+  double LogTimeSquares = 0; ///< Sum of the squares of these logarithms.
 
   auto operator==(const arm_counts &) const -> bool = default;
 };
@@ -87,8 +88,10 @@
       field("route", &body::Route, {0, 256}, "route"),
       required("requests", &body::Requests, {0, 1e15}, "requests"),
       field("errors", &body::Errors, {0, 1e15}, "failed requests"),
-      field("timed", &body::Timed, {0, 1e15}, "requests with a time"),
+      field("timed", &body::Timed, {0, 1e15}, "measured times"),
       field("log_time", &body::LogTime, {-1e15, 1e15}, "sum of logarithms"),
+      field("log_time_squares", &body::LogTimeSquares, {0, 1e15},
+            "sum of their squares"),
   };
 };
 
--- a/src/controller/rollout_evaluator.cpp
+++ b/src/controller/rollout_evaluator.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 #include <cstdio>
 #include <map>
+#include <optional>
 
 namespace acacianotch {
 
@@ -21,6 +22,7 @@
   Sum.Errors += More.Errors;
   Sum.Timed += More.Timed;
   Sum.LogTime += More.LogTime;
+  Sum.LogTimeSquares += More.LogTimeSquares;
 }
 
 auto hasExcessErrors(const rollout_evaluator_settings &Settings,
@@ -35,22 +37,90 @@
   return binomialTail(New.Requests, New.Errors, Rate) < Settings.FalseStop;
 }
 
-auto isTooSlow(const rollout_evaluator_settings &Settings, const arm_pair &Pair)
-    -> bool {
+/// Difference of the mean logarithms of the times of two versions.
+struct time_difference {
+  double Mean = 0;
+  double Variance = 0;          ///< Of the mean.
+  std::uint64_t Candidates = 0; ///< Times of the new version behind it.
+
+  [[nodiscard]] auto deviation() const -> double { return std::sqrt(Variance); }
+};
+
+auto meanVariance(const arm_counts &Counts) -> double {
+  // A few equal times do not show that all times are equal.
+  constexpr double MinSampleVariance = 0.2;
+  const auto Count = static_cast<double>(Counts.Timed);
+  const auto Mean = Counts.LogTime / Count;
+  return std::max(Counts.LogTimeSquares / Count - Mean * Mean,
+                  MinSampleVariance) /
+         Count;
+}
+
+auto compareTimes(const arm_pair &Pair, std::uint64_t MinTimes)
+    -> std::optional<time_difference> {
   const auto &New = Pair.Candidate;
   const auto &Old = Pair.Serving;
-  if (New.Timed < Settings.MinTimedAnswers ||
-      Old.Timed < Settings.MinTimedAnswers)
-    return false;
-  const auto Difference = New.LogTime / static_cast<double>(New.Timed) -
-                          Old.LogTime / static_cast<double>(Old.Timed);
-  return Difference > std::log(Settings.SlowFactor);
+  if (New.Timed < MinTimes || Old.Timed < MinTimes)
+    return std::nullopt;
+  return time_difference{New.LogTime / static_cast<double>(New.Timed) -
+                             Old.LogTime / static_cast<double>(Old.Timed),
+                         meanVariance(New) + meanVariance(Old), New.Timed};
+}
+
+/// \return the difference over all routes and measures, each weighted by its
+/// precision; none if nothing can be compared.
+auto compareAllTimes(const std::map<std::string, arm_pair> &Pairs)
+    -> std::optional<time_difference> {
+  constexpr std::uint64_t MinTimesOfOne = 3;
+  double Weights = 0;
+  time_difference Pooled;
+  for (const auto &[Route, Pair] : Pairs) {
+    const auto One = compareTimes(Pair, MinTimesOfOne);
+    if (Route.empty() || !One)
+      continue;
+    Weights += 1 / One->Variance;
+    Pooled.Mean += One->Mean / One->Variance;
+    Pooled.Candidates += One->Candidates;
+  }
+  if (Weights <= 0)
+    return std::nullopt;
+  Pooled.Mean /= Weights;
+  Pooled.Variance = 1 / Weights;
+  return Pooled;
 }
 
-auto reasonText(const char *Measure, const std::string &Route,
-                const arm_pair &Pair) -> std::string {
-  return std::string(Measure) + " on " + (Route.empty() ? "all" : Route) +
-         ": " + std::to_string(Pair.Candidate.Errors) + " of " +
+auto isTooSlow(const rollout_evaluator_settings &Settings,
+               const std::optional<time_difference> &Difference,
+               double Tolerated, std::uint64_t MinTimes) -> bool {
+  return Difference && Difference->Candidates >= MinTimes &&
+         Difference->Mean - Settings.SlowDeviations * Difference->deviation() >
+             std::log(Tolerated);
+}
+
+/// \return whether the times show that the new version is not too slow. A
+/// version of which too few times are known is not healthy: the answers that
+/// are missing may be the slow ones.
+auto isHealthy(const rollout_evaluator_settings &Settings,
+               const std::optional<time_difference> &Difference,
+               double Tolerated) -> bool {
+  return Difference && Difference->Candidates >= Settings.MinHealthyTimes &&
+         Difference->Mean +
+                 Settings.HealthyDeviations * Difference->deviation() <=
+             std::log(Tolerated);
+}
+
+auto timeText(const std::string &Measure, const time_difference &Difference)
+    -> std::string {
+  constexpr double Percent = 100;
+  return "times on " + (Measure.empty() ? "all" : Measure) + ": " +
+         std::to_string(std::lround(Percent * std::exp(Difference.Mean))) +
+         "% of the predecessor's, " + std::to_string(Difference.Candidates) +
+         " measured";
+}
+
+auto errorText(const std::string &Route, const arm_pair &Pair) -> std::string {
+  return "errors on " + (Route.empty() ? "all" : Route) + ": " +
+         std::to_string(Pair.Candidate.Errors) + " of " +
          std::to_string(Pair.Candidate.Requests) + " failed, predecessor " +
          std::to_string(Pair.Serving.Errors) + " of " +
          std::to_string(Pair.Serving.Requests);
@@ -91,13 +161,22 @@
     auto &Pair = Pairs[Row.Route];
     add(IsNew ? Pair.Candidate : Pair.Serving, Row);
   }
+  const auto Tolerated =
+      Rollout.Shifted ? Settings.ShiftedSlowFactor : Settings.SlowFactor;
+  const auto ToleratedOfOne =
+      Rollout.Shifted ? Settings.ShiftedMeasureSlowFactor : Settings.SlowFactor;
   for (const auto &[Route, Pair] : Pairs) {
     if (hasExcessErrors(Settings, Pair))
-      return {rollout_step::stop, reasonText("errors", Route, Pair)};
-    // Answer times differ between routes, so they are only compared per route.
-    if (!Route.empty() && isTooSlow(Settings, Pair))
-      return {rollout_step::stop, reasonText("slow answers", Route, Pair)};
+      return {rollout_step::stop, errorText(Route, Pair)};
+    // Times differ between routes, so they are only compared per route.
+    const auto Difference = compareTimes(Pair, Settings.MinTimes);
+    if (!Route.empty() &&
+        isTooSlow(Settings, Difference, ToleratedOfOne, Settings.MinTimes))
+      return {rollout_step::stop, "too slow: " + timeText(Route, *Difference)};
   }
+  const auto Pooled = compareAllTimes(Pairs);
+  if (isTooSlow(Settings, Pooled, Tolerated, Settings.MinHealthyTimes))
+    return {rollout_step::stop, "too slow: " + timeText("", *Pooled)};
   const auto Duration =
       static_cast<double>(Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
                                                   : Rollout.DurationMs);
@@ -109,15 +188,13 @@
       return {rollout_step::open, "sessions under way are known"};
     return {};
   }
-  if (!Rollout.Shifted) {
-    const auto Due = Elapsed >= Settings.ShiftTimeShare * Duration;
-    if (Due && All.Candidate.Requests >= Settings.MinRequests)
-      return {rollout_step::shift, "the evidence is clean"};
+  const auto Due =
+      Elapsed >= Duration * (Rollout.Shifted ? Settings.CompleteTimeShare
+                                             : Settings.ShiftTimeShare);
+  if (!Due || !isHealthy(Settings, Pooled, Tolerated))
     return {};
-  }
-  if (Elapsed >= Settings.CompleteTimeShare * Duration)
-    return {rollout_step::complete, "the evidence is clean"};
-  return {};
+  return {Rollout.Shifted ? rollout_step::complete : rollout_step::shift,
+          "healthy: " + timeText("", *Pooled)};
 }
 
 } // namespace acacianotch
--- a/src/controller/rollout_evaluator.h
+++ b/src/controller/rollout_evaluator.h
@@ -22,19 +22,29 @@
   double CompleteTimeShare = 0.9;
   /// Duration in milliseconds if the command states none.
   std::uint32_t DefaultDurationMs = 20'000;
-  /// Minimum requests on the new version before the shift.
-  std::uint64_t MinRequests = 25;
+  /// Minimum measured times of the new version before it can count as healthy.
+  std::uint64_t MinHealthyTimes = 25;
   /// Minimum failures before errors can stop a rollout.
   std::uint64_t MinErrors = 4;
   /// Tolerated increase of the error rate over the predecessor's.
   double ErrorMargin = 0.05;
   /// Probability that one evaluation for errors stops a good version.
   double FalseStop = 1e-4;
-  /// Minimum timed answers of each version before slowness can stop a rollout.
-  std::uint64_t MinTimedAnswers = 12;
+  /// Minimum times of each version before one measure can stop a rollout.
+  std::uint64_t MinTimes = 12;
   /// Tolerated ratio of the geometric mean times of the new version and its
-  /// predecessor.
-  double SlowFactor = 2.5;
+  /// predecessor while both serve.
+  double SlowFactor = 1.5;
+  /// The same after the shift, when the two were measured at different loads,
+  /// over all measures and for a single one.
+  double ShiftedSlowFactor = 2.0;
+  double ShiftedMeasureSlowFactor = 4.0;
+  /// Standard errors by which the ratio must exceed the tolerated one to stop a
+  /// rollout.
+  double SlowDeviations = 3;
+  /// Standard errors by which the tolerated ratio must exceed the ratio of a
+  /// healthy version.
+  double HealthyDeviations = 2;
 };
 
 /// Next step of a rollout.
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -48,21 +48,26 @@
                                    Request.Session, Request.Id, Listed);
 }
 
+auto forward_task::measuredAttempt() const -> measured_attempt {
+  return {Attempt->Arm, Route->Name + "/" + std::to_string(CascadeStage),
+          Attempt->SentAt};
+}
+
 auto forward_task::recordOutcome(bool Failed) -> void {
   const auto *Rollout = Context.Directory.runningRollout(Service);
-  if (Rollout == nullptr || Attempt == nullptr)
+  if (Rollout != nullptr && Attempt != nullptr)
+    Context.Rollouts.recordEnd(*Rollout, measuredAttempt(), Failed);
+}
+
+auto forward_task::recordPace() -> void {
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  const auto EventCount = Events.count() - Attempt->EventsBefore;
+  const auto Measured = std::exchange(Attempt->PaceRecorded, true);
+  if (Rollout == nullptr || !Attempt->StreamsBody || EventCount < 2 || Measured)
     return;
-  arm_outcome Outcome;
-  Outcome.Arm = Attempt->Arm;
-  Outcome.Route = Route->Name + "/" + std::to_string(CascadeStage);
-  Outcome.Failed = Failed;
-  if (!Failed) {
-    const auto EventCount =
-        Attempt->StreamsBody ? Events.count() - Attempt->EventsBefore : 0U;
-    Outcome.Time = (steady_clock::now() - Attempt->SentAt) /
-                   static_cast<std::int64_t>(std::max(EventCount, 1U));
-  }
-  Context.Rollouts.record(*Rollout, Outcome);
+  Context.Rollouts.recordPace(*Rollout, measuredAttempt(),
+                              (steady_clock::now() - Attempt->AnsweredAt) /
+                                  static_cast<std::int64_t>(EventCount - 1));
 }
 
 auto forward_task::chooseBackend() -> result<backend_handle> {
@@ -169,6 +174,9 @@
   Attempt->LastDataAt = Attempt->SentAt;
   Attempt->EventsBefore = Events.count();
   Attempt->Arm = Context.Directory.armOf(*Backend);
+  if (const auto *Rollout = Context.Directory.runningRollout(Service))
+    Attempt->WaitingId =
+        Context.Rollouts.startWaiting(*Rollout, measuredAttempt());
   Attempt->LongWork = Request.PromptTokens > LongPromptTokens;
   Context.Directory.board().started(Chosen, Attempt->LongWork);
   if (!Request.Prompt.empty())
@@ -243,6 +251,8 @@
   if (Attempt == nullptr)
     return;
   setWork(0);
+  Context.Rollouts.stopWaiting(Attempt->WaitingId);
+  recordPace();
   std::optional<load_report> Report;
   if (const auto &Load = Attempt->Facts.Load)
     Report = {Load->Running, Load->Waiting, 0, Load->Slots, false};
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -23,6 +23,9 @@
 /// token generation on its server a little.
 constexpr double RunningStreamWork = 0.1;
 
+/// Events of a stream after which its pace is known.
+constexpr std::uint32_t PaceEvents = 8;
+
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
@@ -130,6 +133,9 @@
   Context.Directory.recordProgress(Attempt->Backend);
   Attempt->LastDataAt = steady_clock::now();
   Attempt->Facts = Facts;
+  Attempt->AnsweredAt = Attempt->LastDataAt;
+  if (Facts.success())
+    Context.Rollouts.recordResponse(Attempt->WaitingId);
   if (Attempt->WorkUnits > 0)
     setWork(RunningStreamWork * modelWeight(Model));
   Attempt->Head = std::move(Head);
@@ -168,6 +174,8 @@
   if (Complete.empty())
     return;
   recordEventTimes();
+  if (Events.count() - Attempt->EventsBefore >= PaceEvents)
+    recordPace();
   Caller->write(Complete);
   if (!Paused && Caller->unsentBytes() > MaxUnsentBytes) {
     Paused = true;
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -99,12 +99,15 @@
     http_head Head;
     std::string Body;
     time_point SentAt{};
+    time_point AnsweredAt{}; ///< When the head of its answer arrived.
     time_point LastDataAt{}; ///< When the last part of its answer arrived.
     std::uint32_t EventsBefore = 0; ///< Events received by earlier attempts.
     version_arm Arm = version_arm::serving;
     std::uint32_t ReportRequests = 0; ///< Reports requested in this stall.
     stalled_state ReportedState = stalled_state::unknown; ///< By the server.
-    double WorkUnits = 0; ///< Counted on the work board.
+    std::uint64_t WaitingId = 0; ///< See rollout_recorder::startWaiting.
+    double WorkUnits = 0;        ///< Counted on the work board.
+    bool PaceRecorded = false;
     bool LongWork = false;
     bool StreamsBody = false; ///< Its body is forwarded as it arrives.
   };
@@ -132,7 +135,9 @@
   [[nodiscard]] auto meanOutstandingWork() const -> double;
   auto setWork(double Units) -> void;
   auto startNextAttempt() -> void;
+  [[nodiscard]] auto measuredAttempt() const -> measured_attempt;
   auto recordOutcome(bool Failed) -> void;
+  auto recordPace() -> void;
   auto revertToServing() -> void;
   auto startStallTimer() -> void;
   auto handleStallTimer() -> void;
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -19,25 +19,38 @@
 constexpr duration ReportTimeout = std::chrono::seconds(2);
 /// All sessions are cleared above this number.
 constexpr std::size_t MaxSessions = 20'000;
+/// Names of measured times, after the name of the route.
+constexpr auto ResponseMeasure = "/response";
+constexpr auto PaceMeasure = "/pace";
+/// Multiple of the predecessor's typical response time after which an attempt
+/// counts as slow before it is answered.
+constexpr double OverdueFactor = 3;
+/// Answers of the predecessor from which its typical time is known.
+constexpr std::uint64_t MinTypicalResponses = 5;
 
-auto addCounts(std::vector<arm_counts> &Rows, const arm_outcome &Outcome)
-    -> void {
-  auto Found =
+/// \return the row of \p Attempt and \p Measure, which is empty for counts of
+/// requests.
+auto rowOf(std::vector<arm_counts> &Rows, const measured_attempt &Attempt,
+           const char *Measure) -> arm_counts & {
+  const auto Route = Attempt.Route + Measure;
+  const auto Found =
       std::find_if(Rows.begin(), Rows.end(), [&](const arm_counts &Row) {
-        return Row.Arm == Outcome.Arm && Row.Route == Outcome.Route;
+        return Row.Arm == Attempt.Arm && Row.Route == Route;
       });
-  if (Found == Rows.end()) {
-    arm_counts Row;
-    Row.Arm = Outcome.Arm;
-    Row.Route = Outcome.Route;
-    Found = Rows.insert(Rows.end(), std::move(Row));
-  }
-  ++Found->Requests;
-  Found->Errors += Outcome.Failed ? 1U : 0U;
-  if (!Outcome.Time || Outcome.Time->count() <= 0)
-    return;
-  ++Found->Timed;
-  Found->LogTime += std::log(static_cast<double>(Outcome.Time->count()));
+  if (Found != Rows.end())
+    return *Found;
+  arm_counts Row;
+  Row.Arm = Attempt.Arm;
+  Row.Route = Route;
+  return Rows.emplace_back(std::move(Row));
+}
+
+auto addTime(arm_counts &Row, duration Time) -> void {
+  const auto Log =
+      std::log(static_cast<double>(std::max<std::int64_t>(Time.count(), 1)));
+  ++Row.Timed;
+  Row.LogTime += Log;
+  Row.LogTimeSquares += Log * Log;
 }
 
 auto sessionHash(const std::string &Session) -> std::uint64_t {
@@ -64,9 +77,67 @@
   Timer->start(ReportInterval);
 }
 
-auto rollout_recorder::record(const service_rollout &Rollout,
-                              const arm_outcome &Outcome) -> void {
-  addCounts(batchOf(Rollout).Next, Outcome);
+auto rollout_recorder::recordEnd(const service_rollout &Rollout,
+                                 const measured_attempt &Attempt, bool Failed)
+    -> void {
+  auto &Row = rowOf(batchOf(Rollout).Next, Attempt, "");
+  ++Row.Requests;
+  Row.Errors += Failed ? 1U : 0U;
+}
+
+auto rollout_recorder::recordPace(const service_rollout &Rollout,
+                                  const measured_attempt &Attempt,
+                                  duration Pace) -> void {
+  addTime(rowOf(batchOf(Rollout).Next, Attempt, PaceMeasure), Pace);
+}
+
+auto rollout_recorder::startWaiting(const service_rollout &Rollout,
+                                    measured_attempt Attempt) -> std::uint64_t {
+  WaitingAttempts[++LastWaitingId] = {Rollout.Service, Rollout.To,
+                                      std::move(Attempt)};
+  return LastWaitingId;
+}
+
+auto rollout_recorder::recordResponse(std::uint64_t WaitingId) -> void {
+  if (const auto Waiting = WaitingAttempts.extract(WaitingId))
+    recordTime(Waiting.mapped(), true);
+}
+
+auto rollout_recorder::stopWaiting(std::uint64_t WaitingId) -> void {
+  if (const auto Waiting = WaitingAttempts.extract(WaitingId))
+    recordTime(Waiting.mapped(), false);
+}
+
+// A slow answer arrives late, or its caller gives up first. If only answers
+// were measured, a slow version would be judged by its fastest ones.
+auto rollout_recorder::recordTime(const waiting_attempt &Waiting, bool Answered)
+    -> bool {
+  const auto Found = Batches.find(Waiting.Service);
+  if (Found == Batches.end() || Found->second.To != Waiting.To)
+    return false;
+  auto &Batch = Found->second;
+  const auto &Attempt = Waiting.Attempt;
+  auto &Serving = Batch.ServingResponses[Attempt.Route];
+  const auto Time = steady_clock::now() - Attempt.SentAt;
+  if (!Answered) {
+    if (Serving.Timed < MinTypicalResponses)
+      return false;
+    const auto Typical =
+        std::exp(Serving.LogTime / static_cast<double>(Serving.Timed));
+    if (static_cast<double>(Time.count()) < OverdueFactor * Typical)
+      return false;
+  }
+  addTime(rowOf(Batch.Next, Attempt, ResponseMeasure), Time);
+  if (Attempt.Arm == version_arm::serving)
+    addTime(Serving, Time);
+  return true;
+}
+
+auto rollout_recorder::unreported(const std::string &Service) const
+    -> std::vector<arm_counts> {
+  const auto Found = Batches.find(Service);
+  return Found == Batches.end() ? std::vector<arm_counts>()
+                                : Found->second.Next;
 }
 
 auto rollout_recorder::failures(const std::string &Service) const
@@ -162,6 +233,8 @@
                {{"sessions", Sessions.size()}});
     Sessions.clear();
   }
+  std::erase_if(WaitingAttempts,
+                [&](const auto &Row) { return recordTime(Row.second, false); });
   for (auto &[Service, Batch] : Batches) {
     if (Batch.SendInProgress)
       continue;
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -17,12 +17,11 @@
 
 namespace acacianotch {
 
-/// Outcome of one attempt on one arm.
-struct arm_outcome {
+/// Attempt that is measured during a rollout.
+struct measured_attempt {
   version_arm Arm = version_arm::invalid;
   std::string Route;
-  bool Failed = false;
-  std::optional<duration> Time; ///< Of the answer, or per event.
+  time_point SentAt{};
 };
 
 /// Counts outcomes during the rollout of a service and reports them to control.
@@ -35,9 +34,29 @@
   /// Reports the active sessions that a rollout in \p View would move.
   auto applyView(const catalogue_view &View) -> void;
 
-  /// Records an outcome during \p Rollout, which is running.
-  auto record(const service_rollout &Rollout, const arm_outcome &Outcome)
-      -> void;
+  /// Records the end of an attempt during \p Rollout, which is running.
+  auto recordEnd(const service_rollout &Rollout,
+                 const measured_attempt &Attempt, bool Failed) -> void;
+
+  /// Records the mean time between two events of a stream.
+  auto recordPace(const service_rollout &Rollout,
+                  const measured_attempt &Attempt, duration Pace) -> void;
+
+  /// Measures the time until an attempt of \p Rollout is answered. One that
+  /// waits much longer than the predecessor takes is recorded while it waits.
+  /// \return an id for recordResponse() and stopWaiting().
+  [[nodiscard]] auto startWaiting(const service_rollout &Rollout,
+                                  measured_attempt Attempt) -> std::uint64_t;
+
+  /// Records that an attempt is answered; without effect if it is not measured.
+  auto recordResponse(std::uint64_t WaitingId) -> void;
+
+  /// Ends the measurement of an attempt that is not answered.
+  auto stopWaiting(std::uint64_t WaitingId) -> void;
+
+  /// \return the counts of a service's rollout that no report contains yet.
+  [[nodiscard]] auto unreported(const std::string &Service) const
+      -> std::vector<arm_counts>;
 
   /// \return the arm of a request: that of its active session, or one derived
   /// from a hash of its session or its id.
@@ -63,6 +82,8 @@
     std::uint64_t Sequence = 0;
     std::vector<arm_counts> Sending; ///< Sent again unchanged until confirmed.
     std::vector<arm_counts> Next;
+    /// Response times of the predecessor by route, since the rollout began.
+    std::map<std::string, arm_counts> ServingResponses;
     std::vector<std::uint64_t> SendingSessions;
     std::vector<std::uint64_t> NextSessions;
     std::set<std::uint64_t> Reported; ///< Sessions in any report so far.
@@ -75,7 +96,16 @@
     time_point LastAt{};
   };
 
+  struct waiting_attempt {
+    std::string Service;
+    std::string To;
+    measured_attempt Attempt;
+  };
+
   auto tick() -> void;
+  /// Records the response time of an attempt that is answered, or that would
+  /// be slow if it were answered now. \return whether it was recorded.
+  auto recordTime(const waiting_attempt &Waiting, bool Answered) -> bool;
   auto reportSession(const service_rollout &Rollout, const std::string &Session)
       -> void;
   auto recordListed(const service_rollout &Rollout) -> void;
@@ -87,6 +117,8 @@
   duration SessionTime;
   double Share;
   std::map<std::string, batch> Batches; ///< By service.
+  std::map<std::uint64_t, waiting_attempt> WaitingAttempts;
+  std::uint64_t LastWaitingId = 0;
   std::unordered_map<std::string, session_state> Sessions;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   std::unique_ptr<loop_timer> Timer;
--- a/test/rollout_judge_test.cpp
+++ b/test/rollout_judge_test.cpp
@@ -93,6 +93,45 @@
                  2'000) == rollout_step::keep);
 }
 
+// Guards against a rollout that completes while the slow answers of the new
+// version are missing.
+TEST_CASE("answers without a measured time are no evidence of health") {
+  auto Untimed = counts(New, 40, 0);
+  Untimed.Timed = 0;
+  Untimed.LogTime = 0;
+  auto Rollout = running();
+  CHECK(evaluate(Rollout, {counts(Old, 300, 3), Untimed}, 11'000) ==
+        rollout_step::keep);
+  Rollout.Shifted = true;
+  CHECK(evaluate(Rollout, {counts(Old, 300, 3), Untimed}, 18'500) ==
+        rollout_step::keep);
+}
+
+// Guards against a shift to a version of which half of the answers are slow.
+TEST_CASE("a version that is slow for half of its answers is stopped") {
+  constexpr auto Answers = 40;
+  auto Half = counts(New, Answers / 2, 0, 1000);
+  const auto Slow = counts(New, Answers / 2, 0, 8000);
+  Half.LogTimeSquares =
+      Answers / 2.0 *
+      (std::pow(std::log(1000), 2) + std::pow(std::log(8000), 2));
+  Half.Requests += Slow.Requests;
+  Half.Timed += Slow.Timed;
+  Half.LogTime += Slow.LogTime;
+  CHECK(evaluate(running(), {counts(Old, 200, 0, 1000), Half}, 2'000) ==
+        rollout_step::stop);
+}
+
+// Guards against a slow version that no single route has enough answers of.
+TEST_CASE("slow answers of several routes count together") {
+  std::vector<arm_counts> Counts;
+  for (const auto *Route : {"a", "b", "c", "d", "e"}) {
+    Counts.push_back(counts(Old, 50, 0, 1000, Route));
+    Counts.push_back(counts(New, 6, 0, 4000, Route));
+  }
+  CHECK(evaluate(running(), Counts, 2'000) == rollout_step::stop);
+}
+
 // Guards against good versions that are stopped by chance: both versions have
 // an error rate of 3%, and the rollout is evaluated after every request.
 TEST_CASE("equal versions are rarely stopped") {
--- a/test/rollout_recorder_test.cpp
+++ b/test/rollout_recorder_test.cpp
@@ -92,3 +92,31 @@
   CHECK(Fixture.Recorder.chooseArm(&Rollout, candidateSession(), "1") ==
         version_arm::serving);
 }
+
+// Guards against a slow version that is judged by its fastest answers only.
+TEST_CASE("an attempt that waits for long is measured before it is answered") {
+  fixture Fixture;
+  const auto Rollout = runningRollout();
+  const auto Wait = [&](version_arm Arm) {
+    return Fixture.Recorder.startWaiting(Rollout,
+                                         {Arm, "r", steady_clock::now()});
+  };
+  Fixture.Recorder.recordEnd(Rollout, {version_arm::serving, "r", {}}, false);
+  for (int Answer = 0; Answer < 10; ++Answer)
+    Fixture.Recorder.recordResponse(Wait(version_arm::serving));
+  const auto Candidates = [&] {
+    std::uint64_t Timed = 0;
+    for (const auto &Row : Fixture.Recorder.unreported("s"))
+      if (Row.Arm == version_arm::candidate)
+        Timed += Row.Timed;
+    return Timed;
+  };
+  Fixture.Recorder.stopWaiting(Wait(version_arm::candidate));
+  const auto BeforeWait = Candidates();
+  const auto Slow = Wait(version_arm::candidate);
+  std::this_thread::sleep_for(SessionTime);
+  Fixture.Recorder.stopWaiting(Slow);
+  CHECK(Candidates() == BeforeWait + 1);
+  Fixture.Recorder.recordResponse(Slow);
+  CHECK(Candidates() == BeforeWait + 1);
+}
