Fix: [Daemon] a write to a connection that its peer has closed ends no process

Callers saw: nothing yet; found while testing answers without end. Libevent writes without MSG_NOSIGNAL, so the second write after a peer has closed raises SIGPIPE, whose default action ends the process. Reading normally shows the close first; it does not while reading is paused, such as for a caller that has pipelined more than its limit and leaves in the middle of a stream.

Change: the daemon ignores SIGPIPE; writes fail with an error that is handled.

Evidence: "processes survive the signal of a broken connection" in process.platform_test failed before (gateway and replicas ended) and passes now.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -67,6 +67,8 @@
   // The role installs a handler later; until then the default action of SIGHUP
   // would end the process.
   std::signal(SIGHUP, SIG_IGN);
+  // Libevent writes to sockets whose peer may have closed them.
+  std::signal(SIGPIPE, SIG_IGN);
   logStartup(Settings);
   if (!Settings.Node.SecretFile.empty() &&
       othersMayRead(Settings.Node.SecretFile))
--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -73,6 +73,19 @@
   CHECK(System.Gateways[0].Process->wait() == 0);
 }
 
+// Guards against a process that ends when a peer closes a connection that it
+// writes to.
+TEST_CASE("processes survive the signal of a broken connection") {
+  platform_deployment System;
+  publish(System, 1, "/a/");
+  REQUIRE(System.waitServed("/a/x"));
+  for (auto &Replica : System.Replicas)
+    Replica.Process->signal(SIGPIPE);
+  System.Gateways[0].Process->signal(SIGPIPE);
+  CHECK(System.call("/a/x").Status == HttpOk);
+  publish(System, 2, "/b/");
+}
+
 // Guards against a replica that lost its disk and votes under its old id, and
 // against a group that needs manual repair.
 TEST_CASE("a replica that lost its disk joins again by itself") {
