Fix: [Gateway] before the shift a candidate gets the load that it will have

Cause: the candidate's share of the work went to all of its servers. Class of fault: a sample that does not represent what it stands for.

Change: before the shift the candidate's pool has as many of its servers as its share, at least one, in an order that all gateways agree on. If none of them can take a request, the predecessor does; before, the request was refused.

Evidence: a new case of unit.gateway_forward_test.

--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -4,6 +4,7 @@
 #include "core/log_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 
 namespace acacianotch {
@@ -146,6 +147,12 @@
   for (const auto &[Id, Backend] : Backends)
     if (const auto Key = poolKey(Backend->Record); !Key.empty())
       Lists[Key].push_back(Backend->Handle);
+  for (const auto &[Service, Rollout] : Rollouts)
+    if (Rollout.State == rollout_state::running && !Rollout.Shifted)
+      if (const auto Found =
+              Lists.find(armKey(Service, version_arm::candidate));
+          Found != Lists.end())
+        limitCandidates(Found->second);
   for (auto &[Key, Members] : Lists) {
     auto &Pool = Pools[Key];
     if (Pool == nullptr)
@@ -158,6 +165,23 @@
   }
 }
 
+// A version that is bad under load looks good on servers that are nearly idle.
+// The order by key is the same on all gateways.
+auto backend_directory::limitCandidates(
+    std::vector<backend_handle> &Members) const -> void {
+  std::erase_if(Members, [this](backend_handle Handle) {
+    return ByHandle.at(Handle)->Record.Leaving;
+  });
+  std::sort(Members.begin(), Members.end(),
+            [this](backend_handle Left, backend_handle Right) {
+              return ByHandle.at(Left)->Key < ByHandle.at(Right)->Key;
+            });
+  const auto Share = CandidateShare * static_cast<double>(Members.size());
+  const auto Count = std::max<std::size_t>(std::lround(Share), 1);
+  if (Count < Members.size())
+    Members.resize(Count);
+}
+
 auto backend_directory::pool(const std::string &Service, version_arm Arm)
     -> backend_pool * {
   const auto Found = Pools.find(armKey(Service, Arm));
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -57,6 +57,11 @@
   /// Applies a new list; backend servers missing from it are removed.
   auto applyList(std::vector<backend_record> Listed) -> void;
 
+  /// Sets the share of a service's work that its candidate gets before the
+  /// shift, 1 by default. The candidate's pool then has this share of its
+  /// servers, so that each of them gets as much work as one of the predecessor.
+  auto setCandidateShare(double Share) -> void { CandidateShare = Share; }
+
   /// Applies the rollouts in \p View.
   auto applyRollouts(const catalogue_view &View) -> void;
 
@@ -129,6 +134,7 @@
 private:
   auto remove(known_backend &Backend) -> void;
   auto rebuildPools() -> void;
+  auto limitCandidates(std::vector<backend_handle> &Members) const -> void;
   [[nodiscard]] auto poolKey(const backend_record &Record) const -> std::string;
 
   event_loop &Loop;
@@ -141,6 +147,7 @@
   std::map<backend_handle, known_backend *> ByHandle;
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
+  double CandidateShare = 1;
   bool HasList = false;
 };
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -70,10 +70,17 @@
                                   static_cast<std::int64_t>(EventCount - 1));
 }
 
+// If no server of the candidate can take the request, the predecessor does.
 auto forward_task::chooseBackend() -> result<backend_handle> {
-  auto *Pool = Context.Directory.pool(Service, Arm);
-  if (Pool == nullptr)
-    Pool = Context.Directory.pool(Service, version_arm::serving);
+  if (Arm == version_arm::candidate)
+    if (auto Chosen = chooseFromPool(version_arm::candidate))
+      return Chosen;
+  return chooseFromPool(version_arm::serving);
+}
+
+auto forward_task::chooseFromPool(version_arm PoolArm)
+    -> result<backend_handle> {
+  auto *Pool = Context.Directory.pool(Service, PoolArm);
   if (Pool == nullptr)
     return failure::of(errc::no_backend);
   if (!Request.Prompt.empty())
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -125,6 +125,8 @@
   [[nodiscard]] auto prefixCacheSource(const known_backend &Chosen)
       -> std::optional<address>;
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
+  [[nodiscard]] auto chooseFromPool(version_arm PoolArm)
+      -> result<backend_handle>;
   [[nodiscard]] auto choosePromptServer(backend_pool &Pool)
       -> std::optional<backend_handle>;
   [[nodiscard]] auto promptWork() const -> prompt_work;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -94,6 +94,8 @@
                 ReportClient, Work,      model_cascade()},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
+    Directory.setCandidateShare(CandidateExposurePart *
+                                Settings.Gateway.ExposureShare);
     Link.FollowMembers = true;
     Link.onChange([this] { applyView(); });
     Link.OnBackends = [this](duration Age,
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -72,6 +72,23 @@
   raw_caller Caller;
 };
 
+/// Applies a rollout of the service to v2.
+auto applyRollout(forward_fixture &Fixture, bool Shifted) -> void {
+  service_rollout Rollout;
+  Rollout.Service = "s";
+  Rollout.To = "v2";
+  Rollout.Shifted = Shifted;
+  catalogue_view View;
+  node_update Update;
+  Update.Epoch = epoch{1};
+  Update.Revision = revision{1};
+  Update.Chunks = 1;
+  Update.Payload =
+      encodeChanges({{std::string(ServiceRolloutPrefix) + "s", Rollout}});
+  REQUIRE(View.apply(Update, {}).ok());
+  Fixture.Gateway.Directory.applyRollouts(View);
+}
+
 /// Starts a rollout: the first server has the serving version, the second one
 /// the candidate.
 auto setUpRollout(forward_fixture &Fixture) -> void {
@@ -86,18 +103,7 @@
   New.Version = "v2";
   New.Address = {"127.0.0.1", Fixture.Second.Port};
   Fixture.Gateway.Directory.applyList({Old, New});
-  service_rollout Rollout;
-  Rollout.Service = "s";
-  Rollout.To = "v2";
-  catalogue_view View;
-  node_update Update;
-  Update.Epoch = epoch{1};
-  Update.Revision = revision{1};
-  Update.Chunks = 1;
-  Update.Payload =
-      encodeChanges({{std::string(ServiceRolloutPrefix) + "s", Rollout}});
-  REQUIRE(View.apply(Update, {}).ok());
-  Fixture.Gateway.Directory.applyRollouts(View);
+  applyRollout(Fixture, false);
 }
 
 /// Sends a stream request that the first server chosen leaves unanswered, while
@@ -445,3 +451,30 @@
   CHECK(std::min(First, Second) == 1);
   CHECK(std::max(First, Second) == 9);
 }
+
+// Guards against a version that is bad under load only and is tried without.
+TEST_CASE("a candidate's share of the work goes to as many of its servers") {
+  forward_fixture Fixture(makeRoute(route_kind::idempotent));
+  auto &Directory = Fixture.Gateway.Directory;
+  constexpr std::size_t Servers = 20;
+  std::vector<backend_record> Records;
+  for (std::size_t Index = 0; Index < 2 * Servers; ++Index) {
+    backend_record Record;
+    Record.Id = "b-" + std::to_string(Index);
+    Record.Service = "s";
+    Record.Version = Index < Servers ? "v1" : "v2";
+    Record.Slots = 8;
+    Record.Address = {"127.0.0.1", Fixture.First.Port};
+    Records.push_back(Record);
+  }
+  Directory.setCandidateShare(0.1);
+  Directory.applyList(Records);
+  const auto Candidates = [&] {
+    return Directory.pool("s", version_arm::candidate)->Members.size();
+  };
+  applyRollout(Fixture, false);
+  CHECK(Candidates() == 2);
+  CHECK(Directory.pool("s", version_arm::serving)->Members.size() == Servers);
+  applyRollout(Fixture, true);
+  CHECK(Candidates() == Servers);
+}
