--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -66,7 +66,7 @@
   const auto RolloutPrefix = std::string(RolloutsPath) + "/";
   if (Path.starts_with(RolloutPrefix) && Method == "GET") {
     Request.Subject = Path.substr(RolloutPrefix.size());
-    return getRollout(std::move(Request));
+    return getRollout(Request);
   }
   replyError(Request, NotFound, "unknown path");
 }
@@ -124,8 +124,7 @@
   if (!Table)
     return replyError(Request, BadRequest, Table.error().Detail);
   Request.Subject = std::to_string(Table->Number);
-  execute(std::move(Request),
-          publish_routing{Table->Number, {std::move(Text)}});
+  execute(Request, publish_routing{Table->Number, {std::move(Text)}});
 }
 
 auto operator_api::getConfiguration(const operator_request &Request) -> void {
@@ -162,10 +161,10 @@
   if (Rollout.Service.empty() || Rollout.To.empty())
     return replyError(Request, BadRequest, "service or target is missing");
   Request.Subject = Rollout.Service + "/" + Rollout.To;
-  execute(std::move(Request), std::move(Rollout));
+  execute(Request, std::move(Rollout));
 }
 
-auto operator_api::getRollout(operator_request Request) -> void {
+auto operator_api::getRollout(const operator_request &Request) -> void {
   if (!Service.confirmedEpoch())
     return replyRedirect(Request);
   const auto &Rollouts = Service.state().data().ServiceRollouts;
@@ -177,7 +176,7 @@
             State);
 }
 
-auto operator_api::execute(operator_request Request, command_body Body)
+auto operator_api::execute(const operator_request &Request, command_body Body)
     -> void {
   command Command;
   Command.Issuer = "operator";
--- a/src/platform/operator_api.h
+++ b/src/platform/operator_api.h
@@ -35,8 +35,8 @@
   auto putConfiguration(operator_request Request) -> void;
   auto getConfiguration(const operator_request &Request) -> void;
   auto startRollout(operator_request Request) -> void;
-  auto getRollout(operator_request Request) -> void;
-  auto execute(operator_request Request, command_body Body) -> void;
+  auto getRollout(const operator_request &Request) -> void;
+  auto execute(const operator_request &Request, command_body Body) -> void;
   auto replyResult(const operator_request &Request,
                    const command_result &Result) -> void;
   auto replyError(const operator_request &Request, int Status,
