Fix: [Control] a rollout that shifts late does not complete at once

Cause: completion was due at 90% of the duration whenever the shift was. Right after a shift nothing is known of the version under all of the work.

Change: the shift is recorded with its time; completion is due 15% of the duration after it at the earliest.

Evidence: the new case of unit.rollout_judge_test completes at once with the former rule.

--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -155,6 +155,7 @@
   if (Context.DryRun || Rollout->Shifted)
     return {};
   Rollout->Shifted = true;
+  Rollout->ShiftedMs = Context.NowMs;
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "stored", writeValue(*Rollout));
 }
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -77,6 +77,7 @@
   bool Collecting = false;
   /// Hashes of the sessions that stay on the predecessor until the shift.
   std::vector<std::uint64_t> Held;
+  std::uint64_t ShiftedMs = 0; ///< Log time of the shift; 0 before.
 
   auto operator==(const service_rollout &) const -> bool = default;
 };
@@ -122,6 +123,7 @@
       required("duration_ms", &body::DurationMs, {}, "time to complete"),
       required("state", &body::State, {}, "state"),
       field("shifted", &body::Shifted, {}, "new work goes to the new version"),
+      field("shifted_ms", &body::ShiftedMs, {}, "log time of the shift"),
       field("reason", &body::Reason, {0, 1024}, "why it ended"),
       field("collecting", &body::Collecting, {}, "sessions are reported"),
       field("held", &body::Held, {}, "sessions that stay until the shift"),
--- a/src/controller/rollout_evaluator.cpp
+++ b/src/controller/rollout_evaluator.cpp
@@ -188,10 +188,15 @@
       return {rollout_step::open, "sessions under way are known"};
     return {};
   }
-  const auto Due =
-      Elapsed >= Duration * (Rollout.Shifted ? Settings.CompleteTimeShare
-                                             : Settings.ShiftTimeShare);
-  if (!Due || !isHealthy(Settings, Pooled, Tolerated))
+  const auto ShiftedAt =
+      static_cast<double>(Rollout.ShiftedMs) -
+      static_cast<double>(std::min(Rollout.StartedMs, Rollout.ShiftedMs));
+  const auto DueAt =
+      Rollout.Shifted
+          ? std::max(Settings.CompleteTimeShare * Duration,
+                     ShiftedAt + Settings.ShiftedTimeShare * Duration)
+          : Settings.ShiftTimeShare * Duration;
+  if (Elapsed < DueAt || !isHealthy(Settings, Pooled, Tolerated))
     return {};
   return {Rollout.Shifted ? rollout_step::complete : rollout_step::shift,
           "healthy: " + timeText("", *Pooled)};
--- a/src/controller/rollout_evaluator.h
+++ b/src/controller/rollout_evaluator.h
@@ -20,6 +20,9 @@
   /// Share of the duration after which the rollout completes. Work on the
   /// predecessor ends between the shift and the completion.
   double CompleteTimeShare = 0.9;
+  /// Least share of the duration between the shift and the completion. The
+  /// answers before a late shift do not show how the version bears all work.
+  double ShiftedTimeShare = 0.15;
   /// Duration in milliseconds if the command states none.
   std::uint32_t DefaultDurationMs = 20'000;
   /// Minimum measured times of the new version before it can count as healthy.
--- a/test/rollout_judge_test.cpp
+++ b/test/rollout_judge_test.cpp
@@ -107,6 +107,16 @@
         rollout_step::keep);
 }
 
+// Guards against a rollout that shifts late and completes at once.
+TEST_CASE("a rollout completes only after it has had all work for a while") {
+  auto Rollout = running();
+  const std::vector Clean{counts(Old, 300, 3), counts(New, 40, 0)};
+  Rollout.Shifted = true;
+  Rollout.ShiftedMs = StartMs + 17'000;
+  CHECK(evaluate(Rollout, Clean, 18'500) == rollout_step::keep);
+  CHECK(evaluate(Rollout, Clean, 20'500) == rollout_step::complete);
+}
+
 // Guards against a shift to a version of which half of the answers are slow.
 TEST_CASE("a version that is slow for half of its answers is stopped") {
   constexpr auto Answers = 40;
