Fix: [Net] answers without end are cut off

Cause: only the head of a forwarded answer had a limit. Interim heads and late answers to other requests were skipped for ever, whole bodies and events of a stream grew in memory, and bytes that complete no event counted as progress, so that a stalled stream was not left. Calls through evhttp (reports, list of backend servers, ratings, agents) had no limit but silence.

Change: 1 MiB before the head of the awaited answer, 8 MiB for a whole body, 1 MiB for one event; above that the connection is closed and the attempt has failed, with its verdict. Only complete events are progress. Calls through evhttp have limits on head, body and time.

Evidence: new cases of unit.gateway_forward_test and unit.http_test.

--- a/src/agent/attempt.cpp
+++ b/src/agent/attempt.cpp
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t MaxBatchBytes = 64ULL * 1024;
+/// Largest whole answer and largest stream of a backend server.
+constexpr std::size_t MaxAnswerBytes = 8ULL * 1024 * 1024;
+constexpr std::size_t MaxStreamBytes = 64ULL * 1024 * 1024;
 constexpr std::size_t MaxUnforwardedBytes = 64ULL * 1024;
 constexpr int HttpOk = 200;
 constexpr int FirstHttpServerError = 500;
@@ -49,6 +52,7 @@
     Options.Headers.emplace_back("Content-Type",
                                  toString(Request.getContentType()));
   Options.SilenceLimit = Limits.StallTimeout;
+  Options.MaxBodyBytes = Streamed ? MaxStreamBytes : MaxAnswerBytes;
   // Only idempotent requests reuse an idle connection: the backend server can
   // close it while the request is being written, and whether the request ran
   // would be unknown then.
--- a/src/entry/rating_client.cpp
+++ b/src/entry/rating_client.cpp
@@ -64,6 +64,8 @@
   Options.Body =
       Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   Options.SilenceLimit = RatingTimeout;
+  Options.TimeLimit = RatingTimeout;
+  Options.MaxBodyBytes = MaxReplyBytes;
   Call.Http = Client->start(
       std::move(Options),
       {[&Call](int Status, const http_headers &) { Call.Status = Status; },
--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -24,6 +24,10 @@
 /// Largest head of an answer in bytes.
 constexpr std::size_t MaxHeadBytes = 64ULL * 1024;
 
+/// Bytes before the head of the awaited answer: interim answers, and late ones
+/// to earlier requests.
+constexpr std::size_t MaxUnrelatedBytes = 1024ULL * 1024;
+
 auto notRun(std::string Detail) -> failure {
   return {errc::backend_unreachable, std::move(Detail), verdict::not_run};
 }
@@ -66,6 +70,8 @@
   RequestId = Call.RequestId;
   HasCall = true;
   Skipping = false;
+  AnswerBegan = false;
+  UnrelatedBytes = 0;
   if (State == state::idle)
     State = state::busy;
   Reader.expectNoBody(Call.Method == "HEAD");
@@ -131,6 +137,10 @@
       return fail(errc::protocol_error, Done.error().Detail);
     if (State == state::closed || evbuffer_get_length(Input) == Before)
       return;
+    if (!AnswerBegan)
+      UnrelatedBytes += Before - evbuffer_get_length(Input);
+    if (UnrelatedBytes > MaxUnrelatedBytes)
+      return fail(errc::protocol_error, "too many bytes before the answer");
   }
   // Bytes after a complete answer belong to no request.
   if (State == state::idle && evbuffer_get_length(Input) > 0)
@@ -150,6 +160,7 @@
   Skipping = !Facts.RequestId.empty() && Facts.RequestId != RequestId;
   if (Skipping)
     return;
+  AnswerBegan = true;
   KeepAlive = Head.KeepAlive && !Head.EndsWithConnection;
   IdleLimit = Facts.IdleLimit;
   if (Facts.RequestId.empty() && !Facts.NotRun)
--- a/src/gateway/backend_channel.h
+++ b/src/gateway/backend_channel.h
@@ -92,6 +92,8 @@
   channel_events Events;
   bool HasCall = false;
   bool Connected = false;
+  bool AnswerBegan = false; ///< The head of the awaited answer has arrived.
+  std::size_t UnrelatedBytes = 0; ///< Read before it.
   bool Skipping = false; ///< The current message is not the final answer.
   bool KeepAlive = false;
   std::optional<duration> IdleLimit;
--- a/src/gateway/backend_report_client.cpp
+++ b/src/gateway/backend_report_client.cpp
@@ -10,6 +10,7 @@
 /// A report needs no slot and comes within a few milliseconds. A server that
 /// takes this long has stalled for all requests.
 constexpr duration AnswerTimeout = std::chrono::milliseconds(300);
+constexpr std::size_t MaxReportBytes = 256ULL * 1024;
 constexpr int Success = 200;
 
 } // namespace
@@ -27,6 +28,8 @@
   Options.Method = "GET";
   Options.Target = platform::ReportTarget;
   Options.SilenceLimit = AnswerTimeout;
+  Options.TimeLimit = AnswerTimeout;
+  Options.MaxBodyBytes = MaxReportBytes;
   http_call_events Events;
   Events.OnHead = [&PendingRequest](int Status, const http_headers &) {
     PendingRequest.Status = Status;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -21,6 +21,11 @@
   /// \return the bytes after the last complete event, and removes them.
   [[nodiscard]] auto takeRest() -> std::string;
 
+  /// \return the number of bytes that no call has returned yet.
+  [[nodiscard]] auto pendingBytes() const -> std::size_t {
+    return Pending.size();
+  }
+
   /// Drops the bytes after the last complete event.
   auto dropRest() -> void { Pending.clear(); }
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -15,6 +15,10 @@
 /// Bytes buffered for a slow caller before reading from the backend server is
 /// paused.
 constexpr std::size_t MaxUnsentBytes = 128ULL * 1024;
+/// Largest body that is forwarded as a whole, and largest event of a stream.
+/// Both are held in memory until they are complete.
+constexpr std::size_t MaxBodyBytes = 8ULL * 1024 * 1024;
+constexpr std::size_t MaxEventBytes = 1024ULL * 1024;
 /// Retry-After when no backend server accepts a request: about the time until a
 /// running request ends on a fully loaded server.
 constexpr duration OverloadRetryAfter = std::chrono::milliseconds(200);
@@ -160,19 +164,27 @@
 auto forward_task::handleBody(std::string_view Data) -> void {
   if (!Attempt->StreamsBody) {
     Attempt->Body.append(Data);
+    if (Attempt->Body.size() > MaxBodyBytes)
+      handleFailure({errc::protocol_error, "the answer is too large",
+                     verdict::may_have_run});
     return;
   }
-  Context.Directory.recordProgress(Attempt->Backend);
-  Attempt->LastDataAt = steady_clock::now();
   Events.add(Data);
+  if (Events.pendingBytes() > MaxEventBytes)
+    return handleFailure(
+        {errc::protocol_error, "an event is too large", verdict::may_have_run});
   forwardEvents();
-  startStallTimer();
 }
 
+// Bytes that complete no event are no progress: a faulty server may send them
+// without end.
 auto forward_task::forwardEvents() -> void {
   const auto Complete = Events.takeEvents();
   if (Complete.empty())
     return;
+  Context.Directory.recordProgress(Attempt->Backend);
+  Attempt->LastDataAt = steady_clock::now();
+  startStallTimer();
   recordEventTimes();
   if (Events.count() - Attempt->EventsBefore >= PaceEvents)
     recordPace();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t MaxIdleConnections = 64;
 constexpr std::int64_t MicrosecondsPerSecond = 1'000'000;
+/// Largest head of an answer in bytes.
+constexpr ev_ssize_t MaxHeadBytes = 64L * 1024;
 
 struct connection_deleter {
   auto operator()(evhttp_connection *Connection) const -> void {
@@ -149,14 +151,7 @@
 
   ~call() override {
     *Alive = false;
-    if (Request == nullptr)
-      return;
-    // The connection is freed later, and its answer can arrive before that.
-    evhttp_request_set_header_cb(Request, nullptr);
-    evhttp_request_set_chunked_cb(Request, nullptr);
-    evhttp_request_set_error_cb(Request, nullptr);
-    Request->cb = [](evhttp_request *, void *) {};
-    Client->discard(std::move(Connection));
+    detach();
   }
 
   auto begin() -> void {
@@ -165,6 +160,16 @@
     const timeval Limit{Options.SilenceLimit.count() / MicrosecondsPerSecond,
                         Options.SilenceLimit.count() % MicrosecondsPerSecond};
     evhttp_connection_set_timeout_tv(Raw, &Limit);
+    evhttp_connection_set_max_headers_size(Raw, MaxHeadBytes);
+    constexpr ev_ssize_t Unlimited = -1;
+    evhttp_connection_set_max_body_size(
+        Raw, Options.MaxBodyBytes == 0
+                 ? Unlimited
+                 : static_cast<ev_ssize_t>(Options.MaxBodyBytes));
+    if (Options.TimeLimit > duration::zero()) {
+      Timer = Client->Loop.oneShot([this] { handleTimeLimit(); });
+      Timer->start(Options.TimeLimit);
+    }
     Request = evhttp_request_new(onDone, this);
     evhttp_request_set_header_cb(Request, onHead);
     evhttp_request_set_chunked_cb(Request, onData);
@@ -185,6 +190,34 @@
   auto resumeReading() -> void override { setReading(true); }
 
 private:
+  // The connection is freed later, and its answer can arrive before that.
+  auto detach() -> void {
+    if (Request == nullptr)
+      return;
+    evhttp_request_set_header_cb(Request, nullptr);
+    evhttp_request_set_chunked_cb(Request, nullptr);
+    evhttp_request_set_error_cb(Request, nullptr);
+    Request->cb = [](evhttp_request *, void *) {};
+    Request = nullptr;
+    Client->discard(std::move(Connection));
+  }
+
+  auto handleTimeLimit() -> void {
+    if (Request == nullptr)
+      return;
+    ErrorDetail = "the answer took too long";
+    auto Failure = failureOf(endCode(), ErrorDetail);
+    detach();
+    endLater(std::move(Failure));
+  }
+
+  auto endCode() const -> errc {
+    if (HeadSeen)
+      return errc::incomplete_answer;
+    return Connection->BytesHandedOver ? errc::backend_failed
+                                       : errc::backend_unreachable;
+  }
+
   auto setReading(bool Reading) -> void {
     if (Connection == nullptr || Request == nullptr)
       return;
@@ -261,11 +294,7 @@
   }
 
   auto endWithError() -> void {
-    const auto Handed = Connection->BytesHandedOver;
-    const auto Code = HeadSeen ? errc::incomplete_answer
-                      : Handed ? errc::backend_failed
-                               : errc::backend_unreachable;
-    auto Failure = failureOf(Code, ErrorDetail);
+    auto Failure = failureOf(endCode(), ErrorDetail);
     Client->discard(std::move(Connection));
     endLater(std::move(Failure));
   }
@@ -287,6 +316,7 @@
   http_call_events Events;
   std::shared_ptr<tracked_connection> Connection;
   evhttp_request *Request = nullptr;
+  std::unique_ptr<loop_timer> Timer; ///< Runs if there is a time limit.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   std::string ErrorDetail;
   bool HeadSeen = false;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -15,12 +15,14 @@
 
 /// What to send.
 struct http_call_options {
-  std::string Method = "POST"; ///< HTTP method.
-  std::string Target = "/";    ///< Path and query.
-  http_headers Headers;        ///< Besides Host and Content-Length.
-  std::string Body;            ///< Whole body.
-  duration SilenceLimit{};     ///< Fails after this time without a byte.
-  bool ReuseConnection = true; ///< May use an idle connection.
+  std::string Method = "POST";  ///< HTTP method.
+  std::string Target = "/";     ///< Path and query.
+  http_headers Headers;         ///< Besides Host and Content-Length.
+  std::string Body;             ///< Whole body.
+  duration SilenceLimit{};      ///< Fails after this time without a byte.
+  duration TimeLimit{};         ///< Fails after this time; 0 for none.
+  std::size_t MaxBodyBytes = 0; ///< Fails after this many; 0 for any number.
+  bool ReuseConnection = true;  ///< May use an idle connection.
 };
 
 /// What the caller of a call is told. Exactly one OnEnd follows everything
--- a/src/platform/instance_poller.cpp
+++ b/src/platform/instance_poller.cpp
@@ -11,6 +11,9 @@
 /// A page normally arrives within milliseconds; a short timeout keeps a lost
 /// connection from delaying the next read.
 constexpr duration PageTimeout = std::chrono::milliseconds(700);
+/// A page on a slow link takes less; a list that takes longer is outdated.
+constexpr duration PageTimeLimit = std::chrono::seconds(2);
+constexpr std::size_t MaxPageBytes = 1024ULL * 1024;
 /// Interval of the checks whether this process should poll.
 constexpr duration CheckInterval = std::chrono::milliseconds(200);
 constexpr int StatusOk = 200;
@@ -41,6 +44,8 @@
   Options.Method = "GET";
   Options.Target = instancePageTarget(Token);
   Options.SilenceLimit = PageTimeout;
+  Options.TimeLimit = PageTimeLimit;
+  Options.MaxBodyBytes = MaxPageBytes;
   http_call_events Events;
   Body.clear();
   Status = 0;
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 #include <event2/listener.h>
 
+#include <csignal>
 #include <deque>
 #include <map>
 #include <memory>
@@ -22,6 +23,7 @@
   std::string Text;   ///< `$ID` stands for the request's id.
   bool Close = false; ///< Closes the connection after the text.
   bool Reset = false; ///< Resets it instead.
+  std::string Repeat; ///< Sent after the text, again and again without end.
 };
 
 /// One connection of a scripted peer.
@@ -35,6 +37,8 @@
 class scripted_backend {
 public:
   explicit scripted_backend(event_loop &TheLoop) : Loop(TheLoop) {
+    // It writes to connections that the tested code has closed.
+    std::signal(SIGPIPE, SIG_IGN);
     auto Socket = listenOn({"127.0.0.1", 0});
     REQUIRE(Socket.ok());
     Port = boundPort(Socket->fd());
@@ -64,8 +68,15 @@
 private:
   struct backend_connection : peer_connection {
     scripted_backend *Owner = nullptr;
+    std::string Repeat;
   };
 
+  static auto onWritten(bufferevent *Event, void *Argument) -> void {
+    const auto &Text = static_cast<backend_connection *>(Argument)->Repeat;
+    if (!Text.empty())
+      bufferevent_write(Event, Text.data(), Text.size());
+  }
+
   static auto onAccept(evconnlistener *, evutil_socket_t Fd, sockaddr *, int,
                        void *Self) -> void {
     auto &Backend = *static_cast<scripted_backend *>(Self);
@@ -74,7 +85,7 @@
     Connection->Owner = &Backend;
     Connection->Socket.reset(
         bufferevent_socket_new(Backend.Loop.base(), Fd, BEV_OPT_CLOSE_ON_FREE));
-    bufferevent_setcb(Connection->Socket.get(), onRead, nullptr, onEvent,
+    bufferevent_setcb(Connection->Socket.get(), onRead, onWritten, onEvent,
                       Connection.get());
     bufferevent_enable(Connection->Socket.get(), EV_READ | EV_WRITE);
     Backend.Connections.push_back(std::move(Connection));
@@ -142,6 +153,8 @@
     const auto Fd = bufferevent_getfd(Connection.Socket.get());
     REQUIRE(::send(Fd, Answer.Text.data(), Answer.Text.size(), 0) ==
             static_cast<ssize_t>(Answer.Text.size()));
+    Connection.Repeat = std::move(Answer.Repeat);
+    onWritten(Connection.Socket.get(), &Connection);
     if (Answer.Reset) {
       const linger ResetOnClose{1, 0};
       setsockopt(Fd, SOL_SOCKET, SO_LINGER, &ResetOnClose,
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -478,3 +478,59 @@
   applyRollout(Fixture, true);
   CHECK(Candidates() == Servers);
 }
+
+namespace {
+
+constexpr std::size_t PartBytes = 16ULL * 1024;
+
+/// Sends a request whose answer has no end, and checks that the gateway closes
+/// the connection and answers the caller itself.
+auto checkEndlessAnswer(scripted_answer Answer) -> void {
+  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+  Fixture.setAnswers({std::move(Answer)});
+  Fixture.Caller.request("POST", "e1", "body");
+  REQUIRE(Fixture.waitForText("HTTP/1.1 502"));
+  CHECK(Fixture.requestCount() == 1);
+  CHECK(Fixture.Gateway.runUntil(
+      [&] { return Fixture.First.Closed + Fixture.Second.Closed == 1; }));
+}
+
+} // namespace
+
+// Guards against memory that grows until a server stops sending.
+TEST_CASE("a server that sends bytes without end is left") {
+  const std::string Part(PartBytes, 'a');
+  SUBCASE("in a head") {
+    checkEndlessAnswer({std::string(AnswerHead) + "X-More: ", {}, {}, Part});
+  }
+  SUBCASE("as heads of interim answers") {
+    checkEndlessAnswer({"", {}, {}, "HTTP/1.1 102 Processing\r\n\r\n"});
+  }
+  SUBCASE("in chunks of a body") {
+    checkEndlessAnswer({streamHead(), {}, {}, chunk(Part)});
+  }
+  SUBCASE("in a body that ends with the connection") {
+    checkEndlessAnswer({std::string(AnswerHead) + "\r\n", {}, {}, Part});
+  }
+  SUBCASE("in the answer to another request") {
+    checkEndlessAnswer({"HTTP/1.1 200 OK\r\nX-Acacianotch-Request-Id: other\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n",
+                        {},
+                        {},
+                        chunk(Part)});
+  }
+}
+
+// Guards against a stream that hangs at an event without end.
+TEST_CASE("a stream whose event has no end goes on at another server") {
+  forward_fixture Fixture(makeRoute(route_kind::streaming));
+  Fixture.setAnswers({{streamHead() + chunk(eventWithId(1)),
+                       {},
+                       {},
+                       chunk(std::string(PartBytes, 'a'))},
+                      {streamHead() + chunk(eventWithId(2)) + "0\r\n\r\n"}});
+  Fixture.Caller.request("POST", "e2", "prompt");
+  REQUIRE(Fixture.waitForText("0\r\n\r\n"));
+  CHECK(contains(Fixture.Caller.Received, "id: 2"));
+  CHECK_FALSE(contains(Fixture.Caller.Received, "aaa"));
+}
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -1,4 +1,5 @@
 /// \file Tests of the HTTP server and client against each other.
+#include "gateway_fixture.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "net_support.h"
@@ -215,3 +216,31 @@
     return Count == 0 || Answer.find("400") != std::string::npos;
   }));
 }
+
+// Guards against memory that grows, or a call that lasts, until a server stops
+// sending.
+TEST_CASE("a call ends when the answer has no end") {
+  const std::string Part(16ULL * 1024, 'a');
+  const std::string Head = "HTTP/1.1 200 OK\r\n";
+  const auto Loop = testLoop();
+  gateway_test::scripted_backend Server(*Loop);
+  http_client Client(*Loop, loopback(Server.Port));
+  auto Options = options();
+  SUBCASE("in a head") {
+    *Server.Answers = {{Head + "X-More: ", {}, {}, Part}};
+  }
+  SUBCASE("in a body") {
+    Options.MaxBodyBytes = Part.size();
+    *Server.Answers = {{Head + "\r\n", {}, {}, Part}};
+  }
+  SUBCASE("in time") {
+    Options.TimeLimit = std::chrono::milliseconds(100);
+    *Server.Answers = {{Head + "\r\n", {}, {}, Part}};
+  }
+  recorder Recorder;
+  const auto Call = Client.start(Options, Recorder.events());
+  REQUIRE(runUntil(*Loop, [&] { return Recorder.End.has_value(); }));
+  REQUIRE_FALSE(Recorder.End->ok());
+  CHECK(Recorder.End->error().Verdict == verdict::may_have_run);
+  CHECK(runUntil(*Loop, [&] { return Server.Closed == 1; }));
+}
