--- a/src/controller/rollout_evaluator.cpp
+++ b/src/controller/rollout_evaluator.cpp
@@ -89,6 +89,11 @@
   return Pooled;
 }
 
+auto toleratedRatio(const rollout_evaluator_settings &Settings, bool Shifted)
+    -> double {
+  return Shifted ? Settings.ShiftedSlowFactor : Settings.SlowFactor;
+}
+
 auto isTooSlow(const rollout_evaluator_settings &Settings,
                const std::optional<time_difference> &Difference,
                double Tolerated, std::uint64_t MinTimes) -> bool {
@@ -126,6 +131,60 @@
          std::to_string(Pair.Serving.Requests);
 }
 
+/// \return the counts of a rollout by route and measure, with the total under
+/// "".
+auto pairCounts(const service_evidence &Evidence)
+    -> std::map<std::string, arm_pair> {
+  std::map<std::string, arm_pair> Pairs;
+  auto &All = Pairs[""];
+  for (const auto &Row : Evidence.Counts) {
+    const auto IsNew = Row.Arm == version_arm::candidate;
+    add(IsNew ? All.Candidate : All.Serving, Row);
+    if (Row.Route.empty())
+      continue;
+    auto &Pair = Pairs[Row.Route];
+    add(IsNew ? Pair.Candidate : Pair.Serving, Row);
+  }
+  return Pairs;
+}
+
+/// \return why the new version is bad; none if it is not known to be.
+auto findStopReason(const rollout_evaluator_settings &Settings, bool Shifted,
+                    const std::map<std::string, arm_pair> &Pairs,
+                    const std::optional<time_difference> &Pooled)
+    -> std::optional<std::string> {
+  const auto Tolerated =
+      Shifted ? Settings.ShiftedMeasureSlowFactor : Settings.SlowFactor;
+  for (const auto &[Route, Pair] : Pairs) {
+    if (hasExcessErrors(Settings, Pair))
+      return errorText(Route, Pair);
+    // Times differ between routes, so they are only compared per route.
+    const auto Difference = compareTimes(Pair, Settings.MinTimes);
+    if (!Route.empty() &&
+        isTooSlow(Settings, Difference, Tolerated, Settings.MinTimes))
+      return "too slow: " + timeText(Route, *Difference);
+  }
+  if (isTooSlow(Settings, Pooled, toleratedRatio(Settings, Shifted),
+                Settings.MinHealthyTimes))
+    return "too slow: " + timeText("", *Pooled);
+  return std::nullopt;
+}
+
+/// \return when the shift or the completion is due, in milliseconds after the
+/// start.
+auto nextStepDue(const rollout_evaluator_settings &Settings,
+                 const service_rollout &Rollout) -> double {
+  const auto Duration =
+      static_cast<double>(Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
+                                                  : Rollout.DurationMs);
+  if (!Rollout.Shifted)
+    return Settings.ShiftTimeShare * Duration;
+  const auto ShiftedAfter = static_cast<double>(
+      Rollout.ShiftedMs - std::min(Rollout.StartedMs, Rollout.ShiftedMs));
+  return std::max(Settings.CompleteTimeShare * Duration,
+                  ShiftedAfter + Settings.ShiftedTimeShare * Duration);
+}
+
 } // namespace
 
 auto binomialTail(std::uint64_t Requests, std::uint64_t Errors, double Rate)
@@ -151,52 +210,20 @@
                      const service_rollout &Rollout,
                      const service_evidence &Evidence, std::uint64_t NowMs)
     -> rollout_decision {
-  std::map<std::string, arm_pair> Pairs;
-  auto &All = Pairs[""];
-  for (const auto &Row : Evidence.Counts) {
-    const auto IsNew = Row.Arm == version_arm::candidate;
-    add(IsNew ? All.Candidate : All.Serving, Row);
-    if (Row.Route.empty())
-      continue;
-    auto &Pair = Pairs[Row.Route];
-    add(IsNew ? Pair.Candidate : Pair.Serving, Row);
-  }
-  const auto Tolerated =
-      Rollout.Shifted ? Settings.ShiftedSlowFactor : Settings.SlowFactor;
-  const auto ToleratedOfOne =
-      Rollout.Shifted ? Settings.ShiftedMeasureSlowFactor : Settings.SlowFactor;
-  for (const auto &[Route, Pair] : Pairs) {
-    if (hasExcessErrors(Settings, Pair))
-      return {rollout_step::stop, errorText(Route, Pair)};
-    // Times differ between routes, so they are only compared per route.
-    const auto Difference = compareTimes(Pair, Settings.MinTimes);
-    if (!Route.empty() &&
-        isTooSlow(Settings, Difference, ToleratedOfOne, Settings.MinTimes))
-      return {rollout_step::stop, "too slow: " + timeText(Route, *Difference)};
-  }
+  const auto Pairs = pairCounts(Evidence);
   const auto Pooled = compareAllTimes(Pairs);
-  if (isTooSlow(Settings, Pooled, Tolerated, Settings.MinHealthyTimes))
-    return {rollout_step::stop, "too slow: " + timeText("", *Pooled)};
-  const auto Duration =
-      static_cast<double>(Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
-                                                  : Rollout.DurationMs);
-  const auto Elapsed =
-      static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
+  if (auto Reason = findStopReason(Settings, Rollout.Shifted, Pairs, Pooled))
+    return {rollout_step::stop, std::move(*Reason)};
   if (Rollout.Collecting) {
     if (Evidence.ListedMs != 0 &&
         NowMs >= Evidence.ListedMs + Settings.CollectMs)
       return {rollout_step::open, "sessions under way are known"};
     return {};
   }
-  const auto ShiftedAt =
-      static_cast<double>(Rollout.ShiftedMs) -
-      static_cast<double>(std::min(Rollout.StartedMs, Rollout.ShiftedMs));
-  const auto DueAt =
-      Rollout.Shifted
-          ? std::max(Settings.CompleteTimeShare * Duration,
-                     ShiftedAt + Settings.ShiftedTimeShare * Duration)
-          : Settings.ShiftTimeShare * Duration;
-  if (Elapsed < DueAt || !isHealthy(Settings, Pooled, Tolerated))
+  const auto Elapsed =
+      static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
+  if (Elapsed < nextStepDue(Settings, Rollout) ||
+      !isHealthy(Settings, Pooled, toleratedRatio(Settings, Rollout.Shifted)))
     return {};
   return {Rollout.Shifted ? rollout_step::complete : rollout_step::shift,
           "healthy: " + timeText("", *Pooled)};
