--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -217,8 +217,7 @@
   }));
 }
 
-// Guards against memory that grows, or a call that lasts, until a server stops
-// sending.
+// Guards against calls that grow or last until a server stops sending.
 TEST_CASE("a call ends when the answer has no end") {
   const std::string Part(16ULL * 1024, 'a');
   const std::string Head = "HTTP/1.1 200 OK\r\n";
--- a/test/process/platform_test.cpp
+++ b/test/process/platform_test.cpp
@@ -73,8 +73,7 @@
   CHECK(System.Gateways[0].Process->wait() == 0);
 }
 
-// Guards against a process that ends when a peer closes a connection that it
-// writes to.
+// Guards against a process that ends because a peer has closed a connection.
 TEST_CASE("processes survive the signal of a broken connection") {
   platform_deployment System;
   publish(System, 1, "/a/");
--- a/test/rollout_judge_test.cpp
+++ b/test/rollout_judge_test.cpp
@@ -93,8 +93,7 @@
                  2'000) == rollout_step::keep);
 }
 
-// Guards against a rollout that completes while the slow answers of the new
-// version are missing.
+// Guards against a rollout that completes without measured times.
 TEST_CASE("answers without a measured time are no evidence of health") {
   auto Untimed = counts(New, 40, 0);
   Untimed.Timed = 0;
