Fix: [Control] a candidate serves at its predecessor's load until the shift

Cause: a candidate got 8% of the work on one server of nine, two thirds of its predecessor's load, and looked faster than it was; 25 to 80 times with a tolerated ratio of 1.5 told good from bad badly.

Change: the leader plans share and servers of a candidate when it opens the rollout, from the number of servers of the predecessor: at most 1.5 times the exposure bound, which counts the whole duration, and as many servers that each has the predecessor's load. The tolerated ratio before the shift is 1.3, for a single measure 1.7; after 70% of the duration the mean times decide.

Evidence: two new cases of unit.rollout_judge_test fail with the former constants.

--- a/src/catalogue/command_fields.h
+++ b/src/catalogue/command_fields.h
@@ -238,6 +238,7 @@
   static constexpr auto Fields = std::tuple{
       required("service", &body::Service, {1, 256}, "service"),
       required("to", &body::To, {1, 256}, "new version"),
+      field("load", &body::Load, {}, "of the new version"),
   };
 };
 
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -218,6 +218,7 @@
 struct open_service_rollout {
   std::string Service;
   std::string To;
+  candidate_load Load;
 };
 
 /// Sends all new work of a service to the version that a rollout brings in.
--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -90,16 +90,13 @@
   }
   if (Context.DryRun)
     return {};
-  auto &Rollout = Data.ServiceRollouts[Body.Service];
-  Rollout = {Body.Service,
-             Body.To,
-             Context.NowMs,
-             Body.DurationMs,
-             rollout_state::running,
-             false,
-             "",
-             true,
-             {}};
+  service_rollout Rollout;
+  Rollout.Service = Body.Service;
+  Rollout.To = Body.To;
+  Rollout.StartedMs = Context.NowMs;
+  Rollout.DurationMs = Body.DurationMs;
+  Rollout.Collecting = true;
+  Data.ServiceRollouts[Body.Service] = Rollout;
   Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}, {}, 0};
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "started", writeValue(Rollout));
@@ -170,6 +167,7 @@
   auto &Sessions = Data.ServiceEvidence[Body.Service].Sessions;
   Rollout->Collecting = false;
   Rollout->Held = std::exchange(Sessions, {});
+  Rollout->Load = Body.Load;
   touch(Context, Body.Service);
   return command_result::of(errc::ok, "stored", writeValue(*Rollout));
 }
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -63,6 +63,14 @@
   auto operator==(const routing_document &) const -> bool = default;
 };
 
+/// What the new version of a rollout gets before the shift.
+struct candidate_load {
+  double Share = 0.1;        ///< Of new sessions and sessionless requests.
+  std::uint32_t Servers = 0; ///< That serve it; 0 for all.
+
+  auto operator==(const candidate_load &) const -> bool = default;
+};
+
 /// The replacement of the version that serves a service's requests.
 struct service_rollout {
   std::string Service;
@@ -78,6 +86,7 @@
   /// Hashes of the sessions that stay on the predecessor until the shift.
   std::vector<std::uint64_t> Held;
   std::uint64_t ShiftedMs = 0; ///< Log time of the shift; 0 before.
+  candidate_load Load;         ///< From the opening until the shift.
 
   auto operator==(const service_rollout &) const -> bool = default;
 };
@@ -114,6 +123,14 @@
   };
 };
 
+template <> struct field_table<candidate_load> {
+  using body = candidate_load;
+  static constexpr auto Fields = std::tuple{
+      field("share", &body::Share, {0, 1}, "of new sessions"),
+      field("servers", &body::Servers, {}, "that serve it"),
+  };
+};
+
 template <> struct field_table<service_rollout> {
   using body = service_rollout;
   static constexpr auto Fields = std::tuple{
@@ -127,6 +144,7 @@
       field("reason", &body::Reason, {0, 1024}, "why it ended"),
       field("collecting", &body::Collecting, {}, "sessions are reported"),
       field("held", &body::Held, {}, "sessions that stay until the shift"),
+      field("load", &body::Load, {}, "of the new version until the shift"),
   };
 };
 
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -162,7 +162,8 @@
       return MembershipManager->join(Address, Token, Replica);
     };
   }
-  const rollout_manager RolloutManager(**Loop, Service);
+  const rollout_manager RolloutManager(**Loop, Service,
+                                       Settings.Gateway.ExposureShare);
   std::optional<platform::instance_poller> Poller;
   if (Settings.Gateway.Backends.valid()) {
     Poller.emplace(**Loop, Settings.Gateway.Backends,
--- a/src/control/rollout_manager.cpp
+++ b/src/control/rollout_manager.cpp
@@ -13,25 +13,13 @@
 /// stopped right after a report.
 constexpr duration TickInterval = std::chrono::milliseconds(100);
 
-auto commandFor(const service_rollout &Rollout,
-                const rollout_decision &Decision) -> command_body {
-  if (Decision.Step == rollout_step::open)
-    return open_service_rollout{Rollout.Service, Rollout.To};
-  if (Decision.Step == rollout_step::shift)
-    return shift_service_rollout{Rollout.Service, Rollout.To};
-  return end_service_rollout{Rollout.Service, Rollout.To,
-                             Decision.Step == rollout_step::stop
-                                 ? rollout_state::aborted
-                                 : rollout_state::done,
-                             Decision.Reason};
-}
-
 } // namespace
 
 rollout_manager::rollout_manager(event_loop &Loop, control_service &TheService,
+                                 double TheExposureShare,
                                  rollout_evaluator_settings TheSettings)
-    : Service(TheService), Settings(TheSettings),
-      Timer(Loop.repeating([this] { tick(); })) {
+    : Service(TheService), ExposureShare(TheExposureShare),
+      Settings(TheSettings), Timer(Loop.repeating([this] { tick(); })) {
   Timer->start(TickInterval);
 }
 
@@ -52,6 +40,34 @@
   }
 }
 
+auto rollout_manager::commandFor(const service_rollout &Rollout,
+                                 const rollout_decision &Decision) const
+    -> command_body {
+  if (Decision.Step == rollout_step::open)
+    return open_service_rollout{Rollout.Service, Rollout.To, planLoad(Rollout)};
+  if (Decision.Step == rollout_step::shift)
+    return shift_service_rollout{Rollout.Service, Rollout.To};
+  return end_service_rollout{Rollout.Service, Rollout.To,
+                             Decision.Step == rollout_step::stop
+                                 ? rollout_state::aborted
+                                 : rollout_state::done,
+                             Decision.Reason};
+}
+
+auto rollout_manager::planLoad(const service_rollout &Rollout) const
+    -> candidate_load {
+  const auto Servers = Service.nodeSubscriptions().backends().countOthers(
+      Rollout.Service, Rollout.To);
+  const auto Load = planCandidateLoad(ExposureShare, Servers);
+  logInfo(log_category::version, "planned the load of a new version",
+          {{"service", Rollout.Service},
+           {"to", Rollout.To},
+           {"predecessor_servers", Servers},
+           {"share", Load.Share},
+           {"servers", Load.Servers}});
+  return Load;
+}
+
 auto rollout_manager::submit(const service_rollout &Rollout,
                              const rollout_decision &Decision) -> void {
   logInfo(log_category::version, "issuing a rollout command",
--- a/src/control/subscriptions.h
+++ b/src/control/subscriptions.h
@@ -54,6 +54,10 @@
   /// next updates.
   auto setBackends(std::vector<backend_record> Listed) -> void;
 
+  [[nodiscard]] auto backends() const -> const backend_list & {
+    return Backends;
+  }
+
   /// Sends changes to every node without an unacknowledged update.
   auto push() -> void;
 
--- a/src/controller/rollout_evaluator.cpp
+++ b/src/controller/rollout_evaluator.cpp
@@ -154,7 +154,7 @@
                     const std::optional<time_difference> &Pooled)
     -> std::optional<std::string> {
   const auto Tolerated =
-      Shifted ? Settings.ShiftedMeasureSlowFactor : Settings.SlowFactor;
+      Shifted ? Settings.ShiftedMeasureSlowFactor : Settings.MeasureSlowFactor;
   for (const auto &[Route, Pair] : Pairs) {
     if (hasExcessErrors(Settings, Pair))
       return errorText(Route, Pair);
@@ -170,13 +170,32 @@
   return std::nullopt;
 }
 
+auto durationMs(const rollout_evaluator_settings &Settings,
+                const service_rollout &Rollout) -> double {
+  return static_cast<double>(Rollout.DurationMs == 0
+                                 ? Settings.DefaultDurationMs
+                                 : Rollout.DurationMs);
+}
+
+auto isDecisionDue(const rollout_evaluator_settings &Settings,
+                   const service_rollout &Rollout, double ElapsedMs) -> bool {
+  return !Rollout.Shifted && ElapsedMs >= Settings.DecisionTimeShare *
+                                              durationMs(Settings, Rollout);
+}
+
+auto decideByMean(const rollout_evaluator_settings &Settings,
+                  const time_difference &Difference) -> rollout_decision {
+  const auto Text = timeText("", Difference);
+  if (Difference.Mean > std::log(Settings.SlowFactor))
+    return {rollout_step::stop, "not known to be healthy in time: " + Text};
+  return {rollout_step::shift, "healthy by its mean times: " + Text};
+}
+
 /// \return when the shift or the completion is due, in milliseconds after the
 /// start.
 auto nextStepDue(const rollout_evaluator_settings &Settings,
                  const service_rollout &Rollout) -> double {
-  const auto Duration =
-      static_cast<double>(Rollout.DurationMs == 0 ? Settings.DefaultDurationMs
-                                                  : Rollout.DurationMs);
+  const auto Duration = durationMs(Settings, Rollout);
   if (!Rollout.Shifted)
     return Settings.ShiftTimeShare * Duration;
   const auto ShiftedAfter = static_cast<double>(
@@ -187,6 +206,25 @@
 
 } // namespace
 
+// The permitted exposure is a share of all requests in the rollout's duration,
+// of which the new version gets none while sessions are collected.
+auto maxCandidateShare(double ExposureShare) -> double {
+  constexpr double ExposureMultiple = 1.5;
+  return std::min(ExposureMultiple * ExposureShare, 1.0);
+}
+
+// A version under less load than its predecessor looks faster than it is, and
+// under more load slower.
+auto planCandidateLoad(double ExposureShare, std::size_t Servers)
+    -> candidate_load {
+  const auto MaxShare = maxCandidateShare(ExposureShare);
+  if (Servers == 0)
+    return {MaxShare, 0};
+  const auto All = static_cast<double>(Servers);
+  const auto Count = std::max(std::round(MaxShare * All), 1.0);
+  return {std::min(Count / All, MaxShare), static_cast<std::uint32_t>(Count)};
+}
+
 auto binomialTail(std::uint64_t Requests, std::uint64_t Errors, double Rate)
     -> double {
   if (Errors == 0)
@@ -222,6 +260,9 @@
   }
   const auto Elapsed =
       static_cast<double>(NowMs - std::min(NowMs, Rollout.StartedMs));
+  if (isDecisionDue(Settings, Rollout, Elapsed) && Pooled &&
+      Pooled->Candidates >= Settings.MinHealthyTimes)
+    return decideByMean(Settings, *Pooled);
   if (Elapsed < nextStepDue(Settings, Rollout) ||
       !isHealthy(Settings, Pooled, toleratedRatio(Settings, Rollout.Shifted)))
     return {};
--- a/src/controller/rollout_evaluator.h
+++ b/src/controller/rollout_evaluator.h
@@ -17,6 +17,10 @@
   /// from when the first gateway knows servers of the new version. The others
   /// read the backend list within 1,500 ms and then report twice.
   std::uint32_t CollectMs = 2400;
+  /// Share of the duration after which a version that is not known to be
+  /// healthy is shifted or stopped by its mean times alone, because a later
+  /// shift could not complete in time.
+  double DecisionTimeShare = 0.7;
   /// Share of the duration after which the rollout completes. Work on the
   /// predecessor ends between the shift and the completion.
   double CompleteTimeShare = 0.9;
@@ -36,8 +40,10 @@
   /// Minimum times of each version before one measure can stop a rollout.
   std::uint64_t MinTimes = 12;
   /// Tolerated ratio of the geometric mean times of the new version and its
-  /// predecessor while both serve.
-  double SlowFactor = 1.5;
+  /// predecessor while both serve at the same load, over all measures and for a
+  /// single one.
+  double SlowFactor = 1.3;
+  double MeasureSlowFactor = 1.7;
   /// The same after the shift, when the two were measured at different loads,
   /// over all measures and for a single one.
   double ShiftedSlowFactor = 2.0;
@@ -47,7 +53,7 @@
   double SlowDeviations = 3;
   /// Standard errors by which the tolerated ratio must exceed the ratio of a
   /// healthy version.
-  double HealthyDeviations = 2;
+  double HealthyDeviations = 3;
 };
 
 /// Next step of a rollout.
@@ -73,6 +79,16 @@
   std::string Reason;
 };
 
+/// \return the largest share of new sessions that a new version gets before the
+/// shift, if a bad one may get \p ExposureShare of all requests.
+[[nodiscard]] auto maxCandidateShare(double ExposureShare) -> double;
+
+/// \return the load of a new version before the shift whose predecessor has
+/// \p Servers servers, 0 if unknown. Each of its servers gets the work of one
+/// of the predecessor's, or less where that exceeds maxCandidateShare().
+[[nodiscard]] auto planCandidateLoad(double ExposureShare, std::size_t Servers)
+    -> candidate_load;
+
 /// \return the probability of at least \p Errors failures among \p Requests
 /// requests at an error rate of \p Rate.
 [[nodiscard]] auto binomialTail(std::uint64_t Requests, std::uint64_t Errors,
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -148,11 +148,12 @@
     if (const auto Key = poolKey(Backend->Record); !Key.empty())
       Lists[Key].push_back(Backend->Handle);
   for (const auto &[Service, Rollout] : Rollouts)
-    if (Rollout.State == rollout_state::running && !Rollout.Shifted)
+    if (Rollout.State == rollout_state::running && !Rollout.Shifted &&
+        Rollout.Load.Servers > 0)
       if (const auto Found =
               Lists.find(armKey(Service, version_arm::candidate));
           Found != Lists.end())
-        limitCandidates(Found->second);
+        limitCandidates(Found->second, Rollout.Load.Servers);
   for (auto &[Key, Members] : Lists) {
     auto &Pool = Pools[Key];
     if (Pool == nullptr)
@@ -165,10 +166,10 @@
   }
 }
 
-// A version that is bad under load looks good on servers that are nearly idle.
-// The order by key is the same on all gateways.
-auto backend_directory::limitCandidates(
-    std::vector<backend_handle> &Members) const -> void {
+// The order by key is the same on all gateways, so that all use the same
+// servers.
+auto backend_directory::limitCandidates(std::vector<backend_handle> &Members,
+                                        std::size_t Limit) const -> void {
   std::erase_if(Members, [this](backend_handle Handle) {
     return ByHandle.at(Handle)->Record.Leaving;
   });
@@ -176,10 +177,8 @@
             [this](backend_handle Left, backend_handle Right) {
               return ByHandle.at(Left)->Key < ByHandle.at(Right)->Key;
             });
-  const auto Share = CandidateShare * static_cast<double>(Members.size());
-  const auto Count = std::max<std::size_t>(std::lround(Share), 1);
-  if (Count < Members.size())
-    Members.resize(Count);
+  if (Limit < Members.size())
+    Members.resize(Limit);
 }
 
 auto backend_directory::pool(const std::string &Service, version_arm Arm)
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -57,12 +57,8 @@
   /// Applies a new list; backend servers missing from it are removed.
   auto applyList(std::vector<backend_record> Listed) -> void;
 
-  /// Sets the share of a service's work that its candidate gets before the
-  /// shift, 1 by default. The candidate's pool then has this share of its
-  /// servers, so that each of them gets as much work as one of the predecessor.
-  auto setCandidateShare(double Share) -> void { CandidateShare = Share; }
-
-  /// Applies the rollouts in \p View.
+  /// Applies the rollouts in \p View. Before the shift a candidate's pool has
+  /// the planned number of servers.
   auto applyRollouts(const catalogue_view &View) -> void;
 
   /// \return whether a list has been applied.
@@ -134,7 +130,8 @@
 private:
   auto remove(known_backend &Backend) -> void;
   auto rebuildPools() -> void;
-  auto limitCandidates(std::vector<backend_handle> &Members) const -> void;
+  auto limitCandidates(std::vector<backend_handle> &Members,
+                       std::size_t Limit) const -> void;
   [[nodiscard]] auto poolKey(const backend_record &Record) const -> std::string;
 
   event_loop &Loop;
@@ -147,7 +144,6 @@
   std::map<backend_handle, known_backend *> ByHandle;
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
-  double CandidateShare = 1;
   bool HasList = false;
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -1,6 +1,7 @@
 /// \file Main function of the gateway role.
 #include "gateway/gateway_role.h"
 
+#include "controller/rollout_evaluator.h"
 #include "core/log_func.h"
 #include "gateway/caller_server.h"
 #include "gateway/forward_task.h"
@@ -30,9 +31,6 @@
 constexpr duration DrainPeriod = std::chrono::milliseconds(2500);
 /// The process exits this long before the grace period ends and it is killed.
 constexpr duration KillMargin = std::chrono::milliseconds(300);
-/// Share of the permitted exposure that is used for new sessions on the
-/// candidate. The rest covers the time that stopping a rollout takes.
-constexpr double CandidateExposurePart = 0.53;
 /// Age of the backend list at which the gateway polls the platform itself: two
 /// polls by control and the interval between two of its updates.
 constexpr duration MaxListAge = std::chrono::milliseconds(2500);
@@ -87,15 +85,13 @@
                }),
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  toDuration(Settings.Gateway.SessionSeconds),
-                 CandidateExposurePart * Settings.Gateway.ExposureShare),
+                 maxCandidateShare(Settings.Gateway.ExposureShare)),
         ReportClient(TheLoop),
         Reporter(TheLoop, Link, Work, Directory, Settings.Node.Id),
         Context{TheLoop,      Directory, ExtraAttemptBudget, Rollouts,
                 ReportClient, Work,      model_cascade()},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
-    Directory.setCandidateShare(CandidateExposurePart *
-                                Settings.Gateway.ExposureShare);
     Link.FollowMembers = true;
     Link.onChange([this] { applyView(); });
     Link.OnBackends = [this](duration Age,
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -69,10 +69,10 @@
 
 rollout_recorder::rollout_recorder(event_loop &Loop, leader_client &TheControl,
                                    std::string Node, duration TheSessionTime,
-                                   double TheShare)
+                                   double TheMaxShare)
     : Control(TheControl),
       Source(std::move(Node) + "/" + std::to_string(std::random_device{}())),
-      SessionTime(TheSessionTime), Share(TheShare),
+      SessionTime(TheSessionTime), MaxShare(TheMaxShare),
       Timer(Loop.repeating([this] { tick(); })) {
   Timer->start(ReportInterval);
 }
@@ -172,7 +172,7 @@
 // move it to the candidate have to know that it began before the rollout.
 auto rollout_recorder::reportSession(const service_rollout &Rollout,
                                      const std::string &Session) -> void {
-  if (!selectsCanary(Rollout.To, Session, Share))
+  if (!selectsCanary(Rollout.To, Session, MaxShare))
     return;
   auto &Batch = batchOf(Rollout);
   const auto Hash = sessionHash(Session);
@@ -208,7 +208,7 @@
       Arm = Known->second.Arm;
     else if (Rollout->Shifted ||
              (!Rollout->Collecting && !beganBefore(*Rollout, Session) &&
-              selectsCanary(Rollout->To, Key, Share)))
+              selectsCanary(Rollout->To, Key, Rollout->Load.Share)))
       Arm = version_arm::candidate;
   }
   if (!Session.empty())
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -27,9 +27,10 @@
 /// Counts outcomes during the rollout of a service and reports them to control.
 class rollout_recorder {
 public:
-  /// Assigns the \p Share of new sessions to a candidate before the shift.
+  /// A rollout gives at most \p MaxShare of new sessions to its candidate
+  /// before the shift.
   rollout_recorder(event_loop &Loop, leader_client &Control, std::string Node,
-                   duration SessionTime, double Share);
+                   duration SessionTime, double MaxShare);
 
   /// Reports the active sessions that a rollout in \p View would move.
   auto applyView(const catalogue_view &View) -> void;
@@ -115,7 +116,7 @@
   leader_client &Control;
   std::string Source;
   duration SessionTime;
-  double Share;
+  double MaxShare;
   std::map<std::string, batch> Batches; ///< By service.
   std::map<std::uint64_t, waiting_attempt> WaitingAttempts;
   std::uint64_t LastWaitingId = 0;
--- a/src/node/backend_list.cpp
+++ b/src/node/backend_list.cpp
@@ -4,6 +4,7 @@
 #include "core/log_func.h"
 #include "net/kj_func.h"
 
+#include <algorithm>
 #include <set>
 
 namespace acacianotch {
@@ -129,6 +130,17 @@
   }
 }
 
+auto backend_list::countOthers(const std::string &Service,
+                               const std::string &Version) const
+    -> std::size_t {
+  return static_cast<std::size_t>(
+      std::count_if(Rows.begin(), Rows.end(), [&](const auto &Row) {
+        const auto &Record = Row.second.Record;
+        return Record.Service == Service && Record.Version != Version &&
+               !Record.Leaving;
+      }));
+}
+
 auto backend_list::changesAfter(std::uint64_t &Since, std::size_t Limit) const
     -> backend_changes {
   backend_changes Part;
--- a/src/node/backend_list.h
+++ b/src/node/backend_list.h
@@ -35,6 +35,12 @@
   [[nodiscard]] auto changesAfter(std::uint64_t &Since, std::size_t Limit) const
       -> backend_changes;
 
+  /// \return the number of servers of \p Service that stay and run another
+  /// version than \p Version.
+  [[nodiscard]] auto countOthers(const std::string &Service,
+                                 const std::string &Version) const
+      -> std::size_t;
+
   /// \return the sequence number of the last change; 0 before the first list.
   [[nodiscard]] auto number() const -> std::uint64_t { return Number; }
 
--- a/test/backend_list_test.cpp
+++ b/test/backend_list_test.cpp
@@ -117,3 +117,19 @@
   CHECK(List.number() == Number);
   CHECK(List.readAt() == Later);
 }
+
+// Guards against a rollout whose load is planned from servers that leave or
+// that run the new version.
+TEST_CASE("the servers of a predecessor are counted") {
+  backend_list List;
+  auto Stays = record("i-1");
+  Stays.Leaving = false;
+  auto New = Stays;
+  New.Id = "i-2";
+  New.Version = "v2";
+  auto Other = Stays;
+  Other.Id = "i-3";
+  Other.Service = "other";
+  CHECK(List.replaceRows({Stays, New, Other, record("i-4")}, {}));
+  CHECK(List.countOthers("s", "v2") == 1);
+}
--- a/test/rollout_judge_test.cpp
+++ b/test/rollout_judge_test.cpp
@@ -131,6 +131,45 @@
         rollout_step::stop);
 }
 
+// Guards against a shift to a version of which half of the answers take three
+// times as long.
+TEST_CASE("a moderately slow version is stopped before the shift") {
+  constexpr auto Answers = 60;
+  auto Half = counts(New, Answers, 0, 1000 * std::sqrt(3.0));
+  Half.LogTimeSquares =
+      Answers / 2.0 *
+      (std::pow(std::log(1000), 2) + std::pow(std::log(3000), 2));
+  CHECK(evaluate(running(), {counts(Old, 500, 0, 1000), Half}, 2'000) ==
+        rollout_step::stop);
+  const std::vector Counts{counts(Old, 500, 0, 1000), counts(New, 30, 0, 1400)};
+  CHECK(evaluate(running(), Counts, 11'000) == rollout_step::keep);
+  CHECK(evaluate(running(), Counts, 14'500) == rollout_step::stop);
+}
+
+// Guards against a good version that is shifted too late to complete in time.
+TEST_CASE("a version with few answers is shifted by its mean times in time") {
+  const std::vector Counts{counts(Old, 500, 0, 1000), counts(New, 30, 0, 1200)};
+  CHECK(evaluate(running(), Counts, 11'000) == rollout_step::keep);
+  CHECK(evaluate(running(), Counts, 14'500) == rollout_step::shift);
+}
+
+// Guards against versions that are compared at different loads, and against
+// more exposure than is permitted.
+TEST_CASE("a candidate's servers get as much work as its predecessor's") {
+  constexpr double ExposureShare = 0.15;
+  const auto MaxShare = maxCandidateShare(ExposureShare);
+  for (const std::size_t Servers : {9U, 10U, 18U, 60U, 500U}) {
+    const auto Load = planCandidateLoad(ExposureShare, Servers);
+    CHECK(Load.Servers >= 1);
+    CHECK(Load.Share <= MaxShare);
+    const auto Work = Load.Share * static_cast<double>(Servers) / Load.Servers;
+    CHECK(Work > 0.95);
+    CHECK(Work <= 1 + 1e-9);
+  }
+  CHECK(planCandidateLoad(ExposureShare, 2) == candidate_load{MaxShare, 1});
+  CHECK(planCandidateLoad(ExposureShare, 0).Servers == 0);
+}
+
 // Guards against a slow version that no single route has enough answers of.
 TEST_CASE("slow answers of several routes count together") {
   std::vector<arm_counts> Counts;
--- a/test/rollout_recorder_test.cpp
+++ b/test/rollout_recorder_test.cpp
@@ -65,6 +65,8 @@
         version_arm::candidate);
   CHECK(Fixture.Recorder.chooseArm(nullptr, "other", "2") ==
         version_arm::serving);
+  Rollout.Load.Share = 0;
+  CHECK(Fixture.Recorder.chooseArm(&Rollout, "", "4") == version_arm::serving);
   Rollout.Shifted = true;
   CHECK(Fixture.Recorder.chooseArm(&Rollout, "other", "3") ==
         version_arm::candidate);
