Fix: [Control] a candidate has two servers at least until the shift

Cause: with one server of three a request cannot avoid a server that is slow at the moment, while the predecessor's requests choose among three.

Change: two servers at least.

Evidence: the check of planCandidateLoad in unit.rollout_judge_test fails with one server.

--- a/src/controller/rollout_evaluator.cpp
+++ b/src/controller/rollout_evaluator.cpp
@@ -214,14 +214,16 @@
 }
 
 // A version under less load than its predecessor looks faster than it is, and
-// under more load slower.
+// under more load slower. A request at a single server cannot avoid work that
+// waits there, whereas the predecessor's requests can.
 auto planCandidateLoad(double ExposureShare, std::size_t Servers)
     -> candidate_load {
+  constexpr double MinServers = 2;
   const auto MaxShare = maxCandidateShare(ExposureShare);
   if (Servers == 0)
     return {MaxShare, 0};
   const auto All = static_cast<double>(Servers);
-  const auto Count = std::max(std::round(MaxShare * All), 1.0);
+  const auto Count = std::max(std::round(MaxShare * All), MinServers);
   return {std::min(Count / All, MaxShare), static_cast<std::uint32_t>(Count)};
 }
 
