Fix: [Control] a rollout command that fails does not stop all rollouts

Not reproduced: no fault is known that makes a command end with an exception, so it has no test.

Cause: the flag that a command is pending was cleared by a result only, not by an exception. The leader would then advance or stop no rollout until it lost its term. Class of fault: a failure that passes, recorded as a state that does not.

Change: the flag is cleared in both cases.

--- a/src/control/rollout_manager.cpp
+++ b/src/control/rollout_manager.cpp
@@ -79,14 +79,16 @@
   command Command;
   Command.Issuer = "rollout keeper";
   Command.Body = commandFor(Rollout, Decision);
+  const auto SetDone = [this, Guard = std::weak_ptr<bool>(Alive)] {
+    if (Guard.lock())
+      CommandPending = false;
+  };
   Service.execute(encodeCommand(Command))
-      .then([this, Guard = std::weak_ptr<bool>(Alive)](const command_result &) {
-        if (Guard.lock())
-          CommandPending = false;
-      })
-      .detach([](kj::Exception &&Exception) {
+      .then([SetDone](const command_result &) { SetDone(); })
+      .detach([SetDone](kj::Exception &&Exception) {
         logWarning(log_category::version, "a rollout command failed",
                    {{"error", Exception.getDescription().cStr()}});
+        SetDone();
       });
 }
 
