Add: [Gateway] a log line for each answer that is dropped

An answer that stated that nothing ran, or a status of 500 or more that was repeated elsewhere, had no line, so that failures of a candidate could be read from the counts of the rollout only. They are 'attempt failed' lines now, with the status; all of these lines have the arm of the rollout. Found while reading the logs of a rollout whose version fails under load.

--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -231,14 +231,26 @@
          !Context.Directory.stalled(Attempt->Backend, Attempt->LastDataAt);
 }
 
-auto forward_task::abandonAttempt(const failure &Failure) -> void {
+auto forward_task::logFailedAttempt(const failure &Failure) const -> void {
   logInfo(log_category::entry, "attempt failed",
           {{"request", Request.Id},
            {"backend", Attempt->BackendId},
+           {"arm", VersionArmNames.name(Attempt->Arm)},
            {"error", errcRow(Failure.Code).Name},
            {"detail", Failure.Detail},
            {"not_run", Failure.Verdict == verdict::not_run},
            {"streaming", StreamStarted}});
+}
+
+auto forward_task::logDroppedAnswer() const -> void {
+  const auto &Facts = Attempt->Facts;
+  logFailedAttempt({errc::backend_failed,
+                    "status " + std::to_string(Facts.Status),
+                    Facts.NotRun ? verdict::not_run : verdict::ran});
+}
+
+auto forward_task::abandonAttempt(const failure &Failure) -> void {
+  logFailedAttempt(Failure);
   if (countsAgainstVersion(Failure))
     recordOutcome(true);
   releaseAttempt(false);
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -217,6 +217,7 @@
 // repeatable, whatever its route.
 auto forward_task::handleAnswer() -> void {
   if (Attempt->Facts.NotRun) {
+    logDroppedAnswer();
     ++AttemptsSent;
     if (Attempt->Facts.Replaced)
       Context.Directory.recordReplaced(Attempt->Backend);
@@ -241,6 +242,7 @@
   }
   const auto Failed = Attempt->Facts.Status >= ServerError;
   if (Failed && (StreamStarted || tryAcquireRetry())) {
+    logDroppedAnswer();
     revertToServing();
     releaseAttempt(true);
     if (attemptsLeft())
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -148,6 +148,9 @@
   auto handleReport(const result<backend_report> &Report) -> void;
   auto abandonStalledAttempt() -> void;
   [[nodiscard]] auto countsAgainstVersion(const failure &Failure) const -> bool;
+  auto logFailedAttempt(const failure &Failure) const -> void;
+  /// Logs an answer that the caller does not get.
+  auto logDroppedAnswer() const -> void;
   auto abandonAttempt(const failure &Failure) -> void;
   auto send(backend_handle Backend) -> bool;
   auto handleHead(const answer_facts &Facts, http_head &&Head) -> void;
