--- a/test/process/replica_repair_test.cpp
+++ b/test/process/replica_repair_test.cpp
@@ -1,12 +1,11 @@
 /// \file Replicas that take part in their group again after a fault has ended.
 #include "process/support/platform_deployment.h"
+#include "process/support/unwritable_disk.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
-#include <array>
 #include <csignal>
-#include <filesystem>
 
 using namespace acacianotch;
 using nlohmann::json;
@@ -46,28 +45,6 @@
   });
 }
 
-/// Makes a replica unable to write snapshots and logs, until released.
-class unwritable_disk {
-public:
-  explicit unwritable_disk(std::filesystem::path DataFolder)
-      : Folder(std::move(DataFolder)) {
-    for (const auto *Name : Names)
-      std::filesystem::create_directory(Folder / Name);
-  }
-
-  auto release() -> void {
-    for (const auto *Name : Names)
-      std::filesystem::remove(Folder / Name);
-  }
-
-private:
-  /// The files that replace the snapshot and the log cannot be created while
-  /// folders have their names.
-  static constexpr std::array Names{"snapshot.new", "log.new"};
-
-  std::filesystem::path Folder;
-};
-
 } // namespace
 
 // Guards against a replica that stays out of the group after a failed write.
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -182,6 +182,17 @@
   return Known == Wanted;
 }
 
+auto platform_deployment::allReplicasVote() const -> bool {
+  std::vector<const control_instance *> All;
+  for (const auto &Replica : Replicas)
+    All.push_back(&Replica);
+  return std::all_of(All.begin(), All.end(), [&](const auto *Replica) {
+    const auto Dump = httpGet(Replica->Admin, "/dump").json();
+    return Dump.is_object() && !Dump.value("failed", true) &&
+           votersAre(*Replica, All);
+  });
+}
+
 auto platform_deployment::data(const control_instance &Replica) const
     -> std::filesystem::path {
   return Folder / Replica.Name;
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -91,6 +91,10 @@
   votersAre(const control_instance &Replica,
             const std::vector<const control_instance *> &Expected) -> bool;
 
+  /// \return whether all replicas are the voters of the group and none is kept
+  /// out of it by its disk.
+  [[nodiscard]] auto allReplicasVote() const -> bool;
+
   /// \return the data folder of a control process.
   [[nodiscard]] auto data(const control_instance &Replica) const
       -> std::filesystem::path;
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -1,5 +1,7 @@
 #include "soak/faults.h"
 
+#include "process/support/unwritable_disk.h"
+
 #include <array>
 #include <csignal>
 #include <filesystem>
@@ -78,7 +80,7 @@
   auto &Replica = System.Replicas[randomBelow(System.Replicas.size())];
   if (!Replica.Process->running())
     return "";
-  switch (randomBelow(6)) {
+  switch (randomBelow(7)) {
   case 0:
     killAllControl();
     return "control_kill_all";
@@ -91,6 +93,9 @@
   case 3:
     return wipeDataFolder(Replica) ? "control_wipe" : "";
   case 4:
+    blockDisk(Replica);
+    return "control_unwritable_disk";
+  case 5:
     Replica.Process->signal(SIGTERM);
     scheduleRevert([this, &Replica] {
       Replica.Process->kill();
@@ -155,6 +160,14 @@
       [&] { return platform_deployment::votersAre(Replica, All); });
 }
 
+// Lasts until revertAll(), because a disk is written to once in several
+// changes.
+auto fault_injector::blockDisk(const control_instance &Replica) -> void {
+  const auto Disk = std::make_shared<unwritable_disk>(System.data(Replica));
+  PendingReverts.emplace(fault_clock::time_point::max(),
+                         [Disk] { Disk->release(); });
+}
+
 auto fault_injector::freeze(child_process &Process) -> void {
   Process.signal(SIGSTOP);
   scheduleRevert([&Process] { Process.signal(SIGCONT); });
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -40,6 +40,7 @@
   auto killAllControl() -> void;
   auto appendTornRecord(control_instance &Replica) -> void;
   auto wipeDataFolder(control_instance &Replica) -> bool;
+  auto blockDisk(const control_instance &Replica) -> void;
   auto freeze(child_process &Process) -> void;
   auto revertDue(fault_clock::time_point Now) -> void;
 
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -42,6 +42,8 @@
 /// Time for requests affected by the last fault to end before answers must be
 /// complete; longer than the timeout of every route.
 constexpr auto InFlightWorkTime = std::chrono::seconds(6);
+/// Small, so that logs and snapshots are replaced while faults happen.
+constexpr int SnapshotEvery = 10;
 /// Time in which a process exits after SIGTERM.
 constexpr auto GraceTime = std::chrono::seconds(6);
 
@@ -50,7 +52,8 @@
   soak_run(const soak_options &TheOptions, std::uint64_t TheSeed)
       : Options(TheOptions), Seed(TheSeed), Random(TheSeed),
         System({3, Options.Gateways, Options.Servers, true,
-                std::chrono::duration<double>(GraceTime).count()}),
+                std::chrono::duration<double>(GraceTime).count(),
+                SnapshotEvery}),
         Operator(System, Ledger, TheSeed + 1), Faults(System, TheSeed + 2) {}
 
   auto run() -> json {
@@ -101,6 +104,8 @@
   }
 
   auto checkRecovery() -> void {
+    if (!waitUntil([&] { return System.allReplicasVote(); }, RecoveryTime))
+      Ledger.recordViolation("all replicas vote after the last fault", "");
     for (const auto &Gateway : System.Gateways)
       if (!waitUntil([&] { return serves(Gateway, "/safe/probe"); },
                      RecoveryTime))
