Codechange: [Control] counts of an arm are added in one place

Also: a loop over rollouts in backend_directory is flat, two includes that nothing uses are gone, and the reason why a failed operator command touches the exchange only is stated.

--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -47,11 +47,7 @@
     Rows.push_back(More);
     return;
   }
-  Place->Requests += More.Requests;
-  Place->Errors += More.Errors;
-  Place->Timed += More.Timed;
-  Place->LogTime += More.LogTime;
-  Place->LogTimeSquares += More.LogTimeSquares;
+  Place->add(More);
 }
 
 auto addSession(std::vector<std::uint64_t> &Sorted, std::uint64_t Session)
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -33,6 +33,15 @@
   double LogTime = 0;      ///< Sum of their natural logarithms of microseconds.
   double LogTimeSquares = 0; ///< Sum of the squares of these logarithms.
 
+  /// Adds the numbers of \p More; arm and route stay.
+  auto add(const arm_counts &More) -> void {
+    Requests += More.Requests;
+    Errors += More.Errors;
+    Timed += More.Timed;
+    LogTime += More.LogTime;
+    LogTimeSquares += More.LogTimeSquares;
+  }
+
   auto operator==(const arm_counts &) const -> bool = default;
 };
 
--- a/src/controller/rollout_evaluator.cpp
+++ b/src/controller/rollout_evaluator.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <map>
 #include <optional>
 
@@ -17,14 +16,6 @@
   arm_counts Candidate;
 };
 
-auto add(arm_counts &Sum, const arm_counts &More) -> void {
-  Sum.Requests += More.Requests;
-  Sum.Errors += More.Errors;
-  Sum.Timed += More.Timed;
-  Sum.LogTime += More.LogTime;
-  Sum.LogTimeSquares += More.LogTimeSquares;
-}
-
 auto hasExcessErrors(const rollout_evaluator_settings &Settings,
                      const arm_pair &Pair) -> bool {
   const auto &New = Pair.Candidate;
@@ -139,11 +130,11 @@
   auto &All = Pairs[""];
   for (const auto &Row : Evidence.Counts) {
     const auto IsNew = Row.Arm == version_arm::candidate;
-    add(IsNew ? All.Candidate : All.Serving, Row);
+    (IsNew ? All.Candidate : All.Serving).add(Row);
     if (Row.Route.empty())
       continue;
     auto &Pair = Pairs[Row.Route];
-    add(IsNew ? Pair.Candidate : Pair.Serving, Row);
+    (IsNew ? Pair.Candidate : Pair.Serving).add(Row);
   }
   return Pairs;
 }
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -4,7 +4,6 @@
 #include "core/log_func.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
 namespace acacianotch {
@@ -150,10 +149,8 @@
   for (const auto &[Service, Rollout] : Rollouts)
     if (Rollout.State == rollout_state::running && !Rollout.Shifted &&
         Rollout.Load.Servers > 0)
-      if (const auto Found =
-              Lists.find(armKey(Service, version_arm::candidate));
-          Found != Lists.end())
-        limitCandidates(Found->second, Rollout.Load.Servers);
+      limitCandidates(Lists[armKey(Service, version_arm::candidate)],
+                      Rollout.Load.Servers);
   for (auto &[Key, Members] : Lists) {
     auto &Pool = Pools[Key];
     if (Pool == nullptr)
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -185,6 +185,7 @@
       .then([this, Request](const command_result &Result) {
         replyResult(Request, Result);
       })
+      // The command may have been dropped because its service is destroyed.
       .detach([Exchange = Request.Exchange](kj::Exception &&Exception) {
         logWarning(log_category::control, "an operator's command failed",
                    {{"error", Exception.getDescription().cStr()}});
