--- a/test/backend_list_test.cpp
+++ b/test/backend_list_test.cpp
@@ -118,8 +118,7 @@
   CHECK(List.readAt() == Later);
 }
 
-// Guards against a rollout whose load is planned from servers that leave or
-// that run the new version.
+// Guards against a rollout planned from servers that leave or are its own.
 TEST_CASE("the servers of a predecessor are counted") {
   backend_list List;
   auto Stays = record("i-1");
--- a/test/process/replica_repair_test.cpp
+++ b/test/process/replica_repair_test.cpp
@@ -81,8 +81,8 @@
   }));
   Returning.Process->signal(SIGCONT);
   REQUIRE(waitUntil([&] { return isVoter(Witness, Returning); }));
-  // From here on a majority needs the replica that came back.
-  System.Replicas[1].Process->kill();
+  auto &NoLongerNeeded = System.Replicas[1];
+  NoLongerNeeded.Process->kill();
   publish(System, 2);
   CHECK(System.sendOperatorRequest("GET", "/api/config").Body ==
         configuration(2));
--- a/test/rollout_judge_test.cpp
+++ b/test/rollout_judge_test.cpp
@@ -131,8 +131,7 @@
         rollout_step::stop);
 }
 
-// Guards against a shift to a version of which half of the answers take three
-// times as long.
+// Guards against a shift to a version that takes 3 times as long half the time.
 TEST_CASE("a moderately slow version is stopped before the shift") {
   constexpr auto Answers = 60;
   auto Half = counts(New, Answers, 0, 1000 * std::sqrt(3.0));
@@ -153,8 +152,7 @@
   CHECK(evaluate(running(), Counts, 14'500) == rollout_step::shift);
 }
 
-// Guards against versions that are compared at different loads, and against
-// more exposure than is permitted.
+// Guards against versions that are compared at different loads.
 TEST_CASE("a candidate's servers get as much work as its predecessor's") {
   constexpr double ExposureShare = 0.15;
   const auto MaxShare = maxCandidateShare(ExposureShare);
