Add: [Node] log lines for a held-up event loop and for updates of gateways

The logs could not tell whether the leader was held up while it accepted a document, while it spread it, or whether gateways applied it late. Each process now logs when its event loop ran no timer for 100 ms more than asked, and the leader logs how large an update of a gateway was and after how long it was acknowledged. No change of behaviour.

--- a/src/control/control_relay.cpp
+++ b/src/control/control_relay.cpp
@@ -6,6 +6,7 @@
 #include "core/log_func.h"
 #include "node/admin_server.h"
 #include "node/log_query.h"
+#include "node/loop_monitor.h"
 #include "node/node_link.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
@@ -105,6 +106,7 @@
       **Loop, Settings.ShutdownDeadline, [] {}, [] { return true; });
   logInfo(log_category::control,
           "no data folder: running as a relay to the leader");
+  const loop_monitor Monitor(**Loop);
   Link.start();
   (*Loop)->run();
   return {};
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -9,6 +9,7 @@
 #include "control/rollout_manager.h"
 #include "core/log_func.h"
 #include "node/admin_server.h"
+#include "node/loop_monitor.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
 #include "platform/instance_poller.h"
@@ -207,6 +208,7 @@
   observeCommands(Service, (*Admin)->metrics());
   const graceful_shutdown Shutdown(
       **Loop, Settings.ShutdownDeadline, [] {}, [] { return true; });
+  const loop_monitor Monitor(**Loop);
   Service.start();
   (*Loop)->run();
   return {};
--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -36,6 +36,8 @@
   std::deque<node_update> Queue;  ///< Chunks not sent yet.
   std::uint64_t SentBackends = 0; ///< Number of the last list change sent.
   bool Waiting = false;           ///< For an acknowledgement.
+  time_point SentAt{};            ///< Of the update without one.
+  std::size_t SentBytes = 0;      ///< Size of its payload.
   bool Ended = false;
   kj::Own<kj::PromiseFulfiller<void>> Done;
   kj::Maybe<kj::Promise<void>> Call;
@@ -122,6 +124,8 @@
         Backends.changesAfter(Subscriber.SentBackends, MaxBackendChanges),
         steady_clock::now() - Backends.readAt());
   Subscriber.Waiting = true;
+  Subscriber.SentAt = steady_clock::now();
+  Subscriber.SentBytes = Update.Payload.size();
   Subscriber.Call = Request.send()
                         .then(
                             [this, &Subscriber](auto &&Response) {
@@ -142,6 +146,15 @@
   Node.AcknowledgedAt = steady_clock::now();
   Node.Running = Ack.getLoad().getRunning();
   Node.Queued = Ack.getLoad().getQueued();
+  if (Subscriber.SentBytes != 0)
+    logInfo(log_category::catalogue, "a node acknowledged an update",
+            {{"node", Node.Id},
+             {"revision", Ack.getRevision()},
+             {"current", static_cast<std::uint64_t>(State.currentRevision())},
+             {"bytes", Subscriber.SentBytes},
+             {"chunks_left", Subscriber.Queue.size()},
+             {"ms", (Node.AcknowledgedAt - Subscriber.SentAt) /
+                        std::chrono::milliseconds(1)}});
   const auto Behind = Node.Acknowledged != State.currentRevision() ||
                       Subscriber.SentBackends != Backends.number();
   if (!Behind)
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -9,6 +9,7 @@
 #include "net/http_server.h"
 #include "node/admin_server.h"
 #include "node/log_query.h"
+#include "node/loop_monitor.h"
 #include "node/node_link.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
@@ -348,6 +349,7 @@
   const graceful_shutdown Shutdown(
       **Loop, shutdownLimit(Settings), [&] { Process.stop(); },
       [&] { return Process.idle(); });
+  const loop_monitor Monitor(**Loop);
   Process.start(**Callers);
   (*Loop)->run();
   return {};
--- /dev/null
+++ b/src/node/loop_monitor.cpp
@@ -0,0 +1,31 @@
+/// \file Detection of work that holds up the event loop.
+#include "node/loop_monitor.h"
+
+#include "core/log_func.h"
+
+#include <utility>
+
+namespace acacianotch {
+
+namespace {
+
+constexpr duration CheckInterval = std::chrono::milliseconds(100);
+/// Half of the shortest leader lease.
+constexpr duration ReportedDelay = std::chrono::milliseconds(100);
+
+} // namespace
+
+loop_monitor::loop_monitor(event_loop &Loop)
+    : Timer(Loop.repeating([this] { check(); })), LastRun(steady_clock::now()) {
+  Timer->start(CheckInterval);
+}
+
+auto loop_monitor::check() -> void {
+  const auto Now = steady_clock::now();
+  const auto Delay = Now - std::exchange(LastRun, Now) - CheckInterval;
+  if (Delay >= ReportedDelay)
+    logWarning(log_category::net, "the event loop was held up",
+               {{"ms", Delay / std::chrono::milliseconds(1)}});
+}
+
+} // namespace acacianotch
