Fix: [Control] a large configuration no longer costs the leader its lease

What operators saw: a configuration of some thousand routes was answered 503 `not_ready the leader lease has expired` to every try, by each leader in turn, or acknowledged half a minute late.

Cause: the document was decoded in one piece on the event loop that also renews the leader lease (200 ms). Followers decoded it as well before they named the leader, and each try was decoded anew, so that retries kept the group in that state. The whole text then went to each replica and gateway on the connections that carry heartbeats.

Change: `routing_publisher` decodes a document in steps of 16 KB, one in each turn of the loop; gateways do the same (`configuration_decoder`, `json_outline`). A text that is already in progress is not decoded or proposed again. A replica that does not lead redirects without reading the body. The document is replicated and spread as a Zstandard frame; frames of earlier versions are plain text and still read. Routes are looked up by host and prefix instead of one after the other.

--- a/src/catalogue/cbor.cpp
+++ b/src/catalogue/cbor.cpp
@@ -116,24 +116,50 @@
   }
 }
 
-auto parseJson(std::string_view Text) -> result<json> {
+namespace {
+
+/// \return the last key in \p Text that occurs twice in its object.
+auto repeatedKey(std::string_view Text) -> std::string {
   std::vector<std::set<std::string>> Keys;
-  std::string Twice;
-  const auto Check = [&](int, json::parse_event_t Event, json &Value) {
+  std::string Repeated;
+  const auto Check = [&](int, json::parse_event_t Event, const json &Value) {
     if (Event == json::parse_event_t::object_start)
       Keys.emplace_back();
     if (Event == json::parse_event_t::object_end)
       Keys.pop_back();
     if (Event == json::parse_event_t::key &&
         !Keys.back().insert(Value.get<std::string>()).second)
-      Twice = Value.get<std::string>();
+      Repeated = Value.get<std::string>();
+    return true;
+  };
+  [[maybe_unused]] const auto Value = json::parse(Text, Check);
+  return Repeated;
+}
+
+} // namespace
+
+auto parseJson(std::string_view Text) -> result<json> {
+  // A repeated key replaces its first value, so an object with one has fewer
+  // members than keys. Collecting the keys in sets doubles the time.
+  std::vector<std::size_t> KeyCounts;
+  bool Repeated = false;
+  const auto Check = [&](int, json::parse_event_t Event, const json &Value) {
+    if (Event == json::parse_event_t::object_start)
+      KeyCounts.push_back(0);
+    if (Event == json::parse_event_t::key)
+      ++KeyCounts.back();
+    if (Event == json::parse_event_t::object_end) {
+      Repeated = Repeated || Value.size() != KeyCounts.back();
+      KeyCounts.pop_back();
+    }
     return true;
   };
   try {
     auto Value = json::parse(Text, Check);
-    if (!Twice.empty())
-      return failure::of(errc::bad_request,
-                         "key '" + printable(Twice) + "' occurs twice");
+    if (Repeated)
+      return failure::of(errc::bad_request, "key '" +
+                                                printable(repeatedKey(Text)) +
+                                                "' occurs twice");
     return Value;
   } catch (const std::exception &Error) {
     return failure::of(errc::bad_request, printable(Error.what()));
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -183,7 +183,7 @@
 /// Puts a routing document in force if its number is the highest.
 struct publish_routing {
   std::uint64_t Number = 0;
-  blob Text;
+  blob Text; ///< Compressed; see routing_document.
 };
 
 /// Starts to move a service's requests to another version.
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -67,7 +67,7 @@
 /// Replicas keep its bytes unread, so that it is returned as it was sent.
 struct routing_document {
   std::uint64_t Number = 0; ///< The highest number is in force.
-  blob Text;
+  blob Text;                ///< By compress(); earlier versions: plain.
 
   auto operator==(const routing_document &) const -> bool = default;
 };
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -86,18 +86,22 @@
   auto Command = decodeCommand(Bytes);
   if (!Command)
     return command_result::of(Command.error().Code, Command.error().Detail);
+  return execute(std::move(*Command));
+}
+
+auto control_service::execute(command Command) -> kj::Promise<command_result> {
   if (Host->node().role() != raft_role::leader) {
     ++Counters.Refused;
     return refuse(errc::not_leader);
   }
-  Command->TimeMs = nextTimeMs();
-  auto Checked = State.test(*Command);
+  Command.TimeMs = nextTimeMs();
+  auto Checked = State.test(Command);
   if (!Checked.ok()) {
     ++Counters.Refused;
     // A refusal reveals the state, so it needs a held lease as well.
     return confirmedEpoch() ? std::move(Checked) : refuse(errc::no_quorum);
   }
-  const auto Position = Host->propose(encodeCommand(*Command));
+  const auto Position = Host->propose(encodeCommand(Command));
   if (!Position) {
     ++Counters.Refused;
     return command_result::of(Position.error().Code, Position.error().Detail);
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -46,6 +46,9 @@
   [[nodiscard]] auto changeMembers(std::string_view Action, replica_id Id,
                                    std::string Address) -> result<void>;
 
+  /// Checks and replicates one command.
+  [[nodiscard]] auto execute(command Command) -> kj::Promise<command_result>;
+
   /// Checks and replicates one encoded command.
   [[nodiscard]] auto execute(std::string_view Bytes)
       -> kj::Promise<command_result>;
--- a/src/control/rollout_manager.cpp
+++ b/src/control/rollout_manager.cpp
@@ -83,7 +83,7 @@
     if (Guard.lock())
       CommandPending = false;
   };
-  Service.execute(encodeCommand(Command))
+  Service.execute(std::move(Command))
       .then([SetDone](const command_result &) { SetDone(); })
       .detach([SetDone](kj::Exception &&Exception) {
         logWarning(log_category::version, "a rollout command failed",
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -2,11 +2,13 @@
 #include "gateway/gateway_role.h"
 
 #include "controller/rollout_evaluator.h"
+#include "core/compression_func.h"
 #include "core/log_func.h"
 #include "gateway/caller_server.h"
 #include "gateway/forward_task.h"
 #include "gateway/work_reporter.h"
 #include "net/http_server.h"
+#include "net/stepped_work.h"
 #include "node/admin_server.h"
 #include "node/log_query.h"
 #include "node/loop_monitor.h"
@@ -17,6 +19,7 @@
 #include "platform/instance_poller.h"
 #include "platform/request_codec.h"
 
+#include <optional>
 #include <random>
 #include <unordered_set>
 
@@ -43,6 +46,10 @@
 /// election in control and the first update.
 constexpr duration StartupRetryAfter = std::chrono::milliseconds(1200);
 
+/// Text of a routing document that is decoded in one turn of the event loop: a
+/// few milliseconds on the slowest VM.
+constexpr std::size_t DecodingStepBytes = 16U << 10U;
+
 constexpr int Success = 200;
 constexpr int Unavailable = 503;
 
@@ -255,22 +262,48 @@
   auto applyView() -> void {
     Directory.applyRollouts(View);
     Rollouts.applyView(View);
+    decodeRouting();
+  }
+
+  /// Decodes the newest routing document, unless it was decoded before or
+  /// another one is being decoded.
+  auto decodeRouting() -> void {
     const auto *Document = View.routing();
-    if (Document == nullptr || (Table && Table->Number >= Document->Number))
-      return;
-    auto Decoded = platform::decodeConfiguration(Document->Text.Bytes);
-    if (!Decoded) {
-      logError(
-          log_category::catalogue, "cannot decode the routing document",
-          {{"number", Document->Number}, {"error", Decoded.error().text()}});
+    if (Decoder || Document == nullptr || Document->Number <= DecodedNumber)
       return;
+    DecodedNumber = Document->Number;
+    DecodingSince = steady_clock::now();
+    auto Text =
+        decompress(Document->Text.Bytes, platform::MaxConfigurationBytes);
+    if (!Text)
+      return reportUndecodable(Text.error());
+    Decoder.emplace(std::move(*Text));
+    runStepped(
+        Loop, Alive, [this] { return Decoder->step(DecodingStepBytes); },
+        [this] { applyDecoded(); });
+  }
+
+  auto reportUndecodable(const failure &Failure) -> void {
+    logError(log_category::catalogue, "cannot decode the routing document",
+             {{"number", DecodedNumber}, {"error", Failure.text()}});
+  }
+
+  auto applyDecoded() -> void {
+    auto Decoded = Decoder->takeTable();
+    Decoder.reset();
+    if (Decoded) {
+      Table = std::make_shared<const routing_table>(std::move(*Decoded));
+      Server->setLimits(Table->Limits);
+      logInfo(log_category::catalogue, "applied a routing document",
+              {{"number", Table->Number},
+               {"routes", Table->routeCount()},
+               {"revision", static_cast<std::uint64_t>(View.currentRevision())},
+               {"decoding_ms", (steady_clock::now() - DecodingSince) /
+                                   std::chrono::milliseconds(1)}});
+    } else {
+      reportUndecodable(Decoded.error());
     }
-    Table = std::make_shared<const routing_table>(std::move(*Decoded));
-    Server->setLimits(Table->Limits);
-    logInfo(log_category::catalogue, "applied a routing document",
-            {{"number", Table->Number},
-             {"routes", Table->Routes.size()},
-             {"revision", static_cast<std::uint64_t>(View.currentRevision())}});
+    decodeRouting();
   }
 
   [[nodiscard]] auto backendRows() -> json {
@@ -303,6 +336,10 @@
   gateway_context Context;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
   std::shared_ptr<const routing_table> Table;
+  std::optional<platform::configuration_decoder> Decoder; ///< In progress.
+  std::uint64_t DecodedNumber = 0; ///< Last document that was decoded.
+  time_point DecodingSince{};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   caller_server *Server = nullptr;
   std::unique_ptr<loop_timer> Ticker;
   std::unique_ptr<loop_timer> DrainTimer;
--- a/src/platform/configuration_codec.cpp
+++ b/src/platform/configuration_codec.cpp
@@ -2,13 +2,15 @@
 #include "platform/configuration_codec.h"
 
 #include "catalogue/cbor.h"
+#include "catalogue/json_outline.h"
 
 #include <algorithm>
 #include <cctype>
 #include <cmath>
+#include <limits>
 #include <optional>
-#include <set>
 #include <utility>
+#include <vector>
 
 namespace acacianotch::platform {
 
@@ -107,7 +109,8 @@
 /// Reads one configuration; the first error makes it invalid.
 class configuration_reader {
 public:
-  auto read(const json &Document) -> result<routing_table> {
+  /// Reads the document without the elements of its lists, and queues these.
+  auto readSkeleton(const json &Document) -> void {
     object_reader Reader(Document, "configuration");
     const auto *Number = Reader.member("version");
     if (Number == nullptr || !Number->is_number_unsigned())
@@ -117,19 +120,53 @@
     for (const auto *Key : {"routes", "services"})
       if (Reader.member(Key) == nullptr)
         Reader.fail(std::string(Key) + " is missing");
-    Reader.forEach("services", [&](const json &Item) { readService(Item); });
-    Reader.forEach("routes", [&](const json &Item) { readRoute(Item); });
-    Reader.forEach("tenants", [&](const json &Item) { readAccount(Item); });
+    // Routes refer to services.
+    queueElements(Reader, "services", &configuration_reader::readService);
+    queueElements(Reader, "routes", &configuration_reader::readRoute);
+    queueElements(Reader, "tenants", &configuration_reader::readAccount);
     Table.HasAccounts = Reader.member("tenants") != nullptr;
     if (const auto *Limits = Reader.member("limits"))
       readLimits(*Limits);
     recordError(Reader);
+  }
+
+  /// Reads queued elements of \p Elements up to \p MaxBytes. \return whether
+  /// none is left or the configuration is invalid.
+  auto readElements(const std::vector<std::string_view> &Elements,
+                    std::size_t MaxBytes) -> bool {
+    std::size_t Bytes = 0;
+    while (Next < Queue.size() && !FirstError) {
+      const auto &[Read, Index] = Queue[Next];
+      const auto Text = Elements[Index];
+      if (Bytes != 0 && Bytes + Text.size() > MaxBytes)
+        return false;
+      Bytes += Text.size();
+      ++Next;
+      const auto Item = parseJson(Text);
+      if (Item)
+        (this->*Read)(*Item);
+      else
+        FirstError = Item.error().Detail;
+    }
+    return true;
+  }
+
+  auto takeTable() -> result<routing_table> {
     if (FirstError)
       return failure::of(errc::bad_request, printable(*FirstError));
     return std::move(Table);
   }
 
 private:
+  using element_reader = auto(configuration_reader::*)(const json &) -> void;
+
+  auto queueElements(object_reader &Reader, const char *Key,
+                     element_reader Read) -> void {
+    Reader.forEach(Key, [&](const json &Index) {
+      Queue.emplace_back(Read, Index.get<std::size_t>());
+    });
+  }
+
   auto recordError(const object_reader &Reader) -> void {
     if (!FirstError && Reader.firstError())
       FirstError = Reader.firstError();
@@ -192,8 +229,9 @@
     });
     readTrafficSplit(Reader, Route);
     validateRoute(Reader, Route);
+    if (!Table.addRoute(std::move(Route)))
+      Reader.fail("two routes have one host and prefix");
     recordError(Reader);
-    Table.Routes.push_back(std::move(Route));
   }
 
   auto readTrafficSplit(object_reader &Reader, gateway_route &Route) -> void {
@@ -222,8 +260,6 @@
     if (Route.PathPrefix.empty() || Route.PathPrefix.front() != '/' ||
         Route.PathPrefix.back() != '/')
       Reader.fail("path-prefix: it must begin and end with a slash");
-    if (!SeenRoutes.insert({Route.Host, Route.PathPrefix}).second)
-      Reader.fail("two routes have one host and prefix");
   }
 
   auto readAccount(const json &Item) -> void {
@@ -260,17 +296,57 @@
   }
 
   routing_table Table;
-  std::set<std::pair<std::string, std::string>> SeenRoutes;
+  std::vector<std::pair<element_reader, std::size_t>> Queue;
+  std::size_t Next = 0; ///< Position in Queue.
   std::optional<std::string> FirstError;
 };
 
 } // namespace
 
+struct configuration_decoder::state {
+  std::string Text;
+  std::vector<std::string_view> Elements;
+  std::optional<failure> Error; ///< The document is no JSON.
+  bool Outlined = false;
+  configuration_reader Reader;
+};
+
+configuration_decoder::configuration_decoder(std::string Text)
+    : State(std::make_unique<state>()) {
+  State->Text = std::move(Text);
+}
+
+configuration_decoder::~configuration_decoder() = default;
+
+auto configuration_decoder::step(std::size_t MaxBytes) -> bool {
+  if (std::exchange(State->Outlined, true))
+    return State->Error ||
+           State->Reader.readElements(State->Elements, MaxBytes);
+  auto Outline = outlineJson(State->Text);
+  if (!Outline) {
+    State->Error = Outline.error();
+    return true;
+  }
+  State->Elements = std::move(Outline->Elements);
+  State->Reader.readSkeleton(Outline->Skeleton);
+  return false;
+}
+
+auto configuration_decoder::takeTable() -> result<routing_table> {
+  if (State->Error)
+    return *State->Error;
+  return State->Reader.takeTable();
+}
+
+auto configuration_decoder::text() const -> const std::string & {
+  return State->Text;
+}
+
 auto decodeConfiguration(std::string_view Text) -> result<routing_table> {
-  const auto Document = parseJson(Text);
-  if (!Document)
-    return Document.error();
-  return configuration_reader().read(*Document);
+  configuration_decoder Decoder{std::string(Text)};
+  while (!Decoder.step(std::numeric_limits<std::size_t>::max()))
+    continue;
+  return Decoder.takeTable();
 }
 
 } // namespace acacianotch::platform
--- a/src/platform/configuration_codec.h
+++ b/src/platform/configuration_codec.h
@@ -4,14 +4,45 @@
 #include "core/result.h"
 #include "routing/routing_type.h"
 
+#include <cstddef>
+#include <memory>
+#include <string>
 #include <string_view>
 
 namespace acacianotch::platform {
 
-/// Parses and validates a configuration. \return bad_request with the first
-/// error: malformed JSON, a duplicate JSON key, a route to an unknown service,
-/// two routes with the same host and prefix, weights that add up to 0, a
-/// timeout of 0, or an API key of two client accounts.
+/// Size of the largest configuration.
+inline constexpr std::size_t MaxConfigurationBytes = 8ULL * 1024 * 1024;
+
+/// Parses and validates a configuration in steps of bounded size, so that the
+/// event loop runs in between.
+class configuration_decoder {
+public:
+  explicit configuration_decoder(std::string Text);
+  ~configuration_decoder();
+  configuration_decoder(const configuration_decoder &) = delete;
+  auto operator=(const configuration_decoder &)
+      -> configuration_decoder & = delete;
+
+  /// Decodes the next part: the document without the elements of its lists, or
+  /// elements of \p MaxBytes, but at least one. \return whether table() is
+  /// known.
+  [[nodiscard]] auto step(std::size_t MaxBytes) -> bool;
+
+  /// \return the table, once; bad_request with the first error: malformed
+  /// JSON, a duplicate JSON key, a route to an unknown service, two routes with
+  /// the same host and prefix, weights that add up to 0, a timeout of 0, or an
+  /// API key of two client accounts.
+  [[nodiscard]] auto takeTable() -> result<routing_table>;
+
+  [[nodiscard]] auto text() const -> const std::string &;
+
+private:
+  struct state;
+  std::unique_ptr<state> State;
+};
+
+/// Decodes a whole configuration in one step.
 [[nodiscard]] auto decodeConfiguration(std::string_view Text)
     -> result<routing_table>;
 
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -2,8 +2,8 @@
 #include "platform/operator_api.h"
 
 #include "catalogue/cbor.h"
+#include "core/compression_func.h"
 #include "core/log_func.h"
-#include "platform/configuration_codec.h"
 #include "platform/operator_redirect.h"
 
 #include <cmath>
@@ -37,7 +37,7 @@
 auto operator_api::create(event_loop &Loop, const address &Address,
                           control_service &Service)
     -> result<std::unique_ptr<operator_api>> {
-  std::unique_ptr<operator_api> Api(new operator_api(Service));
+  std::unique_ptr<operator_api> Api(new operator_api(Loop, Service));
   http_server_options Options;
   Options.MaxBodyBytes = MaxOperatorBodyBytes;
   auto Http = http_server::create(
@@ -118,13 +118,18 @@
         "redirected to the leader");
 }
 
+// Only the leader reads the document, which may be large.
 auto operator_api::putConfiguration(operator_request Request) -> void {
+  if (Service.replica().node().role() != raft_role::leader)
+    return replyRedirect(Request);
   auto Text = Request.Exchange->body();
-  const auto Table = decodeConfiguration(Text);
-  if (!Table)
-    return replyError(Request, BadRequest, Table.error().Detail);
-  Request.Subject = std::to_string(Table->Number);
-  execute(Request, publish_routing{Table->Number, {std::move(Text)}});
+  Publisher.publish(std::move(Text),
+                    [this, Request = std::move(Request)](
+                        std::uint64_t Number, const command_result &Result) {
+                      auto Answered = Request;
+                      Answered.Subject = std::to_string(Number);
+                      replyResult(Answered, Result);
+                    });
 }
 
 auto operator_api::getConfiguration(const operator_request &Request) -> void {
@@ -133,7 +138,10 @@
   const auto &Document = Service.state().data().Routing;
   if (!Document)
     return replyError(Request, ServiceUnavailable, "no configuration is known");
-  reply(Request, StatusOk, JsonHeaders, Document->Text.Bytes,
+  const auto Text = decompress(Document->Text.Bytes, MaxOperatorBodyBytes);
+  if (!Text)
+    return replyError(Request, ServiceUnavailable, Text.error().Detail);
+  reply(Request, StatusOk, JsonHeaders, *Text,
         std::to_string(Document->Number));
 }
 
@@ -181,7 +189,7 @@
   command Command;
   Command.Issuer = "operator";
   Command.Body = std::move(Body);
-  Service.execute(encodeCommand(Command))
+  Service.execute(std::move(Command))
       .then([this, Request](const command_result &Result) {
         replyResult(Request, Result);
       })
--- a/src/platform/operator_api.h
+++ b/src/platform/operator_api.h
@@ -1,7 +1,7 @@
 /// \file HTTP interface for operators as defined by the platform.
 #pragma once
 
-#include "control/control_service.h"
+#include "control/routing_publisher.h"
 #include "net/http_server.h"
 
 #include <memory>
@@ -29,7 +29,8 @@
     std::string Subject;
   };
 
-  explicit operator_api(control_service &TheService) : Service(TheService) {}
+  operator_api(event_loop &Loop, control_service &TheService)
+      : Service(TheService), Publisher(Loop, TheService) {}
 
   auto handle(operator_request Request) -> void;
   auto putConfiguration(operator_request Request) -> void;
@@ -49,6 +50,7 @@
   auto replyRedirect(const operator_request &Request) -> void;
 
   control_service &Service;
+  routing_publisher Publisher;
   std::uint16_t Port = 0;
   std::unique_ptr<http_server> Http;
 };
--- a/src/platform/operator_redirect.h
+++ b/src/platform/operator_redirect.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "net/http_server.h"
+#include "platform/configuration_codec.h"
 
 #include <functional>
 #include <memory>
@@ -11,7 +12,7 @@
 namespace acacianotch::platform {
 
 /// Largest request body that any process accepts from operators, bytes.
-inline constexpr std::size_t MaxOperatorBodyBytes = 8ULL * 1024 * 1024;
+inline constexpr std::size_t MaxOperatorBodyBytes = MaxConfigurationBytes;
 
 /// \return the URL of the target of \p Exchange at \p Port of \p Leader's IP
 /// address; all replicas listen for operators at this port.
--- a/src/routing/routing_table.cpp
+++ b/src/routing/routing_table.cpp
@@ -3,33 +3,37 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace acacianotch {
 
-namespace {
-
-auto sameHost(std::string_view RouteHost, std::string_view HostHeader) -> bool {
-  const auto Colon = HostHeader.find(':');
-  const auto Name = HostHeader.substr(0, Colon);
-  return std::equal(RouteHost.begin(), RouteHost.end(), Name.begin(),
-                    Name.end(), [](unsigned char Left, unsigned char Right) {
-                      return Left == std::tolower(Right);
-                    });
+auto routing_table::addRoute(gateway_route Route) -> bool {
+  MaxPrefixLength = std::max(MaxPrefixLength, Route.PathPrefix.size());
+  // A host contains no slash and a prefix begins with one.
+  auto Key = Route.Host + Route.PathPrefix;
+  return Routes.emplace(std::move(Key), std::move(Route)).second;
 }
 
-} // namespace
-
+// Prefixes end with a slash, so only the beginnings of the path that do are
+// looked up.
 auto routing_table::match(std::string_view Host, std::string_view Path) const
     -> const gateway_route * {
-  const gateway_route *Best = nullptr;
-  for (const auto &Route : Routes) {
-    const auto Longer =
-        Best == nullptr || Route.PathPrefix.size() > Best->PathPrefix.size();
-    if (Longer && Path.starts_with(Route.PathPrefix) &&
-        sameHost(Route.Host, Host))
-      Best = &Route;
+  const auto HostName = Host.substr(0, Host.find(':'));
+  std::string Key(HostName);
+  std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char Byte) {
+    return static_cast<char>(std::tolower(Byte));
+  });
+  Key += Path.substr(0, MaxPrefixLength);
+  while (true) {
+    const auto Slash = Key.rfind('/');
+    if (Slash == std::string::npos || Slash < HostName.size())
+      return nullptr;
+    Key.resize(Slash + 1);
+    const auto Found = Routes.find(Key);
+    if (Found != Routes.end())
+      return &Found->second;
+    Key.resize(Slash);
   }
-  return Best;
 }
 
 auto routing_table::accountOf(std::string_view Key) const
--- a/src/routing/routing_type.h
+++ b/src/routing/routing_type.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace acacianotch {
@@ -89,12 +90,16 @@
 /// table with which it started.
 struct routing_table {
   std::uint64_t Number = 0;
-  std::vector<gateway_route> Routes;
   std::map<std::string, gateway_service, std::less<>> Services;
   std::map<std::string, gateway_account, std::less<>> AccountsByKey;
   bool HasAccounts = false; ///< Without accounts no request needs an API key.
   caller_limits Limits;
 
+  /// \return false if a route has the same host and prefix.
+  [[nodiscard]] auto addRoute(gateway_route Route) -> bool;
+
+  [[nodiscard]] auto routeCount() const -> std::size_t { return Routes.size(); }
+
   /// \return the route of the host with the longest matching prefix, or null.
   [[nodiscard]] auto match(std::string_view Host, std::string_view Path) const
       -> const gateway_route *;
@@ -102,6 +107,11 @@
   /// \return the account that owns the API key \p Key, or null.
   [[nodiscard]] auto accountOf(std::string_view Key) const
       -> const gateway_account *;
+
+private:
+  /// By host and prefix, one after the other.
+  std::unordered_map<std::string, gateway_route> Routes;
+  std::size_t MaxPrefixLength = 0;
 };
 
 } // namespace acacianotch
