Fix: [Replication] the log of large documents is compacted by its size

What operators would see: after some tens of changes of a large configuration a control replica runs out of memory or disk and leaves its group.

Evidence: process.log_growth_test failed without the limit (24 documents of 1 MB) and passes now; unit.log_retention_test.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -225,10 +225,12 @@
       return handleStorageFailure(Restored.error());
     AppliedIndex = Effects.Restore->Index;
     CompactedIndex = AppliedIndex;
+    UncompactedBytes = 0;
   }
   for (const auto &Record : Effects.Committed) {
     Callbacks.Apply(Record);
     AppliedIndex = Record.Index;
+    UncompactedBytes += Record.Payload.size();
   }
   if (Effects.Write.Sequence != 0)
     persistBatch(Effects.Write);
@@ -346,10 +348,13 @@
 }
 
 auto replica_host::compactIfDue() -> void {
-  if (AppliedIndex < CompactedIndex + Options.SnapshotEvery)
+  const auto Due = AppliedIndex >= CompactedIndex + Options.SnapshotEvery ||
+                   UncompactedBytes >= Options.SnapshotBytes;
+  if (!Due)
     return;
   const auto Done = Node.compact(AppliedIndex, Callbacks.Snapshot());
   CompactedIndex = AppliedIndex;
+  UncompactedBytes = 0;
   if (!Done)
     logWarning(log_category::replication, "cannot compact the log",
                {{"error", Done.error().text()}});
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -25,6 +25,9 @@
   std::string DataFolder;
   raft_timing Timing;
   std::uint64_t SnapshotEvery = 10'000; ///< Log records between snapshots.
+  /// Payload of log records between snapshots. Bounds the log of large
+  /// documents in memory and on the disk.
+  std::uint64_t SnapshotBytes = 8U << 20U;
   std::uint64_t Seed = 0;
   rpc_options Rpc;
   /// Addresses to use for replicas that are not in the known membership.
@@ -144,6 +147,7 @@
   log_term LastTerm = 0;
   log_index AppliedIndex = 0;
   log_index CompactedIndex = 0;
+  std::uint64_t UncompactedBytes = 0; ///< Payload applied after it.
 };
 
 } // namespace acacianotch
--- a/src/replication/log_view.cpp
+++ b/src/replication/log_view.cpp
@@ -82,10 +82,17 @@
 }
 
 auto log_view::compact(log_index Index, std::shared_ptr<const std::string> Data,
-                       log_index TrailingRecords) -> void {
+                       log_index TrailingRecords, std::size_t TrailingBytes)
+    -> void {
   assert(Index >= BaseSnapshot.Index && termAt(Index).has_value());
   BaseSnapshot = {Index, *termAt(Index), membersAt(Index), std::move(Data)};
-  const auto LastDropped = Index - std::min(Index, TrailingRecords);
+  auto LastDropped = Index - std::min(Index, TrailingRecords);
+  std::size_t Bytes = 0;
+  for (auto Kept = Index; Kept > std::max(LastDropped, Start.Index); --Kept) {
+    Bytes += at(Kept).Payload.size();
+    if (Bytes > TrailingBytes)
+      LastDropped = Kept;
+  }
   while (!Records.empty() && Records.front().Index <= LastDropped) {
     Start = {Records.front().Index, Records.front().Term};
     Records.pop_front();
@@ -100,7 +107,7 @@
     return;
   }
   const auto Index = Snapshot.Index;
-  compact(Index, std::move(Snapshot.Data), 0);
+  compact(Index, std::move(Snapshot.Data), 0, 0);
 }
 
 auto log_view::slice(log_index From, log_index To, std::size_t MaxBytes) const
--- a/src/replication/log_view.h
+++ b/src/replication/log_view.h
@@ -42,9 +42,10 @@
 
   /// Replaces the snapshot by \p Data, the state after the record at \p Index,
   /// which must be in memory. Keeps the last \p TrailingRecords records that
-  /// the snapshot covers, for replicas that are slightly behind.
+  /// the snapshot covers, for replicas that are slightly behind, as far as
+  /// their payloads fit into \p TrailingBytes.
   auto compact(log_index Index, std::shared_ptr<const std::string> Data,
-               log_index TrailingRecords) -> void;
+               log_index TrailingRecords, std::size_t TrailingBytes) -> void;
 
   /// Replaces the snapshot by one received from the leader. Keeps the records
   /// that follow it if the log contains its last record; otherwise removes all
--- a/src/replication/raft_node.cpp
+++ b/src/replication/raft_node.cpp
@@ -162,7 +162,7 @@
                        "snapshot index " + std::to_string(Index) +
                            " is not both applied and newer than the last one");
   Log.compact(Index, std::make_shared<const std::string>(std::move(Data)),
-              Limits.TrailingRecords);
+              Limits.TrailingRecords, Limits.TrailingBytes);
   rewriteSnapshotAndLog();
   return {};
 }
--- a/src/replication/raft_node.h
+++ b/src/replication/raft_node.h
@@ -69,6 +69,8 @@
   std::uint64_t SnapshotBytes = 1ULL << 29U;
   /// Records kept in memory although the snapshot covers them.
   log_index TrailingRecords = 1024;
+  /// Largest total payload of these records.
+  std::size_t TrailingBytes = 4U << 20U;
   /// Records that a learner may lack when it is promoted.
   log_index PromotionLag = 64;
 };
