Fix: [Control] updates of many nodes do not hold up the leader

Cause: after each change the leader encoded the update once for every subscribed node and sent all of them in one turn of the event loop. With a large document and many nodes that takes longer than the lease, and the copies that wait for the link hold up heartbeats.

Change: an update is encoded once for all nodes that hold the same revision, and at most 256 KB go out in one turn.

No test of its own: the process tests that spread documents pass.

--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -4,7 +4,7 @@
 #include "core/log_func.h"
 #include "net/kj_func.h"
 
-#include <deque>
+#include <utility>
 
 namespace acacianotch {
 
@@ -13,15 +13,20 @@
 /// Limit of changes to the list of backend servers in one update, about 20 KB,
 /// so that a long list does not delay changes of the catalogue.
 constexpr std::size_t MaxBackendChanges = 256;
+/// Payload sent to nodes in one turn of the event loop, which also renews the
+/// leader lease.
+constexpr std::size_t MaxBytesPerTurn = 256U << 10U;
 constexpr duration ConfirmInterval = std::chrono::milliseconds(500);
 
-auto fill(wire::NodeUpdate::Builder Out, const node_update &Update) -> void {
-  Out.setEpoch(static_cast<std::uint64_t>(Update.Epoch));
+auto fill(wire::NodeUpdate::Builder Out, const node_update &Update, epoch Epoch)
+    -> void {
+  Out.setEpoch(static_cast<std::uint64_t>(Epoch));
   Out.setBaseRevision(static_cast<std::uint64_t>(Update.Base));
   Out.setRevision(static_cast<std::uint64_t>(Update.Revision));
   Out.setChunk(Update.Chunk);
   Out.setChunks(Update.Chunks);
-  Out.setConfirmed(Update.Confirmed);
+  // A chunk holds only a part of a state, so only the last one confirms it.
+  Out.setConfirmed(Update.Chunks == 0 || Update.Chunk + 1 == Update.Chunks);
   Out.setPayload(toBytes(Update.Payload));
 }
 
@@ -33,7 +38,8 @@
 
   node_status Node;
   wire::NodeSink::Client Sink;
-  std::deque<node_update> Queue;  ///< Chunks not sent yet.
+  update_list Queue;              ///< Updates in progress.
+  std::size_t NextUpdate = 0;     ///< Position in Queue.
   std::uint64_t SentBackends = 0; ///< Number of the last list change sent.
   bool Waiting = false;           ///< For an acknowledgement.
   time_point SentAt{};            ///< Of the update without one.
@@ -75,8 +81,17 @@
 }
 
 auto subscriptions::push() -> void {
-  for (auto &Subscriber : Subscribers)
-    sendNext(*Subscriber);
+  std::size_t Bytes = 0;
+  for (auto &Subscriber : Subscribers) {
+    Bytes += sendNext(*Subscriber);
+    if (Bytes < MaxBytesPerTurn)
+      continue;
+    // Subscribers that wait for an acknowledgement are passed over then.
+    return Loop.defer([this, Guard = Alive] {
+      if (*Guard)
+        push();
+    });
+  }
 }
 
 auto subscriptions::endAll() -> void {
@@ -92,26 +107,34 @@
   return Rows;
 }
 
-auto subscriptions::sendNext(subscriber &Subscriber) -> void {
+auto subscriptions::updatesSince(revision Base) -> update_list {
+  if (UpdatesOf != State.currentRevision())
+    Updates.clear();
+  UpdatesOf = State.currentRevision();
+  auto &List = Updates[Base];
+  if (List == nullptr)
+    List = std::make_shared<const std::vector<node_update>>(
+        State.updatesSince(Base));
+  return List;
+}
+
+auto subscriptions::sendNext(subscriber &Subscriber) -> std::size_t {
   if (Subscriber.Waiting || Subscriber.Ended)
-    return;
+    return 0;
   const auto Epoch = CurrentEpoch();
   if (!Epoch)
-    return;
+    return 0;
   auto &Queue = Subscriber.Queue;
-  if (Queue.empty())
-    for (auto &Update : State.updatesSince(Subscriber.Node.Acknowledged))
-      Queue.push_back(std::move(Update));
-  if (Queue.empty())
-    return;
-  auto Update = std::move(Queue.front());
-  Queue.pop_front();
-  Update.Epoch = *Epoch;
-  // A chunk holds only a part of a state, so only the last one confirms it.
-  Update.Confirmed = Update.Chunks == 0 || Update.Chunk + 1 == Update.Chunks;
+  if (Queue == nullptr || Subscriber.NextUpdate >= Queue->size()) {
+    Queue = updatesSince(Subscriber.Node.Acknowledged);
+    Subscriber.NextUpdate = 0;
+  }
+  if (Queue->empty())
+    return 0;
+  const auto &Update = (*Queue)[Subscriber.NextUpdate++];
   auto Request = Subscriber.Sink.updateRequest();
   auto Body = Request.initUpdate();
-  fill(Body, Update);
+  fill(Body, Update, *Epoch);
   if (Members) {
     const auto Addresses = Members();
     auto List = Body.initControl(static_cast<unsigned>(Addresses.size()));
@@ -136,6 +159,7 @@
                                 Subscriber.Done->fulfill();
                             })
                         .eagerlyEvaluate(nullptr);
+  return Update.Payload.size();
 }
 
 auto subscriptions::handleAck(subscriber &Subscriber, wire::NodeAck::Reader Ack)
@@ -152,7 +176,7 @@
              {"revision", Ack.getRevision()},
              {"current", static_cast<std::uint64_t>(State.currentRevision())},
              {"bytes", Subscriber.SentBytes},
-             {"chunks_left", Subscriber.Queue.size()},
+             {"chunks_left", Subscriber.Queue->size() - Subscriber.NextUpdate},
              {"ms", (Node.AcknowledgedAt - Subscriber.SentAt) /
                         std::chrono::milliseconds(1)}});
   const auto Behind = Node.Acknowledged != State.currentRevision() ||
--- a/src/control/subscriptions.h
+++ b/src/control/subscriptions.h
@@ -9,9 +9,11 @@
 
 #include <functional>
 #include <list>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace acacianotch {
 
@@ -70,8 +72,12 @@
 private:
   struct subscriber;
   using subscriber_list = std::list<std::unique_ptr<subscriber>>;
+  using update_list = std::shared_ptr<const std::vector<node_update>>;
 
-  auto sendNext(subscriber &Subscriber) -> void;
+  /// \return the updates from \p Base, encoded once for all nodes that hold it.
+  [[nodiscard]] auto updatesSince(revision Base) -> update_list;
+  /// \return the size of the payload sent.
+  auto sendNext(subscriber &Subscriber) -> std::size_t;
   auto handleAck(subscriber &Subscriber, wire::NodeAck::Reader Ack) -> void;
   auto end(subscriber &Subscriber) -> void;
 
@@ -80,6 +86,8 @@
   epoch_source CurrentEpoch;
   std::unique_ptr<loop_timer> Timer;
   subscriber_list Subscribers;
+  std::map<revision, update_list> Updates; ///< By base, to revision UpdatesOf.
+  revision UpdatesOf = revision::none;
   backend_list Backends;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
