Change: [Platform] a change of a configuration costs as much as it changes

Change: a route whose text is unchanged is taken from the previous table, by a 128-bit hash of the text, at the leader and at gateways. It is checked against the services of the new document all the same.

--- a/src/control/routing_publisher.cpp
+++ b/src/control/routing_publisher.cpp
@@ -21,7 +21,8 @@
 } // namespace
 
 struct routing_publisher::publication {
-  explicit publication(std::string Text) : Decoder(std::move(Text)) {}
+  publication(std::string Text, std::shared_ptr<const routing_table> Previous)
+      : Decoder(std::move(Text), std::move(Previous)) {}
 
   platform::configuration_decoder Decoder;
   std::vector<result_callback> Waiting;
@@ -46,7 +47,8 @@
   if (Publications.size() >= MaxPublications)
     return OnResult(0, command_result::of(errc::overloaded,
                                           "too many documents in progress"));
-  Publications.push_back(std::make_unique<publication>(std::move(Text)));
+  Publications.push_back(
+      std::make_unique<publication>(std::move(Text), LastValid));
   Publications.back()->Waiting.push_back(std::move(OnResult));
   validateNext();
 }
@@ -76,19 +78,21 @@
 }
 
 auto routing_publisher::propose(publication &Publication) -> void {
-  const auto Table = Publication.Decoder.takeTable();
+  auto Table = Publication.Decoder.takeTable();
   const auto &Text = Publication.Decoder.text();
   if (!Table)
     return complete(Publication, command_result::of(Table.error().Code,
                                                     Table.error().Detail));
   Publication.Number = Table->Number;
+  const auto RouteCount = Table->routeCount();
+  LastValid = std::make_shared<const routing_table>(std::move(*Table));
   auto Compressed = compress(Text);
   if (!Compressed)
     return complete(Publication, command_result::of(Compressed.error().Code,
                                                     Compressed.error().Detail));
   logInfo(log_category::control, "validated a routing document",
-          {{"number", Table->Number},
-           {"routes", Table->routeCount()},
+          {{"number", Publication.Number},
+           {"routes", RouteCount},
            {"bytes", Text.size()},
            {"compressed_bytes", Compressed->size()},
            {"steps", Publication.Steps},
@@ -96,7 +100,7 @@
                       std::chrono::milliseconds(1)}});
   command Command;
   Command.Issuer = "operator";
-  Command.Body = publish_routing{Table->Number, {std::move(*Compressed)}};
+  Command.Body = publish_routing{Publication.Number, {std::move(*Compressed)}};
   Service.execute(std::move(Command))
       .then([this, &Publication,
              Guard = std::weak_ptr<bool>(Alive)](const command_result &Result) {
--- a/src/control/routing_publisher.h
+++ b/src/control/routing_publisher.h
@@ -42,7 +42,8 @@
   event_loop &Loop;
   control_service &Service;
   publication_list Publications;
-  bool Validating = false; ///< One document at a time.
+  std::shared_ptr<const routing_table> LastValid; ///< Source of its routes.
+  bool Validating = false;                        ///< One document at a time.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -277,7 +277,7 @@
         decompress(Document->Text.Bytes, platform::MaxConfigurationBytes);
     if (!Text)
       return reportUndecodable(Text.error());
-    Decoder.emplace(std::move(*Text));
+    Decoder.emplace(std::move(*Text), Table);
     runStepped(
         Loop, Alive, [this] { return Decoder->step(DecodingStepBytes); },
         [this] { applyDecoded(); });
--- a/src/platform/configuration_codec.cpp
+++ b/src/platform/configuration_codec.cpp
@@ -4,11 +4,14 @@
 #include "catalogue/cbor.h"
 #include "catalogue/json_outline.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cctype>
 #include <cmath>
 #include <limits>
 #include <optional>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -26,6 +29,14 @@
 constexpr double MaxMilliseconds = 86'400'000;
 /// Largest count, size or weight accepted in a configuration.
 constexpr double MaxNumber = 1e12;
+/// A route that is taken from the previous table counts as this fraction of its
+/// text in a step.
+constexpr std::size_t ReusedTextDivisor = 16;
+
+auto hashOf(std::string_view Text) -> text_hash {
+  const auto Hash = XXH3_128bits(Text.data(), Text.size());
+  return {Hash.low64, Hash.high64};
+}
 
 /// Reads members of one JSON object and keeps the first error.
 class object_reader {
@@ -109,6 +120,13 @@
 /// Reads one configuration; the first error makes it invalid.
 class configuration_reader {
 public:
+  /// Makes the routes of \p Previous available for reuse.
+  auto indexPrevious(const routing_table &Previous) -> void {
+    Previous.forEachRoute([&](const auto &Route) {
+      PreviousRoutes.emplace(Route->Source.Low, Route);
+    });
+  }
+
   /// Reads the document without the elements of its lists, and queues these.
   auto readSkeleton(const json &Document) -> void {
     object_reader Reader(Document, "configuration");
@@ -138,13 +156,17 @@
     while (Next < Queue.size() && !FirstError) {
       const auto &[Read, Index] = Queue[Next];
       const auto Text = Elements[Index];
-      if (Bytes != 0 && Bytes + Text.size() > MaxBytes)
+      if (Bytes >= MaxBytes)
         return false;
-      Bytes += Text.size();
       ++Next;
+      if (Read == &configuration_reader::readRoute && reuseRoute(Text)) {
+        Bytes += Text.size() / ReusedTextDivisor;
+        continue;
+      }
+      Bytes += Text.size();
       const auto Item = parseJson(Text);
       if (Item)
-        (this->*Read)(*Item);
+        (this->*Read)(*Item, Text);
       else
         FirstError = Item.error().Detail;
     }
@@ -158,7 +180,10 @@
   }
 
 private:
-  using element_reader = auto(configuration_reader::*)(const json &) -> void;
+  /// Reads an element from its value and text.
+  using element_reader = auto(configuration_reader::*)(const json &,
+                                                       std::string_view)
+                             -> void;
 
   auto queueElements(object_reader &Reader, const char *Key,
                      element_reader Read) -> void {
@@ -172,7 +197,7 @@
       FirstError = Reader.firstError();
   }
 
-  auto readService(const json &Item) -> void {
+  auto readService(const json &Item, std::string_view /*Text*/) -> void {
     object_reader Reader(Item, "service");
     gateway_service Service;
     Service.Name = Reader.text("name");
@@ -199,9 +224,23 @@
     recordError(Reader);
   }
 
-  auto readRoute(const json &Item) -> void {
+  /// Adds the route of the previous table with the same text. \return whether
+  /// there is one.
+  auto reuseRoute(std::string_view Text) -> bool {
+    const auto Hash = hashOf(Text);
+    const auto Found = PreviousRoutes.find(Hash.Low);
+    if (Found == PreviousRoutes.end() || Found->second->Source != Hash)
+      return false;
+    const json NoMembers = json::object();
+    object_reader Reader(NoMembers, "route");
+    addRoute(Reader, Found->second);
+    return true;
+  }
+
+  auto readRoute(const json &Item, std::string_view Text) -> void {
     object_reader Reader(Item, "route");
     gateway_route Route;
+    Route.Source = hashOf(Text);
     Route.Name = Reader.text("name", false);
     Route.Host = Reader.text("host");
     std::transform(Route.Host.begin(), Route.Host.end(), Route.Host.begin(),
@@ -228,7 +267,12 @@
         Reader.fail("sizes: texts are expected");
     });
     readTrafficSplit(Reader, Route);
-    validateRoute(Reader, Route);
+    addRoute(Reader, std::make_shared<const gateway_route>(std::move(Route)));
+  }
+
+  auto addRoute(object_reader &Reader,
+                std::shared_ptr<const gateway_route> Route) -> void {
+    validateRoute(Reader, *Route);
     if (!Table.addRoute(std::move(Route)))
       Reader.fail("two routes have one host and prefix");
     recordError(Reader);
@@ -262,7 +306,7 @@
       Reader.fail("path-prefix: it must begin and end with a slash");
   }
 
-  auto readAccount(const json &Item) -> void {
+  auto readAccount(const json &Item, std::string_view /*Text*/) -> void {
     object_reader Reader(Item, "client account");
     gateway_account Account;
     Account.Name = Reader.text("name");
@@ -298,6 +342,9 @@
   routing_table Table;
   std::vector<std::pair<element_reader, std::size_t>> Queue;
   std::size_t Next = 0; ///< Position in Queue.
+  /// By the lower half of the hash.
+  std::unordered_map<std::uint64_t, std::shared_ptr<const gateway_route>>
+      PreviousRoutes;
   std::optional<std::string> FirstError;
 };
 
@@ -305,15 +352,18 @@
 
 struct configuration_decoder::state {
   std::string Text;
+  std::shared_ptr<const routing_table> Previous;
   std::vector<std::string_view> Elements;
   std::optional<failure> Error; ///< The document is no JSON.
   bool Outlined = false;
   configuration_reader Reader;
 };
 
-configuration_decoder::configuration_decoder(std::string Text)
+configuration_decoder::configuration_decoder(
+    std::string Text, std::shared_ptr<const routing_table> Previous)
     : State(std::make_unique<state>()) {
   State->Text = std::move(Text);
+  State->Previous = std::move(Previous);
 }
 
 configuration_decoder::~configuration_decoder() = default;
@@ -328,6 +378,8 @@
     return true;
   }
   State->Elements = std::move(Outline->Elements);
+  if (State->Previous)
+    State->Reader.indexPrevious(*State->Previous);
   State->Reader.readSkeleton(Outline->Skeleton);
   return false;
 }
@@ -343,7 +395,7 @@
 }
 
 auto decodeConfiguration(std::string_view Text) -> result<routing_table> {
-  configuration_decoder Decoder{std::string(Text)};
+  configuration_decoder Decoder(std::string(Text), nullptr);
   while (!Decoder.step(std::numeric_limits<std::size_t>::max()))
     continue;
   return Decoder.takeTable();
--- a/src/platform/configuration_codec.h
+++ b/src/platform/configuration_codec.h
@@ -15,17 +15,20 @@
 inline constexpr std::size_t MaxConfigurationBytes = 8ULL * 1024 * 1024;
 
 /// Parses and validates a configuration in steps of bounded size, so that the
-/// event loop runs in between.
+/// event loop runs in between. Routes whose text is unchanged are taken from
+/// the previous table, so that a change costs as much as it changes.
 class configuration_decoder {
 public:
-  explicit configuration_decoder(std::string Text);
+  /// \p Previous may be null.
+  configuration_decoder(std::string Text,
+                        std::shared_ptr<const routing_table> Previous);
   ~configuration_decoder();
   configuration_decoder(const configuration_decoder &) = delete;
   auto operator=(const configuration_decoder &)
       -> configuration_decoder & = delete;
 
   /// Decodes the next part: the document without the elements of its lists, or
-  /// elements of \p MaxBytes, but at least one. \return whether table() is
+  /// elements until \p MaxBytes are reached. \return whether table() is
   /// known.
   [[nodiscard]] auto step(std::size_t MaxBytes) -> bool;
 
--- a/src/routing/routing_table.cpp
+++ b/src/routing/routing_table.cpp
@@ -7,10 +7,11 @@
 
 namespace acacianotch {
 
-auto routing_table::addRoute(gateway_route Route) -> bool {
-  MaxPrefixLength = std::max(MaxPrefixLength, Route.PathPrefix.size());
+auto routing_table::addRoute(std::shared_ptr<const gateway_route> Route)
+    -> bool {
+  MaxPrefixLength = std::max(MaxPrefixLength, Route->PathPrefix.size());
   // A host contains no slash and a prefix begins with one.
-  auto Key = Route.Host + Route.PathPrefix;
+  auto Key = Route->Host + Route->PathPrefix;
   return Routes.emplace(std::move(Key), std::move(Route)).second;
 }
 
@@ -31,7 +32,7 @@
     Key.resize(Slash + 1);
     const auto Found = Routes.find(Key);
     if (Found != Routes.end())
-      return &Found->second;
+      return Found->second.get();
     Key.resize(Slash);
   }
 }
--- a/src/routing/routing_type.h
+++ b/src/routing/routing_type.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -33,8 +34,17 @@
   double Weight = 0;
 };
 
+/// Hash of a part of a routing document.
+struct text_hash {
+  std::uint64_t Low = 0;
+  std::uint64_t High = 0;
+
+  auto operator==(const text_hash &) const -> bool = default;
+};
+
 /// Route of requests with one host and path prefix.
 struct gateway_route {
+  text_hash Source; ///< Text that it was decoded from.
   std::string Name;
   std::string Host; ///< Lower case, without a port.
   std::string PathPrefix;
@@ -96,7 +106,15 @@
   caller_limits Limits;
 
   /// \return false if a route has the same host and prefix.
-  [[nodiscard]] auto addRoute(gateway_route Route) -> bool;
+  [[nodiscard]] auto addRoute(std::shared_ptr<const gateway_route> Route)
+      -> bool;
+
+  /// Calls \p Visit with each route.
+  template <typename visitor>
+  auto forEachRoute(const visitor &Visit) const -> void {
+    for (const auto &[Key, Route] : Routes)
+      Visit(Route);
+  }
 
   [[nodiscard]] auto routeCount() const -> std::size_t { return Routes.size(); }
 
@@ -110,7 +128,7 @@
 
 private:
   /// By host and prefix, one after the other.
-  std::unordered_map<std::string, gateway_route> Routes;
+  std::unordered_map<std::string, std::shared_ptr<const gateway_route>> Routes;
   std::size_t MaxPrefixLength = 0;
 };
 
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -223,7 +223,8 @@
     Route.Services = {{"s", 1}};
     routing_table Next;
     Next.Number = 1;
-    REQUIRE(Next.addRoute(std::move(Route)));
+    REQUIRE(
+        Next.addRoute(std::make_shared<const gateway_route>(std::move(Route))));
     Next.Services["s"].Name = "s";
     Table = std::make_shared<const routing_table>(std::move(Next));
   }
--- a/test/json_outline_test.cpp
+++ b/test/json_outline_test.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <memory>
 #include <string>
 
 using namespace acacianotch;
@@ -66,7 +67,7 @@
 TEST_CASE("a large configuration is decoded in steps of bounded size") {
   constexpr std::size_t StepBytes = 4096;
   const auto Text = routes(1000);
-  platform::configuration_decoder Decoder(Text);
+  platform::configuration_decoder Decoder(Text, nullptr);
   std::size_t Steps = 1;
   while (!Decoder.step(StepBytes))
     ++Steps;
@@ -78,6 +79,30 @@
   CHECK(Table->match("h", "/1000/x") == nullptr);
 }
 
+// Guards against a change of one route that costs as much as all of them, and
+// against a reused route that is not checked against the new document.
+TEST_CASE("routes with unchanged text are taken from the previous table") {
+  constexpr std::size_t StepBytes = 4096;
+  const auto First = platform::decodeConfiguration(routes(1000));
+  REQUIRE(First.ok());
+  const auto Previous = std::make_shared<const routing_table>(*First);
+  platform::configuration_decoder Decoder(routes(1001), Previous);
+  std::size_t Steps = 1;
+  while (!Decoder.step(StepBytes))
+    ++Steps;
+  CHECK(Steps < 8);
+  const auto Table = Decoder.takeTable();
+  REQUIRE(Table.ok());
+  CHECK(Table->routeCount() == 1001);
+  CHECK(Table->match("h", "/5/") == Previous->match("h", "/5/"));
+  auto Unknown = routes(1000);
+  Unknown.replace(Unknown.find(R"("name":"s")"), 10, R"("name":"t")");
+  platform::configuration_decoder Other(Unknown, Previous);
+  while (!Other.step(StepBytes))
+    continue;
+  CHECK_FALSE(Other.takeTable().ok());
+}
+
 // Guards against a damaged or oversized frame that is taken for a document.
 TEST_CASE("compressed documents are restored, damaged ones are errors") {
   const auto Text = routes(100);
