--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -3,9 +3,30 @@
 
 #include "core/log_func.h"
 #include "net/kj_func.h"
+#include "node/crash_codec.h"
 
 namespace acacianotch {
 
+control_service::control_service(event_loop &TheLoop) : Loop(TheLoop) {
+  Crashes.OnBlocked = [](const crash_attribution::cause &Cause) {
+    logWarning(log_category::placement,
+               "blocked a part of prompts that crashes backend servers",
+               {{"part", Cause.Part},
+                {"crashes", Cause.Crashes},
+                {"moments", Cause.Moments},
+                {"prompts", Cause.Prompts}});
+  };
+  Crashes.OnReleased = [](part_id Part) {
+    logInfo(log_category::placement, "released a blocked part of prompts",
+            {{"part", Part}});
+  };
+  Crashes.OnCrash = [](const std::string &Server, std::size_t Known) {
+    logInfo(log_category::placement,
+            "a backend server broke off prompts as it began to answer",
+            {{"backend", Server}, {"crashes_known", Known}});
+  };
+}
+
 auto control_service::open(event_loop &Loop,
                            const replica_host_options &Options)
     -> result<std::unique_ptr<control_service>> {
@@ -265,8 +286,9 @@
 
   auto exchangeWork(ExchangeWorkContext Context) -> kj::Promise<void> override {
     auto Results = Context.getResults();
-    Results.setAccepted(Service.confirmedEpoch().has_value());
-    if (!Results.getAccepted())
+    const auto Epoch = Service.confirmedEpoch();
+    Results.setAccepted(Epoch.has_value());
+    if (!Epoch)
       return kj::READY_NOW;
     const auto Params = Context.getParams();
     const auto Count =
@@ -282,6 +304,10 @@
       Servers.set(Index, OtherRows[Index].Server);
       Work.set(Index, OtherRows[Index].Work);
     }
+    const auto Verdicts = Service.crashAttribution().exchange(
+        readCrashReport(Params.getCrashes()),
+        static_cast<std::uint64_t>(*Epoch), steady_clock::now());
+    writeCrashVerdicts(Results.initVerdicts(), Verdicts);
     return kj::READY_NOW;
   }
 
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -6,6 +6,7 @@
 #include "control/replica_host.h"
 #include "control/subscriptions.h"
 #include "control/work_exchange.h"
+#include "controller/crash_attribution.h"
 
 #include <acacianotch.capnp.h>
 
@@ -79,6 +80,9 @@
   [[nodiscard]] auto replica() -> replica_host & { return *Host; }
   [[nodiscard]] auto nodeSubscriptions() -> subscriptions & { return *Nodes; }
   [[nodiscard]] auto workExchange() -> work_exchange & { return Work; }
+  [[nodiscard]] auto crashAttribution() -> crash_attribution & {
+    return Crashes;
+  }
   [[nodiscard]] auto state() const -> const catalogue_state & { return State; }
   [[nodiscard]] auto counters() const -> const control_counters & {
     return Counters;
@@ -91,7 +95,7 @@
     kj::Own<kj::PromiseFulfiller<command_result>> Fulfiller;
   };
 
-  explicit control_service(event_loop &Loop) : Loop(Loop) {}
+  explicit control_service(event_loop &Loop);
 
   auto callbacks() -> replica_callbacks;
   auto apply(const log_record &Record) -> void;
@@ -107,6 +111,7 @@
   event_loop &Loop;
   catalogue_state State;
   work_exchange Work;
+  crash_attribution Crashes;
   std::unique_ptr<replica_host> Host;
   std::unique_ptr<subscriptions> Nodes;
   std::map<log_index, proposal> Proposals;
--- /dev/null
+++ b/src/controller/crash_attribution.cpp
@@ -0,0 +1,199 @@
+/// \file Finds the parts of prompts that crash backend servers.
+#include "controller/crash_attribution.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace acacianotch {
+
+namespace {
+
+/// Gateways notice the same crash within this time.
+constexpr duration CrashSpread = std::chrono::seconds(1);
+/// Crashes within this time count once: a failure of many servers at the same
+/// moment, or a gateway that loses its connections, is no evidence on prompts.
+constexpr duration MomentSpan = std::chrono::milliseconds(250);
+constexpr std::size_t MomentsToBlock = 3;
+/// Crashes are forgotten after this time.
+constexpr duration CrashMemory = std::chrono::minutes(10);
+constexpr std::size_t MaxCrashes = 256;
+constexpr std::size_t MaxPromptsPerCrash = 128;
+constexpr std::size_t MaxBlocked = 1024;
+/// A blocked part is tried again after this time, and then after four times as
+/// long each: each try may crash a server.
+constexpr duration FirstProbe = std::chrono::minutes(1);
+constexpr int ProbeBackoff = 4;
+
+/// Evidence against one part of prompts.
+struct suspect {
+  std::size_t Crashes = 0;
+  std::size_t Moments = 0;
+  time_point LastMoment{};
+  std::size_t Position = 0; ///< Largest one in a prompt.
+  bool Shared = false;
+  std::set<part_id> LastParts; ///< Of the prompts with it.
+
+  /// A prompt that crashes servers whenever it is repeated brings its other
+  /// parts along, so that one prompt is no evidence against a shared part.
+  [[nodiscard]] auto sufficient() const -> bool {
+    return Moments >= MomentsToBlock && (!Shared || LastParts.size() >= 2);
+  }
+
+  /// Shared parts go first because they explain crashes of several prompts; of
+  /// equal ones the part that fewer prompts begin with.
+  [[nodiscard]] auto strongerThan(const suspect &Other) const -> bool {
+    return std::tuple(Shared, Crashes, Position) >
+           std::tuple(Other.Shared, Other.Crashes, Other.Position);
+  }
+};
+
+} // namespace
+
+auto crash_attribution::exchange(const crash_report &Report,
+                                 std::uint64_t Epoch, time_point Now)
+    -> crash_verdicts {
+  forgetOld(Now);
+  for (const auto &Attempt : Report.Broken)
+    addBroken(Attempt, Now);
+  for (const auto Part : Report.Sound)
+    addSound(Part, Now);
+  // What an earlier leader blocked is kept; what this one released is not.
+  if (Report.Epoch != Epoch)
+    for (const auto Part : Report.Blocked)
+      addBlock(Part, true, Now);
+  if (!Report.Broken.empty())
+    while (blockNext(Now))
+      continue;
+  crash_verdicts Verdicts;
+  Verdicts.Epoch = Epoch;
+  std::set<part_id> Watched;
+  for (const auto &Crash : Crashes)
+    for (const auto &Prompt : Crash.Prompts)
+      Watched.insert(Prompt.begin(), Prompt.end());
+  Verdicts.Watched.assign(Watched.begin(), Watched.end());
+  for (auto &[Part, Block] : Blocked) {
+    Verdicts.Blocked.push_back(Part);
+    if (Now < Block.ProbeAt)
+      continue;
+    Verdicts.Probes.push_back(Part);
+    Block.ProbeInterval *= ProbeBackoff;
+    Block.ProbeAt = Now + Block.ProbeInterval;
+  }
+  return Verdicts;
+}
+
+auto crash_attribution::addBroken(const broken_attempt &Attempt, time_point Now)
+    -> void {
+  if (Attempt.Parts.empty())
+    return;
+  const auto Known =
+      std::find_if(Crashes.rbegin(), Crashes.rend(), [&](const crash &Crash) {
+        return Crash.Server == Attempt.Server && Now - Crash.At < CrashSpread;
+      });
+  if (Known != Crashes.rend()) {
+    if (Known->Prompts.size() < MaxPromptsPerCrash)
+      Known->Prompts.insert(Attempt.Parts);
+    return;
+  }
+  if (Crashes.size() >= MaxCrashes)
+    Crashes.pop_front();
+  Crashes.push_back({Attempt.Server, Now, {Attempt.Parts}});
+  if (OnCrash)
+    OnCrash(Attempt.Server, Crashes.size());
+}
+
+auto crash_attribution::addBlock(part_id Part, bool Shared, time_point Now)
+    -> void {
+  if (Blocked.size() < MaxBlocked)
+    Blocked.try_emplace(Part, Now + FirstProbe, FirstProbe, Shared);
+}
+
+auto crash_attribution::addSound(part_id Part, time_point Now) -> void {
+  LastSound[Part] = Now;
+  if (Blocked.erase(Part) != 0 && OnReleased)
+    OnReleased(Part);
+}
+
+auto crash_attribution::forgetOld(time_point Now) -> void {
+  while (!Crashes.empty() && Now - Crashes.front().At > CrashMemory)
+    Crashes.pop_front();
+  std::erase_if(LastSound, [&](const auto &Row) {
+    return Now - Row.second > CrashMemory;
+  });
+}
+
+auto crash_attribution::explained(const crash &Crash) const -> bool {
+  return std::any_of(
+      Crash.Prompts.begin(), Crash.Prompts.end(), [&](const auto &Prompt) {
+        return std::any_of(Prompt.begin(), Prompt.end(), [&](part_id Part) {
+          const auto Found = Blocked.find(Part);
+          return Found != Blocked.end() && Found->second.Shared;
+        });
+      });
+}
+
+/// Blocks the part with the strongest evidence. \return whether there is one.
+auto crash_attribution::blockNext(time_point Now) -> bool {
+  std::map<part_id, suspect> Suspects;
+  for (const auto &Crash : Crashes) {
+    if (explained(Crash))
+      continue;
+    std::set<part_id> Counted;
+    for (const auto &Prompt : Crash.Prompts)
+      for (std::size_t Position = 0; Position < Prompt.size(); ++Position) {
+        const auto Part = Prompt[Position];
+        const auto Sound = LastSound.find(Part);
+        const auto Answered =
+            Sound != LastSound.end() && Sound->second >= Crash.At;
+        if (Answered || Blocked.contains(Part))
+          continue;
+        auto &Suspect = Suspects[Part];
+        Suspect.Position = std::max(Suspect.Position, Position);
+        Suspect.Shared = Suspect.Shared || Position + 1 < Prompt.size();
+        Suspect.LastParts.insert(Prompt.back());
+        if (!Counted.insert(Part).second)
+          continue;
+        ++Suspect.Crashes;
+        if (Suspect.Moments == 0 ||
+            Crash.At - Suspect.LastMoment >= MomentSpan) {
+          ++Suspect.Moments;
+          Suspect.LastMoment = Crash.At;
+        }
+      }
+  }
+  std::erase_if(Suspects,
+                [](const auto &Row) { return !Row.second.sufficient(); });
+  const auto Strongest =
+      std::max_element(Suspects.begin(), Suspects.end(),
+                       [](const auto &Left, const auto &Right) {
+                         return Right.second.strongerThan(Left.second);
+                       });
+  if (Strongest == Suspects.end())
+    return false;
+  const auto &[Part, Suspect] = *Strongest;
+  addBlock(Part, Suspect.Shared, Now);
+  if (OnBlocked)
+    OnBlocked(
+        {Part, Suspect.Crashes, Suspect.Moments, Suspect.LastParts.size()});
+  if (Suspect.Shared)
+    releaseExplained();
+  return Blocked.contains(Part);
+}
+
+/// Releases last parts of prompts whose crashes a shared part explains.
+auto crash_attribution::releaseExplained() -> void {
+  std::set<part_id> Guilty;
+  for (const auto &Crash : Crashes)
+    if (!explained(Crash))
+      for (const auto &Prompt : Crash.Prompts)
+        Guilty.insert(Prompt.back());
+  for (auto Row = Blocked.begin(); Row != Blocked.end();) {
+    const auto Part = Row->first;
+    const auto Keep = Row->second.Shared || Guilty.contains(Part);
+    Row = Keep ? std::next(Row) : Blocked.erase(Row);
+    if (!Keep && OnReleased)
+      OnReleased(Part);
+  }
+}
+
+} // namespace acacianotch
--- /dev/null
+++ b/src/controller/crash_attribution.h
@@ -0,0 +1,75 @@
+/// \file Finds the parts of prompts that crash backend servers.
+#pragma once
+
+#include "controller/crash_type.h"
+#include "core/clock_type.h"
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace acacianotch {
+
+/// Merges the reports of all gateways. A part is blocked when servers crashed
+/// under prompts with it at three moments and no prompt with it was answered
+/// since the first of them. Crashes that a blocked part explains do not count
+/// against others.
+class crash_attribution {
+public:
+  /// Why a part is blocked, for the log.
+  struct cause {
+    part_id Part = 0;
+    std::size_t Crashes = 0; ///< Servers that crashed under it.
+    std::size_t Moments = 0; ///< Distinct moments of these crashes.
+    std::size_t Prompts =
+        0; ///< Prompts with it, told apart by their last part.
+  };
+
+  /// Runs when a part becomes blocked, and when one is released.
+  std::function<void(const cause &)> OnBlocked;
+  std::function<void(part_id)> OnReleased;
+  /// Runs for each server that broke off prompts, with the number of crashes
+  /// that are remembered.
+  std::function<void(const std::string &Server, std::size_t Known)> OnCrash;
+
+  /// Adds the report of a gateway to what the leader of \p Epoch knows.
+  /// \return the present verdicts for this gateway.
+  [[nodiscard]] auto exchange(const crash_report &Report, std::uint64_t Epoch,
+                              time_point Now) -> crash_verdicts;
+
+  [[nodiscard]] auto blockedCount() const -> std::size_t {
+    return Blocked.size();
+  }
+
+private:
+  /// A server that closed connections within a short time.
+  struct crash {
+    std::string Server;
+    time_point At;
+    std::set<std::vector<part_id>> Prompts; ///< That may have caused it.
+  };
+
+  struct block {
+    time_point ProbeAt;       ///< When the next request may pass.
+    duration ProbeInterval{}; ///< Until the one after it.
+    bool Shared = false;      ///< It is not the last part of the prompts.
+  };
+
+  auto addBroken(const broken_attempt &Attempt, time_point Now) -> void;
+  auto addBlock(part_id Part, bool Shared, time_point Now) -> void;
+  auto addSound(part_id Part, time_point Now) -> void;
+  auto forgetOld(time_point Now) -> void;
+  auto blockNext(time_point Now) -> bool;
+  auto releaseExplained() -> void;
+  [[nodiscard]] auto explained(const crash &Crash) const -> bool;
+
+  std::deque<crash> Crashes; ///< In order of time.
+  std::map<part_id, time_point> LastSound;
+  std::map<part_id, block> Blocked;
+};
+
+} // namespace acacianotch
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -11,6 +11,7 @@
 #include "gateway/backend_directory.h"
 #include "gateway/backend_report_client.h"
 #include "gateway/caller_connection.h"
+#include "gateway/crash_watch.h"
 #include "gateway/event_splitter.h"
 #include "gateway/rollout_recorder.h"
 #include "routing/routing_type.h"
@@ -64,6 +65,7 @@
   rollout_recorder &Rollouts;
   backend_report_client &ReportClient;
   work_board &Work;
+  crash_watch &Crashes;
   model_cascade Cascade;
   answer_value AnswerValues{};
   bool Stopping = false; ///< Shutting down; no long work may start.
@@ -108,6 +110,7 @@
     std::uint64_t WaitingId = 0; ///< See rollout_recorder::startWaiting.
     double WorkUnits = 0;        ///< Counted on the work board.
     bool PaceRecorded = false;
+    bool SoundRecorded = false; ///< Its server outlasted the answer's begin.
     bool LongWork = false;
     bool StreamsBody = false; ///< Its body is forwarded as it arrives.
   };
@@ -140,6 +143,9 @@
   [[nodiscard]] auto measuredAttempt() const -> measured_attempt;
   auto recordOutcome(bool Failed) -> void;
   auto recordPace() -> void;
+  auto recordSound() -> void;
+  /// \return whether the attempt may have crashed its server.
+  [[nodiscard]] auto mayHaveCrashed(const failure &Failure) const -> bool;
   auto revertToServing() -> void;
   auto startStallTimer() -> void;
   auto handleStallTimer() -> void;
@@ -169,6 +175,7 @@
   auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
       -> void;
   auto refuseNotRun(std::string_view Reason) -> void;
+  auto refuseBlocked(part_id Part) -> void;
   auto failMayHaveRun(int Status, std::string_view Reason) -> void;
   auto handleDeadline() -> void;
   auto handleCallerDisconnect() -> void;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -95,9 +95,9 @@
                  toDuration(Settings.Gateway.SessionSeconds),
                  maxCandidateShare(Settings.Gateway.ExposureShare)),
         ReportClient(TheLoop),
-        Reporter(TheLoop, Link, Work, Directory, Settings.Node.Id),
-        Context{TheLoop,      Directory, ExtraAttemptBudget, Rollouts,
-                ReportClient, Work,      model_cascade()},
+        Reporter(TheLoop, Link, Work, Crashes, Directory, Settings.Node.Id),
+        Context{TheLoop, Directory, ExtraAttemptBudget, Rollouts, ReportClient,
+                Work,    Crashes,   model_cascade()},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
     Link.FollowMembers = true;
@@ -332,6 +332,7 @@
   rollout_recorder Rollouts;
   backend_report_client ReportClient;
   work_board Work;
+  crash_watch Crashes;
   work_reporter Reporter;
   gateway_context Context;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -2,6 +2,7 @@
 #include "gateway/work_reporter.h"
 
 #include "core/log_func.h"
+#include "node/crash_codec.h"
 
 #include <optional>
 #include <vector>
@@ -20,7 +21,12 @@
 /// than is usually outstanding at any server.
 constexpr std::uint32_t SuspendedWork = 20'000;
 
-using answer = std::optional<std::vector<server_work>>;
+/// What an accepted exchange returns.
+struct exchange_answer {
+  std::vector<server_work> Others;
+  crash_verdicts Verdicts;
+};
+using answer = std::optional<exchange_answer>;
 
 auto decodeRows(const auto &Response) -> answer {
   std::vector<server_work> Rows;
@@ -31,17 +37,19 @@
   Rows.reserve(Servers.size());
   for (unsigned Index = 0; Index < Servers.size(); ++Index)
     Rows.push_back({Servers[Index], Work[Index]});
-  return Rows;
+  return exchange_answer{std::move(Rows),
+                         readCrashVerdicts(Response.getVerdicts())};
 }
 
 } // namespace
 
 work_reporter::work_reporter(event_loop &TheLoop, node_link &TheLink,
-                             work_board &TheBoard,
+                             work_board &TheBoard, crash_watch &TheCrashes,
                              const backend_directory &TheDirectory,
                              std::string TheNode)
-    : Loop(TheLoop), Link(TheLink), Board(TheBoard), Directory(TheDirectory),
-      Node(std::move(TheNode)), Timer(TheLoop.repeating([this] { tick(); })) {}
+    : Loop(TheLoop), Link(TheLink), Board(TheBoard), Crashes(TheCrashes),
+      Directory(TheDirectory), Node(std::move(TheNode)),
+      Timer(TheLoop.repeating([this] { tick(); })) {}
 
 auto work_reporter::start() -> void { Timer->start(ExchangeInterval); }
 
@@ -72,6 +80,7 @@
     Servers.set(Index, Rows[Index].Server);
     Work.set(Index, Rows[Index].Work);
   }
+  writeCrashReport(Request.initCrashes(), Crashes.report());
   auto Answer = Request.send().then(
       [](auto &&Response) { return decodeRows(Response); },
       [](kj::Exception &&Exception) -> answer {
@@ -82,10 +91,13 @@
       });
   auto Limit =
       Loop.delay(AnswerTimeout).then([]() -> answer { return std::nullopt; });
-  Call.start(Answer.exclusiveJoin(kj::mv(Limit)), [this](const answer &Others) {
-    if (Others)
-      Board.setOthers(*Others, steady_clock::now());
-  });
+  Call.start(Answer.exclusiveJoin(kj::mv(Limit)),
+             [this](const answer &Received) {
+               if (!Received)
+                 return;
+               Board.setOthers(Received->Others, steady_clock::now());
+               Crashes.accept(Received->Verdicts);
+             });
 }
 
 } // namespace acacianotch
--- a/src/gateway/work_reporter.h
+++ b/src/gateway/work_reporter.h
@@ -3,6 +3,7 @@
 
 #include "board/work_board.h"
 #include "gateway/backend_directory.h"
+#include "gateway/crash_watch.h"
 #include "net/event_loop.h"
 #include "node/node_link.h"
 #include "node/sequential_call.h"
@@ -12,13 +13,15 @@
 
 namespace acacianotch {
 
-/// Reports the outstanding work of this gateway to the leader of control and
-/// receives that of the others. While no leader is known, the work board is not
-/// updated.
+/// Reports the outstanding work of this gateway and the crashes that it
+/// observed to the leader of control, and receives the work of the others and
+/// what to do about prompts that crash servers. While no leader is known, the
+/// work board is not updated.
 class work_reporter {
 public:
   work_reporter(event_loop &Loop, node_link &Link, work_board &Board,
-                const backend_directory &Directory, std::string Node);
+                crash_watch &Crashes, const backend_directory &Directory,
+                std::string Node);
 
   /// Starts the exchange.
   auto start() -> void;
@@ -30,6 +33,7 @@
   event_loop &Loop;
   node_link &Link;
   work_board &Board;
+  crash_watch &Crashes;
   const backend_directory &Directory;
   std::string Node;
   std::unique_ptr<loop_timer> Timer;
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -149,6 +149,27 @@
   removed @6 :Bool;           # The stated replica is no member any more.
 }
 
+struct BrokenAttempt {
+  # An attempt whose backend server closed the connection as the answer began.
+  server @0 :Text;
+  parts @1 :List(UInt64);  # Of the prompt, in its order.
+}
+
+struct CrashReport {
+  # See src/controller/crash_type.h.
+  broken @0 :List(BrokenAttempt);
+  sound @1 :List(UInt64);
+  blocked @2 :List(UInt64);
+  epoch @3 :UInt64;
+}
+
+struct CrashVerdicts {
+  watched @0 :List(UInt64);
+  blocked @1 :List(UInt64);
+  probes @2 :List(UInt64);
+  epoch @3 :UInt64;
+}
+
 interface Control extends(Admin) {
   subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> (leader :Text, control :List(Text));
   # Returns when the subscription ends; at once from a process that does not
@@ -160,8 +181,9 @@
   join @3 (address :Text, token :UInt64, replica :UInt64) -> (grant :JoinGrant);
   # Asks for membership. A replica without identity sends replica 0; a token,
   # new with each start, makes a repeated call harmless.
-  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32)) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32));
+  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32), crashes :CrashReport) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32), verdicts :CrashVerdicts);
   # What a gateway has waiting at the backend servers that it uses, for what all
   # others have there. Servers are named by a hash, work is in thousandths of a
-  # unit. Not accepted by a process that does not lead.
+  # unit. Crashes are those that the gateway observed, for what all gateways do
+  # about them. Not accepted by a process that does not lead.
 }
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -43,6 +43,9 @@
 CAPNP_DECLARE_SCHEMA(83f2ae246d045a33);
 CAPNP_DECLARE_SCHEMA(d22eb1af8c0a9f2d);
 CAPNP_DECLARE_SCHEMA(9130c04f9655d99c);
+CAPNP_DECLARE_SCHEMA(90954b4e7138dff3);
+CAPNP_DECLARE_SCHEMA(dc400cbdcfd400e1);
+CAPNP_DECLARE_SCHEMA(e45b4541dc1509d9);
 CAPNP_DECLARE_SCHEMA(fd00c6892a8e2253);
 CAPNP_DECLARE_SCHEMA(db70ab980d97f648);
 CAPNP_DECLARE_SCHEMA(9f3599d8f4003a90);
@@ -439,6 +442,51 @@
   };
 };
 
+struct BrokenAttempt {
+  BrokenAttempt() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(90954b4e7138dff3, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashReport {
+  CrashReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(dc400cbdcfd400e1, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct CrashVerdicts {
+  CrashVerdicts() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e45b4541dc1509d9, 1, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Control {
   Control() = delete;
 
@@ -594,7 +642,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -609,7 +657,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe5a16b35fcec616, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(fe5a16b35fcec616, 1, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3008,6 +3056,315 @@
 };
 #endif  // !CAPNP_LITE
 
+class BrokenAttempt::Reader {
+public:
+  typedef BrokenAttempt Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class BrokenAttempt::Builder {
+public:
+  typedef BrokenAttempt Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class BrokenAttempt::Pipeline {
+public:
+  typedef BrokenAttempt Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashReport::Reader {
+public:
+  typedef CrashReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBroken() const;
+  inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Reader getBroken() const;
+
+  inline bool hasSound() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSound() const;
+
+  inline bool hasBlocked() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashReport::Builder {
+public:
+  typedef CrashReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasBroken();
+  inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Builder getBroken();
+  inline void setBroken( ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Builder initBroken(unsigned int size);
+  inline void adoptBroken(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>> disownBroken();
+
+  inline bool hasSound();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSound();
+  inline void setSound( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSound(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSound(unsigned int size);
+  inline void adoptSound(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSound();
+
+  inline bool hasBlocked();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocked();
+  inline void setBlocked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlocked(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocked(unsigned int size);
+  inline void adoptBlocked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocked();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashReport::Pipeline {
+public:
+  typedef CrashReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class CrashVerdicts::Reader {
+public:
+  typedef CrashVerdicts Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWatched() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWatched() const;
+
+  inline bool hasBlocked() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
+
+  inline bool hasProbes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getProbes() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class CrashVerdicts::Builder {
+public:
+  typedef CrashVerdicts Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWatched();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWatched();
+  inline void setWatched( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWatched(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWatched(unsigned int size);
+  inline void adoptWatched(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWatched();
+
+  inline bool hasBlocked();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocked();
+  inline void setBlocked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setBlocked(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initBlocked(unsigned int size);
+  inline void adoptBlocked(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownBlocked();
+
+  inline bool hasProbes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getProbes();
+  inline void setProbes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setProbes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initProbes(unsigned int size);
+  inline void adoptProbes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownProbes();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class CrashVerdicts::Pipeline {
+public:
+  typedef CrashVerdicts Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Control::Client
     : public virtual ::capnp::Capability::Client,
@@ -3810,6 +4167,9 @@
   inline bool hasWork() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWork() const;
 
+  inline bool hasCrashes() const;
+  inline  ::acacianotch::wire::CrashReport::Reader getCrashes() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3861,6 +4221,13 @@
   inline void adoptWork(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWork();
 
+  inline bool hasCrashes();
+  inline  ::acacianotch::wire::CrashReport::Builder getCrashes();
+  inline void setCrashes( ::acacianotch::wire::CrashReport::Reader value);
+  inline  ::acacianotch::wire::CrashReport::Builder initCrashes();
+  inline void adoptCrashes(::capnp::Orphan< ::acacianotch::wire::CrashReport>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::CrashReport> disownCrashes();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3879,6 +4246,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::acacianotch::wire::CrashReport::Pipeline getCrashes();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -3912,6 +4280,9 @@
   inline bool hasWork() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getWork() const;
 
+  inline bool hasVerdicts() const;
+  inline  ::acacianotch::wire::CrashVerdicts::Reader getVerdicts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3959,6 +4330,13 @@
   inline void adoptWork(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownWork();
 
+  inline bool hasVerdicts();
+  inline  ::acacianotch::wire::CrashVerdicts::Builder getVerdicts();
+  inline void setVerdicts( ::acacianotch::wire::CrashVerdicts::Reader value);
+  inline  ::acacianotch::wire::CrashVerdicts::Builder initVerdicts();
+  inline void adoptVerdicts(::capnp::Orphan< ::acacianotch::wire::CrashVerdicts>&& value);
+  inline ::capnp::Orphan< ::acacianotch::wire::CrashVerdicts> disownVerdicts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3977,6 +4355,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::acacianotch::wire::CrashVerdicts::Pipeline getVerdicts();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -6478,6 +6857,330 @@
       ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BrokenAttempt::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool BrokenAttempt::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader BrokenAttempt::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder BrokenAttempt::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void BrokenAttempt::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder BrokenAttempt::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void BrokenAttempt::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> BrokenAttempt::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool BrokenAttempt::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool BrokenAttempt::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader BrokenAttempt::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder BrokenAttempt::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void BrokenAttempt::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void BrokenAttempt::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder BrokenAttempt::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void BrokenAttempt::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> BrokenAttempt::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasBroken() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasBroken() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Reader CrashReport::Reader::getBroken() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::getBroken() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setBroken( ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Builder CrashReport::Builder::initBroken(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptBroken(
+    ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>> CrashReport::Builder::disownBroken() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasSound() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasSound() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getSound() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getSound() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setSound( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setSound(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initSound(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptSound(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownSound() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashReport::Reader::hasBlocked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashReport::Builder::hasBlocked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getBlocked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getBlocked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashReport::Builder::setBlocked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashReport::Builder::setBlocked(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initBlocked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashReport::Builder::adoptBlocked(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownBlocked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashReport::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashReport::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashReport::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool CrashVerdicts::Reader::hasWatched() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashVerdicts::Builder::hasWatched() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashVerdicts::Reader::getWatched() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashVerdicts::Builder::getWatched() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void CrashVerdicts::Builder::setWatched( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void CrashVerdicts::Builder::setWatched(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashVerdicts::Builder::initWatched(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void CrashVerdicts::Builder::adoptWatched(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashVerdicts::Builder::disownWatched() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool CrashVerdicts::Reader::hasBlocked() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashVerdicts::Builder::hasBlocked() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashVerdicts::Reader::getBlocked() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashVerdicts::Builder::getBlocked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void CrashVerdicts::Builder::setBlocked( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void CrashVerdicts::Builder::setBlocked(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashVerdicts::Builder::initBlocked(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void CrashVerdicts::Builder::adoptBlocked(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashVerdicts::Builder::disownBlocked() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool CrashVerdicts::Reader::hasProbes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool CrashVerdicts::Builder::hasProbes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashVerdicts::Reader::getProbes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashVerdicts::Builder::getProbes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void CrashVerdicts::Builder::setProbes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void CrashVerdicts::Builder::setProbes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashVerdicts::Builder::initProbes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void CrashVerdicts::Builder::adoptProbes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashVerdicts::Builder::disownProbes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t CrashVerdicts::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t CrashVerdicts::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void CrashVerdicts::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Control::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7032,6 +7735,45 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Control::ExchangeWorkParams::Reader::hasCrashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkParams::Builder::hasCrashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::acacianotch::wire::CrashReport::Reader Control::ExchangeWorkParams::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashReport>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::acacianotch::wire::CrashReport::Builder Control::ExchangeWorkParams::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashReport>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::acacianotch::wire::CrashReport::Pipeline Control::ExchangeWorkParams::Pipeline::getCrashes() {
+  return  ::acacianotch::wire::CrashReport::Pipeline(_typeless.getPointerField(3));
+}
+#endif  // !CAPNP_LITE
+inline void Control::ExchangeWorkParams::Builder::setCrashes( ::acacianotch::wire::CrashReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashReport>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::acacianotch::wire::CrashReport::Builder Control::ExchangeWorkParams::Builder::initCrashes() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashReport>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkParams::Builder::adoptCrashes(
+    ::capnp::Orphan< ::acacianotch::wire::CrashReport>&& value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::acacianotch::wire::CrashReport> Control::ExchangeWorkParams::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Control::ExchangeWorkResults::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7122,6 +7864,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Control::ExchangeWorkResults::Reader::hasVerdicts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkResults::Builder::hasVerdicts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::acacianotch::wire::CrashVerdicts::Reader Control::ExchangeWorkResults::Reader::getVerdicts() const {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashVerdicts>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::acacianotch::wire::CrashVerdicts::Builder Control::ExchangeWorkResults::Builder::getVerdicts() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashVerdicts>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::acacianotch::wire::CrashVerdicts::Pipeline Control::ExchangeWorkResults::Pipeline::getVerdicts() {
+  return  ::acacianotch::wire::CrashVerdicts::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void Control::ExchangeWorkResults::Builder::setVerdicts( ::acacianotch::wire::CrashVerdicts::Reader value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashVerdicts>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::acacianotch::wire::CrashVerdicts::Builder Control::ExchangeWorkResults::Builder::initVerdicts() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashVerdicts>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkResults::Builder::adoptVerdicts(
+    ::capnp::Orphan< ::acacianotch::wire::CrashVerdicts>&& value) {
+  ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashVerdicts>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::acacianotch::wire::CrashVerdicts> Control::ExchangeWorkResults::Builder::disownVerdicts() {
+  return ::capnp::_::PointerHelpers< ::acacianotch::wire::CrashVerdicts>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- /dev/null
+++ b/test/crash_attribution_test.cpp
@@ -0,0 +1,170 @@
+/// \file Attribution of crashes to parts of prompts.
+#include "controller/crash_attribution.h"
+#include "core/random_type.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <string>
+
+using namespace acacianotch;
+
+namespace {
+
+constexpr std::uint64_t Epoch = 1;
+constexpr part_id Common = 1; ///< First part of all prompts.
+constexpr part_id Deadly = 77;
+
+/// The leader of control and its view of time.
+struct leader {
+  crash_attribution Attribution;
+  time_point Now{std::chrono::hours(1)};
+  std::uint64_t Server = 0;
+
+  auto send(const crash_report &Report) -> crash_verdicts {
+    return Attribution.exchange(Report, Epoch, Now);
+  }
+  /// One more server crashes under \p Prompts. \return the blocked parts.
+  auto crash(const std::vector<std::vector<part_id>> &Prompts)
+      -> std::vector<part_id> {
+    crash_report Report;
+    Report.Epoch = Epoch;
+    ++Server;
+    for (const auto &Prompt : Prompts)
+      Report.Broken.push_back({"s" + std::to_string(Server), Prompt});
+    return send(Report).Blocked;
+  }
+  auto sound(part_id Part) -> void {
+    crash_report Report;
+    Report.Epoch = Epoch;
+    Report.Sound = {Part};
+    (void)send(Report);
+  }
+  auto pass(duration Time) -> void { Now += Time; }
+};
+
+/// Time after the fifth crash from which the users count arrivals.
+constexpr duration ContactBound = std::chrono::seconds(3);
+constexpr duration Pause = std::chrono::milliseconds(300);
+
+} // namespace
+
+// Guards against a part that crashes every server it reaches.
+TEST_CASE("a part that is common to crashes is blocked before the fifth one") {
+  leader Leader;
+  std::vector<part_id> Blocked;
+  int Crashes = 0;
+  while (Blocked.empty() && Crashes < 10) {
+    const auto Prompt = static_cast<part_id>(1000 + Crashes);
+    Blocked = Leader.crash({{Common, Deadly, Prompt}, {Common, 5, 2000}});
+    ++Crashes;
+    Leader.sound(Common);
+    Leader.sound(5);
+    Leader.pass(Pause);
+  }
+  CHECK(Blocked == std::vector{Deadly});
+  CHECK(Crashes < 5);
+}
+
+// Guards against the parts of one prompt, which crash together, being blocked
+// for all other prompts with them.
+TEST_CASE("repeats of one prompt block its last part only") {
+  leader Leader;
+  std::vector<part_id> Blocked;
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    Blocked = Leader.crash({{Common, 5, 2000}});
+    Leader.pass(Pause);
+  }
+  CHECK(Blocked == std::vector<part_id>{2000});
+}
+
+// Guards against sound parts being blocked because many servers fail at once.
+TEST_CASE("servers that fail at the same moment block nothing") {
+  leader Leader;
+  for (int Moment = 0; Moment < 2; ++Moment) {
+    for (int Crash = 0; Crash < 30; ++Crash)
+      CHECK(Leader.crash({{Common, 5, 2000}, {Common, 6, 2001}}).empty());
+    Leader.pass(std::chrono::seconds(5));
+  }
+}
+
+// Guards against parts being blocked that servers answer between crashes.
+TEST_CASE("a part that is answered after a crash is not blocked for it") {
+  leader Leader;
+  for (int Crash = 0; Crash < 100; ++Crash) {
+    const auto Prompt = static_cast<part_id>(1000 + Crash);
+    CHECK(Leader.crash({{Common, 5, Prompt}}).empty());
+    Leader.pass(Pause);
+    Leader.sound(Common);
+    Leader.sound(5);
+  }
+}
+
+// Guards against verdicts that are lost with the leader, and against a new
+// leader that takes back what it has released.
+TEST_CASE("a new leader adopts the blocked parts that gateways know") {
+  leader Leader;
+  crash_report Report;
+  Report.Blocked = {Deadly};
+  Report.Epoch = Epoch + 1;
+  CHECK(Leader.send(Report).Blocked == std::vector{Deadly});
+  Leader.sound(Deadly);
+  Report.Epoch = Epoch;
+  CHECK(Leader.send(Report).Blocked.empty());
+}
+
+// Guards against a part that stays blocked for ever, and against tries that
+// crash more than a few servers.
+TEST_CASE("a blocked part is tried again by one request at growing intervals") {
+  leader Leader;
+  crash_report Adopted;
+  Adopted.Blocked = {Deadly};
+  (void)Leader.send(Adopted);
+  int Probes = 0;
+  crash_report Empty;
+  Empty.Epoch = Epoch;
+  for (int Second = 0; Second < 600; ++Second) {
+    Leader.pass(std::chrono::seconds(1));
+    for (int Gateway = 0; Gateway < 3; ++Gateway)
+      Probes += static_cast<int>(Leader.send(Empty).Probes.size());
+  }
+  CHECK(Probes == 2);
+}
+
+// Guards against wrong verdicts in mixed traffic, with rare parts, crashes of
+// other causes and answers that are reported late.
+TEST_CASE(
+    "in random traffic only the deadly part is blocked among shared ones") {
+  constexpr std::uint64_t Seeds = 200;
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    INFO("seed ", Seed);
+    seeded_random Random(Seed);
+    leader Leader;
+    std::vector<part_id> Blocked;
+    int Deaths = 0;
+    time_point Fifth = time_point::max();
+    for (int Step = 0; Step < 400; ++Step) {
+      Leader.pass(std::chrono::milliseconds(20 + randomBelow(Random, 200)));
+      const auto Group = 100 + randomBelow(Random, 40);
+      const auto Own = 10'000 + static_cast<part_id>(Step);
+      std::vector<std::vector<part_id>> Prompts;
+      for (auto Others = randomBelow(Random, 4); Others > 0; --Others)
+        Prompts.push_back({Common, 100 + randomBelow(Random, 40),
+                           20'000 + randomBelow(Random, 100'000)});
+      const auto Dies = randomBelow(Random, 8) == 0;
+      if (Dies)
+        Prompts.push_back({Common, Group, Deadly, Own});
+      if (Dies || randomBelow(Random, 20) == 0)
+        Blocked = Leader.crash(Prompts);
+      if (Dies && ++Deaths == 5)
+        Fifth = Leader.Now;
+      Leader.sound(Common);
+      Leader.sound(100 + randomBelow(Random, 40));
+      Leader.sound(100 + randomBelow(Random, 40));
+      if (std::find(Blocked.begin(), Blocked.end(), Deadly) != Blocked.end())
+        break;
+    }
+    CHECK(Blocked == std::vector{Deadly});
+    CHECK(Leader.Now - ContactBound <= Fifth);
+  }
+}
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -177,13 +177,10 @@
         Control(*Loop, {address{"127.0.0.1", 1}}, rpc_options()),
         Directory(*Loop, node_id("g"), zone_id("a"), 1), Budget(1.0, 10.0),
         Recorder(*Loop, Control, "g", std::chrono::seconds(5), 0.08),
-        ReportClient(*Loop), Context{*Loop,
-                                     Directory,
-                                     Budget,
-                                     Recorder,
-                                     ReportClient,
-                                     Work,
-                                     model_cascade({60, 1.0})} {
+        ReportClient(*Loop), Context{*Loop,        Directory,
+                                     Budget,       Recorder,
+                                     ReportClient, Work,
+                                     Crashes,      model_cascade({60, 1.0})} {
     auto Created = caller_server::create(
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
@@ -246,6 +243,7 @@
   rollout_recorder Recorder;
   backend_report_client ReportClient;
   work_board Work;
+  crash_watch Crashes;
   gateway_context Context;
   std::shared_ptr<const routing_table> Table;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
