Change: [Control] answers that had begun weigh more against a part of a prompt

A server crashes as it begins to answer the prompt; gateways now tell whether the head of the answer had arrived. Three moments with such an answer block a part, five without. `attempt failed` lines have the age of the answer.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -14,6 +14,7 @@
                {{"part", Cause.Part},
                 {"crashes", Cause.Crashes},
                 {"moments", Cause.Moments},
+                {"begun_moments", Cause.Begun},
                 {"prompts", Cause.Prompts}});
   };
   Crashes.OnReleased = [](part_id Part) {
--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -13,7 +13,10 @@
 /// Crashes within this time count once: a failure of many servers at the same
 /// moment, or a gateway that loses its connections, is no evidence on prompts.
 constexpr duration MomentSpan = std::chrono::milliseconds(250);
-constexpr std::size_t MomentsToBlock = 3;
+/// A request that waits at a server when it crashes is weaker evidence than one
+/// whose answer has just begun.
+constexpr std::size_t BegunMomentsToBlock = 3;
+constexpr std::size_t MomentsToBlock = 5;
 /// Crashes are forgotten after this time.
 constexpr duration CrashMemory = std::chrono::minutes(10);
 constexpr std::size_t MaxCrashes = 256;
@@ -24,11 +27,28 @@
 constexpr duration FirstProbe = std::chrono::minutes(1);
 constexpr int ProbeBackoff = 4;
 
+/// Counts crashes that are apart in time.
+class moment_count {
+public:
+  auto add(time_point At) -> void {
+    if (Count != 0 && At - Last < MomentSpan)
+      return;
+    ++Count;
+    Last = At;
+  }
+
+  [[nodiscard]] auto count() const -> std::size_t { return Count; }
+
+private:
+  std::size_t Count = 0;
+  time_point Last{};
+};
+
 /// Evidence against one part of prompts.
 struct suspect {
   std::size_t Crashes = 0;
-  std::size_t Moments = 0;
-  time_point LastMoment{};
+  moment_count Moments;
+  moment_count Begun;       ///< Moments with an answer that had begun.
   std::size_t Position = 0; ///< Largest one in a prompt.
   bool Shared = false;
   std::set<part_id> LastParts; ///< Of the prompts with it.
@@ -36,14 +56,17 @@
   /// A prompt that crashes servers whenever it is repeated brings its other
   /// parts along, so that one prompt is no evidence against a shared part.
   [[nodiscard]] auto sufficient() const -> bool {
-    return Moments >= MomentsToBlock && (!Shared || LastParts.size() >= 2);
+    const auto Enough = Begun.count() >= BegunMomentsToBlock ||
+                        Moments.count() >= MomentsToBlock;
+    return Enough && (!Shared || LastParts.size() >= 2);
   }
 
   /// Shared parts go first because they explain crashes of several prompts; of
   /// equal ones the part that fewer prompts begin with.
   [[nodiscard]] auto strongerThan(const suspect &Other) const -> bool {
-    return std::tuple(Shared, Crashes, Position) >
-           std::tuple(Other.Shared, Other.Crashes, Other.Position);
+    return std::tuple(Shared, Begun.count(), Crashes, Position) >
+           std::tuple(Other.Shared, Other.Begun.count(), Other.Crashes,
+                      Other.Position);
   }
 };
 
@@ -68,7 +91,7 @@
   Verdicts.Epoch = Epoch;
   std::set<part_id> Watched;
   for (const auto &Crash : Crashes)
-    for (const auto &Prompt : Crash.Prompts)
+    for (const auto &[Prompt, Begun] : Crash.Prompts)
       Watched.insert(Prompt.begin(), Prompt.end());
   Verdicts.Watched.assign(Watched.begin(), Watched.end());
   for (auto &[Part, Block] : Blocked) {
@@ -92,12 +115,12 @@
       });
   if (Known != Crashes.rend()) {
     if (Known->Prompts.size() < MaxPromptsPerCrash)
-      Known->Prompts.insert(Attempt.Parts);
+      Known->Prompts[Attempt.Parts] |= Attempt.Begun;
     return;
   }
   if (Crashes.size() >= MaxCrashes)
     Crashes.pop_front();
-  Crashes.push_back({Attempt.Server, Now, {Attempt.Parts}});
+  Crashes.push_back({Attempt.Server, Now, {{Attempt.Parts, Attempt.Begun}}});
   if (OnCrash)
     OnCrash(Attempt.Server, Crashes.size());
 }
@@ -124,7 +147,8 @@
 
 auto crash_attribution::explained(const crash &Crash) const -> bool {
   return std::any_of(
-      Crash.Prompts.begin(), Crash.Prompts.end(), [&](const auto &Prompt) {
+      Crash.Prompts.begin(), Crash.Prompts.end(), [&](const auto &Row) {
+        const auto &Prompt = Row.first;
         return std::any_of(Prompt.begin(), Prompt.end(), [&](part_id Part) {
           const auto Found = Blocked.find(Part);
           return Found != Blocked.end() && Found->second.Shared;
@@ -139,7 +163,7 @@
     if (explained(Crash))
       continue;
     std::set<part_id> Counted;
-    for (const auto &Prompt : Crash.Prompts)
+    for (const auto &[Prompt, Begun] : Crash.Prompts)
       for (std::size_t Position = 0; Position < Prompt.size(); ++Position) {
         const auto Part = Prompt[Position];
         const auto Sound = LastSound.find(Part);
@@ -151,14 +175,11 @@
         Suspect.Position = std::max(Suspect.Position, Position);
         Suspect.Shared = Suspect.Shared || Position + 1 < Prompt.size();
         Suspect.LastParts.insert(Prompt.back());
-        if (!Counted.insert(Part).second)
-          continue;
-        ++Suspect.Crashes;
-        if (Suspect.Moments == 0 ||
-            Crash.At - Suspect.LastMoment >= MomentSpan) {
-          ++Suspect.Moments;
-          Suspect.LastMoment = Crash.At;
-        }
+        Suspect.Moments.add(Crash.At);
+        if (Begun)
+          Suspect.Begun.add(Crash.At);
+        if (Counted.insert(Part).second)
+          ++Suspect.Crashes;
       }
   }
   std::erase_if(Suspects,
@@ -173,8 +194,8 @@
   const auto &[Part, Suspect] = *Strongest;
   addBlock(Part, Suspect.Shared, Now);
   if (OnBlocked)
-    OnBlocked(
-        {Part, Suspect.Crashes, Suspect.Moments, Suspect.LastParts.size()});
+    OnBlocked({Part, Suspect.Crashes, Suspect.Moments.count(),
+               Suspect.Begun.count(), Suspect.LastParts.size()});
   if (Suspect.Shared)
     releaseExplained();
   return Blocked.contains(Part);
@@ -185,7 +206,7 @@
   std::set<part_id> Guilty;
   for (const auto &Crash : Crashes)
     if (!explained(Crash))
-      for (const auto &Prompt : Crash.Prompts)
+      for (const auto &[Prompt, Begun] : Crash.Prompts)
         Guilty.insert(Prompt.back());
   for (auto Row = Blocked.begin(); Row != Blocked.end();) {
     const auto Part = Row->first;
--- a/src/controller/crash_attribution.h
+++ b/src/controller/crash_attribution.h
@@ -16,8 +16,8 @@
 
 /// Merges the reports of all gateways. A part is blocked when servers crashed
 /// under prompts with it at three moments and no prompt with it was answered
-/// since the first of them. Crashes that a blocked part explains do not count
-/// against others.
+/// since the first of them; at five moments if no answer had begun. Crashes
+/// that a blocked part explains do not count against others.
 class crash_attribution {
 public:
   /// Why a part is blocked, for the log.
@@ -25,6 +25,7 @@
     part_id Part = 0;
     std::size_t Crashes = 0; ///< Servers that crashed under it.
     std::size_t Moments = 0; ///< Distinct moments of these crashes.
+    std::size_t Begun = 0;   ///< Of these, with an answer that had begun.
     std::size_t Prompts =
         0; ///< Prompts with it, told apart by their last part.
   };
@@ -50,7 +51,8 @@
   struct crash {
     std::string Server;
     time_point At;
-    std::set<std::vector<part_id>> Prompts; ///< That may have caused it.
+    /// That may have caused it, and whether their answer had begun.
+    std::map<std::vector<part_id>, bool> Prompts;
   };
 
   struct block {
--- a/src/controller/crash_type.h
+++ b/src/controller/crash_type.h
@@ -15,6 +15,7 @@
 struct broken_attempt {
   std::string Server;
   std::vector<part_id> Parts; ///< In the order of the prompt.
+  bool Begun = false;         ///< The head of the answer had arrived.
 
   auto operator==(const broken_attempt &) const -> bool = default;
 };
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -18,10 +18,11 @@
 } // namespace
 
 auto crash_watch::recordBroken(const std::string &Server,
-                               const std::vector<prompt_part> &Prompt) -> void {
+                               const std::vector<prompt_part> &Prompt,
+                               bool Begun) -> void {
   if (Prompt.empty() || Pending.Broken.size() >= MaxPending)
     return;
-  broken_attempt Attempt{Server, {}};
+  broken_attempt Attempt{Server, {}, Begun};
   const auto First = Prompt.size() - std::min(Prompt.size(), MaxParts);
   for (auto Index = First; Index < Prompt.size(); ++Index)
     Attempt.Parts.push_back(Prompt[Index].Id);
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -16,10 +16,10 @@
 /// and keeps its last verdicts.
 class crash_watch {
 public:
-  /// Records that \p Server closed the connection before or just after it began
-  /// the answer to \p Prompt.
+  /// Records that \p Server closed the connection before the answer to
+  /// \p Prompt, or just after its head arrived if \p Begun.
   auto recordBroken(const std::string &Server,
-                    const std::vector<prompt_part> &Prompt) -> void;
+                    const std::vector<prompt_part> &Prompt, bool Begun) -> void;
 
   /// Records that a server answers \p Prompt.
   auto recordSound(const std::vector<prompt_part> &Prompt) -> void;
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -239,6 +239,10 @@
            {"error", errcRow(Failure.Code).Name},
            {"detail", Failure.Detail},
            {"not_run", Failure.Verdict == verdict::not_run},
+           {"answer_age_ms", Attempt->AnsweredAt == time_point{}
+                                 ? -1
+                                 : (steady_clock::now() - Attempt->AnsweredAt) /
+                                       std::chrono::milliseconds(1)},
            {"streaming", StreamStarted}});
 }
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -265,7 +265,8 @@
 auto forward_task::handleFailure(const failure &Failure) -> void {
   const auto Backend = Attempt->Backend;
   if (mayHaveCrashed(Failure))
-    Context.Crashes.recordBroken(Attempt->BackendId, Request.Prompt);
+    Context.Crashes.recordBroken(Attempt->BackendId, Request.Prompt,
+                                 Attempt->AnsweredAt != time_point{});
   abandonAttempt(Failure);
   if (Failure.Verdict == verdict::not_run) {
     Context.Directory.suspend(Backend);
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -153,6 +153,7 @@
   # An attempt whose backend server closed the connection as the answer began.
   server @0 :Text;
   parts @1 :List(UInt64);  # Of the prompt, in its order.
+  begun @2 :Bool;
 }
 
 struct CrashReport {
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -450,7 +450,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90954b4e7138dff3, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(90954b4e7138dff3, 1, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3079,6 +3079,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
+  inline bool getBegun() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3122,6 +3124,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
 
+  inline bool getBegun();
+  inline void setBegun(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6929,6 +6934,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool BrokenAttempt::Reader::getBegun() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool BrokenAttempt::Builder::getBegun() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void BrokenAttempt::Builder::setBegun(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReport::Reader::hasBroken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/node/crash_codec.cpp
+++ b/src/node/crash_codec.cpp
@@ -33,6 +33,7 @@
   for (unsigned Index = 0; Index < Broken.size(); ++Index) {
     const auto &Attempt = Report.Broken[Index];
     Broken[Index].setServer(Attempt.Server.c_str());
+    Broken[Index].setBegun(Attempt.Begun);
     writeParts(Broken[Index].initParts(count(Attempt.Parts)), Attempt.Parts);
   }
   writeParts(Out.initSound(count(Report.Sound)), Report.Sound);
@@ -43,8 +44,9 @@
 auto readCrashReport(wire::CrashReport::Reader In) -> crash_report {
   crash_report Report;
   for (const auto Attempt : In.getBroken())
-    Report.Broken.push_back(
-        {toString(Attempt.getServer()), readParts(Attempt.getParts())});
+    Report.Broken.push_back({toString(Attempt.getServer()),
+                             readParts(Attempt.getParts()),
+                             Attempt.getBegun()});
   Report.Sound = readParts(In.getSound());
   Report.Blocked = readParts(In.getBlocked());
   Report.Epoch = In.getEpoch();
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -25,13 +25,13 @@
     return Attribution.exchange(Report, Epoch, Now);
   }
   /// One more server crashes under \p Prompts. \return the blocked parts.
-  auto crash(const std::vector<std::vector<part_id>> &Prompts)
-      -> std::vector<part_id> {
+  auto crash(const std::vector<std::vector<part_id>> &Prompts,
+             bool Begun = true) -> std::vector<part_id> {
     crash_report Report;
     Report.Epoch = Epoch;
     ++Server;
     for (const auto &Prompt : Prompts)
-      Report.Broken.push_back({"s" + std::to_string(Server), Prompt});
+      Report.Broken.push_back({"s" + std::to_string(Server), Prompt, Begun});
     return send(Report).Blocked;
   }
   auto sound(part_id Part) -> void {
@@ -66,6 +66,23 @@
   CHECK(Crashes < 5);
 }
 
+// Guards against a deadly part that is never blocked because its servers end
+// before the head of the answer is out.
+TEST_CASE("prompts that only waited are blocked after five crashes") {
+  leader Leader;
+  std::vector<part_id> Blocked;
+  int Crashes = 0;
+  while (Blocked.empty() && Crashes < 10) {
+    const auto Prompt = static_cast<part_id>(1000 + Crashes);
+    Blocked = Leader.crash({{Common, Deadly, Prompt}}, false);
+    ++Crashes;
+    Leader.sound(Common);
+    Leader.pass(Pause);
+  }
+  CHECK(Blocked == std::vector{Deadly});
+  CHECK(Crashes == 5);
+}
+
 // Guards against the parts of one prompt, which crash together, being blocked
 // for all other prompts with them.
 TEST_CASE("repeats of one prompt block its last part only") {
--- a/test/crash_watch_test.cpp
+++ b/test/crash_watch_test.cpp
@@ -62,6 +62,7 @@
   REQUIRE(Report.Broken.size() == Fixture.requestCount());
   CHECK(Report.Broken.size() >= 2);
   CHECK(Report.Broken[0].Parts == std::vector<part_id>{0xa, 0xb, 0xc});
+  CHECK(Report.Broken[0].Begun);
 }
 
 // Guards against requests that still reach servers after the verdict.
@@ -99,9 +100,9 @@
 // Guards against evidence that is lost with an exchange that failed.
 TEST_CASE("a report is repeated until the leader has accepted it") {
   crash_watch Watch;
-  Watch.recordBroken("s", {{1, 10}});
+  Watch.recordBroken("s", {{1, 10}}, true);
   CHECK(Watch.report().Broken.size() == 1);
-  Watch.recordBroken("t", {{2, 10}});
+  Watch.recordBroken("t", {{2, 10}}, false);
   CHECK(Watch.report().Broken[0].Server == "s");
   Watch.accept({});
   CHECK(Watch.report().Broken[0].Server == "t");
