Fix: [Platform] one odd entry neither ends the process nor hides the list

What callers would see: gateways that end again and again, or that no longer learn of servers.

Cause: the page of the list was parsed as a whole, so that a number too large in one entry (1e999) made all of it unreadable; every later read failed the same way. A deeply nested value in the report of a server was copied recursively and overflowed the stack. A slot count of 2^32 became 0, a huge warm-up overflowed, port 0 was accepted.

Change: entries are decoded one by one (`json_outline`); values of more than 32 levels are errors in all JSON from outside; numbers out of range make an entry unreadable.

--- a/src/catalogue/cbor.cpp
+++ b/src/catalogue/cbor.cpp
@@ -143,7 +143,15 @@
   // members than keys. Collecting the keys in sets doubles the time.
   std::vector<std::size_t> KeyCounts;
   bool Repeated = false;
-  const auto Check = [&](int, json::parse_event_t Event, const json &Value) {
+  bool TooDeep = false;
+  const auto Check = [&](int Depth, json::parse_event_t Event,
+                         const json &Value) {
+    // Copies of a value recurse. A list or object that is not kept costs no
+    // memory.
+    if (Depth >= static_cast<int>(MaximumDepth)) {
+      TooDeep = true;
+      return false;
+    }
     if (Event == json::parse_event_t::object_start)
       KeyCounts.push_back(0);
     if (Event == json::parse_event_t::key)
@@ -156,6 +164,8 @@
   };
   try {
     auto Value = json::parse(Text, Check);
+    if (TooDeep)
+      return failure::of(errc::bad_request, "too many levels");
     if (Repeated)
       return failure::of(errc::bad_request, "key '" +
                                                 printable(repeatedKey(Text)) +
--- a/src/catalogue/cbor.h
+++ b/src/catalogue/cbor.h
@@ -16,7 +16,8 @@
 [[nodiscard]] auto decodeCbor(std::string_view Bytes) -> result<json>;
 
 /// \return the value in the JSON text \p Text, or bad_request with the
-/// position. A key that occurs twice in an object is an error.
+/// position. A key that occurs twice in an object and more than 32 levels are
+/// errors.
 [[nodiscard]] auto parseJson(std::string_view Text) -> result<json>;
 
 /// \return \p Value as JSON text; \p Indent below 0 gives one line.
--- a/src/platform/instance_codec.cpp
+++ b/src/platform/instance_codec.cpp
@@ -1,11 +1,13 @@
 /// \file Parser of the platform's list of backend servers.
 #include "platform/instance_codec.h"
 
-#include "catalogue/value_codec.h"
+#include "catalogue/cbor.h"
+#include "catalogue/json_outline.h"
 
 #include <event2/http.h>
 
 #include <cstdlib>
+#include <limits>
 #include <memory>
 
 namespace acacianotch::platform {
@@ -25,6 +27,9 @@
              : 0;
 }
 
+/// Longest warm-up that is plausible; a server with a longer one is skipped.
+constexpr std::uint64_t MaxWarmupMs = 86'400'000;
+
 auto decodeEntry(const json &Entry) -> std::optional<backend_record> {
   if (!Entry.is_object())
     return std::nullopt;
@@ -36,15 +41,17 @@
   const auto Address = parseAddress(textOf(Entry, "address"));
   const auto State = textOf(Entry, "state");
   const auto Slots = numberOf(Entry, "slots");
+  const auto WarmupMs = numberOf(Entry, "cold-remaining-ms");
   const auto StateValid = State == "ready" || State == "draining";
   if (!Address || !StateValid || Record.Id.empty() || Record.Service.empty() ||
-      Slots == 0)
+      Slots == 0 || Slots > std::numeric_limits<std::uint32_t>::max() ||
+      WarmupMs > MaxWarmupMs || Address->Port == 0)
     return std::nullopt;
   Record.Address = *Address;
   Record.Leaving = State == "draining";
   Record.Slots = static_cast<std::uint32_t>(Slots);
-  Record.Warmup = std::chrono::milliseconds(
-      static_cast<std::int64_t>(numberOf(Entry, "cold-remaining-ms")));
+  Record.Warmup =
+      std::chrono::milliseconds(static_cast<std::int64_t>(WarmupMs));
   Record.StartedMs = numberOf(Entry, "born");
   return Record;
 }
@@ -59,18 +66,21 @@
     for (auto &Byte : Clean)
       if (static_cast<unsigned char>(Byte) >= 0x80)
         Byte = '?';
-  const auto Page = json::parse(Clean, nullptr, false);
-  if (!Page.is_object() || !Page.contains("instances") ||
-      !Page["instances"].is_array())
+  const auto Page = outlineJson(Clean);
+  if (!Page || !Page->Skeleton.is_object() ||
+      !Page->Skeleton.contains("instances") ||
+      !Page->Skeleton["instances"].is_array())
     return failure::of(errc::bad_request, "not a page of backend servers");
   instance_page Result;
-  for (const auto &Entry : Page["instances"]) {
-    if (auto Record = decodeEntry(Entry))
+  for (const auto &Index : Page->Skeleton["instances"]) {
+    const auto Entry = parseJson(Page->Elements[Index.get<std::size_t>()]);
+    auto Record = Entry ? decodeEntry(*Entry) : std::nullopt;
+    if (Record)
       Result.Backends.push_back(std::move(*Record));
     else
       ++Result.Skipped;
   }
-  if (auto Next = textOf(Page, "next"); !Next.empty())
+  if (auto Next = textOf(Page->Skeleton, "next"); !Next.empty())
     Result.Next = std::move(Next);
   return Result;
 }
--- a/src/platform/report_codec.cpp
+++ b/src/platform/report_codec.cpp
@@ -1,14 +1,12 @@
 /// \file Parser of model engines' reports of their own work.
 #include "platform/report_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "catalogue/cbor.h"
 
 namespace acacianotch::platform {
 
 namespace {
 
-using nlohmann::json;
-
 auto numberOf(const json &Value) -> std::optional<std::uint32_t> {
   if (!Value.is_number_unsigned())
     return std::nullopt;
@@ -30,18 +28,18 @@
 } // namespace
 
 auto decodeReport(std::string_view Text) -> result<backend_report> {
-  const auto Document = json::parse(Text, nullptr, false);
-  if (!Document.is_object())
+  const auto Document = parseJson(Text);
+  if (!Document || !Document->is_object())
     return failure::of(errc::bad_request, "not a report");
-  const auto Queued = numberOf(Document.value("queued", json()));
-  const auto Active = numberOf(Document.value("active", json()));
+  const auto Queued = numberOf(Document->value("queued", json()));
+  const auto Active = numberOf(Document->value("active", json()));
   if (!Queued || !Active)
     return failure::of(errc::bad_request, "the report has no counts");
   backend_report Report;
   Report.Waiting = *Queued;
   Report.Running = *Active;
-  const auto Runs = Document.find("runs");
-  Report.ListsRuns = Runs != Document.end() && Runs->is_array();
+  const auto Runs = Document->find("runs");
+  Report.ListsRuns = Runs != Document->end() && Runs->is_array();
   if (Report.ListsRuns)
     for (const auto &Row : *Runs)
       if (auto Run = decodeRun(Row))
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -1,5 +1,6 @@
 /// \file Parsers of the platform's list of backend servers and of HTTP headers.
 #include "platform/instance_codec.h"
+#include "platform/report_codec.h"
 #include "platform/request_codec.h"
 
 #include <doctest/doctest.h>
@@ -64,6 +65,43 @@
   CHECK_FALSE(platform::decodeInstancePage("garbage").ok());
 }
 
+// Guards against an odd entry of another writer that ends the process, or for
+// which the rest of the list is dropped.
+TEST_CASE("an entry with extreme values does not affect the others") {
+  const auto Nested = std::string(300'000, '[') + std::string(300'000, ']');
+  const std::string Plain =
+      R"("service":"chat","state":"ready","id":"i-2","address":)";
+  for (const auto &Odd : {
+           Nested,
+           R"({"id":)" + Nested + "}",
+           std::string("1e999"),
+           "{" + Plain + R"("10.0.0.8:80","slots":1e999})",
+           "{" + Plain + R"("10.0.0.8:80","slots":18446744073709551616})",
+           "{" + Plain + R"("10.0.0.8:80","slots":4294967296})",
+           "{" + Plain + R"("10.0.0.8:80","slots":-8})",
+           "{" + Plain + R"("10.0.0.8:70000","slots":8})",
+           "{" + Plain + R"("10.0.0.8:0","slots":8})",
+           "{" + Plain + R"("10.0.0.8:80","slots":8,)" +
+               R"("cold-remaining-ms":18446744073709551615})",
+       }) {
+    INFO(Odd.substr(0, 120));
+    const auto Page = platform::decodeInstancePage(
+        R"({"instances":[)" + Odd +
+        R"(,{"service":"chat","address":"10.0.0.9:80","slots":48,)"
+        R"("state":"ready","id":"i-1"}],"next":null})");
+    REQUIRE(Page.ok());
+    CHECK(Page->Skipped == 1);
+    REQUIRE(Page->Backends.size() == 1);
+    CHECK(Page->Backends[0].Id == "i-1");
+  }
+}
+
+// Guards against a report of a faulty server that ends the process.
+TEST_CASE("a deeply nested report is an error") {
+  const auto Nested = std::string(300'000, '[') + std::string(300'000, ']');
+  CHECK_FALSE(platform::decodeReport(R"({"queued":)" + Nested + "}").ok());
+}
+
 // Guards against callers that set headers reserved to the gateway, and against
 // API keys being forwarded to backend servers.
 TEST_CASE("a forwarded request has the gateway's headers, not the caller's") {
