Fix: [Gateway] an error of the next server does not enter a stream

What callers saw: the head and text of an error in the middle of their stream.

Cause: after a stream had begun and broken off, an answer of the next server below 500 was delivered like a first answer, with a second status line. An error of 500 or more was followed by further attempts without a charge to the budget.

Change: once a stream has begun, any answer that is no stream counts as a failed attempt: another one within the budget, or the stream is cut.

Evidence: the new case of unit.gateway_forward_test failed before for 302, 400, 404 and 429, and for 503 without the statement that nothing ran it passed.

--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -250,18 +250,29 @@
     Caller->endStream();
     return finish();
   }
+  if (StreamStarted)
+    return continueAfterError();
   const auto Failed = Attempt->Facts.Status >= ServerError;
-  if (Failed && (StreamStarted || tryAcquireRetry())) {
+  if (Failed && tryAcquireRetry()) {
     logDroppedAnswer();
     revertToServing();
     releaseAttempt(true);
-    if (attemptsLeft())
-      return startNextAttempt();
-    return failMayHaveRun(BadGateway, "a broken stream could not go on");
+    return startNextAttempt();
   }
   deliver();
 }
 
+// The caller has the head and the first events of the stream, so no other
+// answer can follow.
+auto forward_task::continueAfterError() -> void {
+  logDroppedAnswer();
+  revertToServing();
+  releaseAttempt(true);
+  if (tryAcquireRetry())
+    return startNextAttempt();
+  failMayHaveRun(BadGateway, "a broken stream could not go on");
+}
+
 auto forward_task::handleFailure(const failure &Failure) -> void {
   const auto Backend = Attempt->Backend;
   if (mayHaveCrashed(Failure))
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -163,6 +163,8 @@
   auto handleBody(std::string_view Data) -> void;
   auto handleEnd(const result<void> &Result) -> void;
   auto handleAnswer() -> void;
+  /// Goes on with a stream after an answer that is no stream.
+  auto continueAfterError() -> void;
   auto handleFailure(const failure &Failure) -> void;
   auto beginStream() -> void;
   auto forwardEvents() -> void;
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -182,6 +182,29 @@
   CHECK_FALSE(contains(Fixture.Caller.Received, "stale"));
 }
 
+// Guards against an error of the next server that is written into a stream.
+TEST_CASE(
+    "an error of the next server does not enter a stream that has begun") {
+  for (const auto *Status : {"400 Bad", "404 Gone", "429 Many", "500 Error",
+                             "503 Busy", "302 Found"}) {
+    INFO(Status);
+    auto Route = makeRoute(route_kind::streaming);
+    Route.MaxAttempts = 2;
+    forward_fixture Fixture(Route);
+    const scripted_answer Broken{streamHead() + chunk(eventWithId(1)), true};
+    const scripted_answer Error{std::string("HTTP/1.1 ") + Status +
+                                "\r\nX-Acacianotch-Request-Id: $ID\r\n"
+                                "Content-Length: 9\r\n\r\nerrortext"};
+    Fixture.setAnswers({Broken, Error, Error, Error});
+    Fixture.Caller.request("POST", "g1", "prompt");
+    REQUIRE(Fixture.Gateway.runUntil([&] { return Fixture.Caller.Closed; }));
+    const auto &All = Fixture.Caller.Received;
+    CHECK(All.rfind("HTTP/1.1") == 0);
+    CHECK_FALSE(contains(All, "errortext"));
+    CHECK_FALSE(contains(All, "0\r\n\r\n"));
+  }
+}
+
 // Guards against a truncated answer that looks complete; idempotent work is
 // repeated instead.
 TEST_CASE("a truncated answer is not delivered") {
