Fix: [Gateway] a stream that ends inside an event is broken off

Cause: the bytes after the last complete event were forwarded at the end of the stream, which then looked complete.

Change: such a stream counts as incomplete and goes on at another server after its last whole event, or is cut.

Evidence: the new case of unit.gateway_forward_test failed before: the half event reached the caller and the second server was never asked.

--- a/src/gateway/event_splitter.cpp
+++ b/src/gateway/event_splitter.cpp
@@ -37,6 +37,10 @@
   return std::exchange(Pending, {});
 }
 
+auto event_splitter::insideEvent() const -> bool {
+  return Pending.find_first_not_of("\r\n") != std::string::npos;
+}
+
 auto event_splitter::recordEvents(std::string_view Events) -> void {
   constexpr std::string_view Field = "id:";
   for (auto Position = Events.find("\n\n"); Position != std::string_view::npos;
--- a/src/gateway/event_splitter.h
+++ b/src/gateway/event_splitter.h
@@ -26,6 +26,9 @@
     return Pending.size();
   }
 
+  /// \return whether bytes of an incomplete event have arrived.
+  [[nodiscard]] auto insideEvent() const -> bool;
+
   /// Drops the bytes after the last complete event.
   auto dropRest() -> void { Pending.clear(); }
 
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -236,6 +236,10 @@
       return refuseNotRun("the budget for extra attempts is spent");
     return startNextAttempt();
   }
+  if (Attempt->StreamsBody && Events.insideEvent())
+    return handleFailure({errc::incomplete_answer,
+                          "the stream ended inside an event",
+                          verdict::may_have_run});
   ++AttemptsSent;
   MayHaveRun = true;
   Context.Directory.recordSuccess(Attempt->Backend);
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -205,6 +205,26 @@
   }
 }
 
+// Guards against a stream without a length that looks complete although its
+// server ended inside an event.
+TEST_CASE("a stream that ends inside an event goes on at another server") {
+  forward_fixture Fixture(makeRoute(route_kind::streaming));
+  scripted_answer Broken{std::string(AnswerHead) + "\r\n" + eventWithId(1) +
+                         "id: 2\nda"};
+  Broken.Close = true;
+  scripted_answer Rest{std::string(AnswerHead) + "\r\n" + eventWithId(2) +
+                       eventWithId(3)};
+  Rest.Close = true;
+  Fixture.setAnswers({Broken, Rest});
+  Fixture.Caller.request("POST", "g1", "prompt");
+  REQUIRE(Fixture.waitForText("0\r\n\r\n"));
+  const auto &All = Fixture.Caller.Received;
+  for (int Id = 1; Id <= 3; ++Id)
+    CHECK(contains(All, eventWithId(Id)));
+  CHECK_FALSE(contains(All, "id: 2\nda\r\n"));
+  CHECK(Fixture.requestCount() == 2);
+}
+
 // Guards against a truncated answer that looks complete; idempotent work is
 // repeated instead.
 TEST_CASE("a truncated answer is not delivered") {
