Fix: [Gateway] a refusal without an id refuses no request

What callers saw: "not run, try again" for a request that a server had run or was running.

Cause: an answer that states that nothing ran was accepted without the id of a request. A faulty server that writes an earlier refusal once more on a kept connection refused the next request there, while it ran that one.

Change: an answer without the id of its request, refusals included, counts as that of another one: the attempt may have run.

Evidence: the new case of unit.gateway_forward_test failed before for a repeated refusal without an id; one with the earlier id was skipped before as well. The refusals of the older cases now carry the id, as those of servers do.

--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -163,7 +163,8 @@
   AnswerBegan = true;
   KeepAlive = Head.KeepAlive && !Head.EndsWithConnection;
   IdleLimit = Facts.IdleLimit;
-  if (Facts.RequestId.empty() && !Facts.NotRun)
+  // Without an id even a refusal may be that of an earlier request.
+  if (Facts.RequestId.empty())
     return fail(errc::crossed_answer, "the answer states no request");
   // Copied, because the callback may cancel the call, which clears Events.
   if (const auto Callback = Events.OnHead)
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -10,6 +10,7 @@
     "HTTP/1.1 200 OK\r\nX-Acacianotch-Request-Id: $ID\r\n"
     "X-Acacianotch-Response-Seal: seal\r\n";
 constexpr auto NotExecuted = "HTTP/1.1 503 Service Unavailable\r\n"
+                             "X-Acacianotch-Request-Id: $ID\r\n"
                              "X-Acacianotch-Not-Executed: 1\r\n"
                              "Content-Length: 0\r\n\r\n";
 
@@ -182,6 +183,30 @@
   CHECK_FALSE(contains(Fixture.Caller.Received, "stale"));
 }
 
+// Guards against a refusal of an earlier request, written once more on a kept
+// connection, being taken for that of work that runs.
+TEST_CASE("a repeated refusal of an earlier request refuses no other request") {
+  for (const auto *RepeatedId : {"", "X-Acacianotch-Request-Id: u1\r\n"}) {
+    const std::string Id(RepeatedId);
+    INFO("id in the repeated refusal: ", Id);
+    auto Route = makeRoute(route_kind::non_idempotent);
+    Route.MaxAttempts = 1;
+    forward_fixture Fixture(Route);
+    Fixture.Gateway.listBackends({&Fixture.First});
+    auto Answer = completeAnswer("done");
+    Answer.Text = "HTTP/1.1 503 Busy\r\nX-Acacianotch-Not-Executed: 1\r\n" +
+                  Id + "Content-Length: 0\r\n\r\n" + Answer.Text;
+    Fixture.setAnswers({{NotExecuted}, Answer});
+    Fixture.Caller.request("POST", "u1", "pay");
+    REQUIRE(Fixture.waitForText("HTTP/1.1 503"));
+    Fixture.Caller.Received.clear();
+    Fixture.Caller.request("POST", "u2", "pay");
+    REQUIRE(Fixture.waitForText("HTTP/1.1"));
+    CHECK_FALSE(contains(Fixture.Caller.Received, "HTTP/1.1 503"));
+    CHECK(Fixture.requestCount() == 2);
+  }
+}
+
 // Guards against an error of the next server that is written into a stream.
 TEST_CASE(
     "an error of the next server does not enter a stream that has begun") {
