--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -128,7 +128,7 @@
 auto crash_attribution::addBlock(part_id Part, bool Shared, time_point Now)
     -> void {
   if (Blocked.size() < MaxBlocked)
-    Blocked.try_emplace(Part, Now + FirstProbe, FirstProbe, Shared);
+    Blocked.try_emplace(Part, block{Now + FirstProbe, FirstProbe, Shared});
 }
 
 auto crash_attribution::addSound(part_id Part, time_point Now) -> void {
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -53,9 +53,9 @@
 TEST_CASE("a part that is common to crashes is blocked before the fifth one") {
   leader Leader;
   std::vector<part_id> Blocked;
-  int Crashes = 0;
+  part_id Crashes = 0;
   while (Blocked.empty() && Crashes < 10) {
-    const auto Prompt = static_cast<part_id>(1000 + Crashes);
+    const auto Prompt = 1000 + Crashes;
     Blocked = Leader.crash({{Common, Deadly, Prompt}, {Common, 5, 2000}});
     ++Crashes;
     Leader.sound(Common);
@@ -71,9 +71,9 @@
 TEST_CASE("prompts that only waited are blocked after five crashes") {
   leader Leader;
   std::vector<part_id> Blocked;
-  int Crashes = 0;
+  part_id Crashes = 0;
   while (Blocked.empty() && Crashes < 10) {
-    const auto Prompt = static_cast<part_id>(1000 + Crashes);
+    const auto Prompt = 1000 + Crashes;
     Blocked = Leader.crash({{Common, Deadly, Prompt}}, false);
     ++Crashes;
     Leader.sound(Common);
@@ -108,8 +108,8 @@
 // Guards against parts being blocked that servers answer between crashes.
 TEST_CASE("a part that is answered after a crash is not blocked for it") {
   leader Leader;
-  for (int Crash = 0; Crash < 100; ++Crash) {
-    const auto Prompt = static_cast<part_id>(1000 + Crash);
+  for (part_id Crash = 0; Crash < 100; ++Crash) {
+    const auto Prompt = 1000 + Crash;
     CHECK(Leader.crash({{Common, 5, Prompt}}).empty());
     Leader.pass(Pause);
     Leader.sound(Common);
