Fix: [Control] the evidence on crashes stays small

Found when reading the change: the leader returned every part of all prompts of 256 crashes to each gateway ten times a second, and judged all of them with each report.

Change: answers are reported for parts with two crashes or more that no answer cleared, for 256 parts at most; 64 crashes with 32 prompts each are kept; evidence is judged once in 50 ms.

Evidence: new case of unit.crash_attribution_test; not run against the code before.

--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -19,8 +19,15 @@
 constexpr std::size_t MomentsToBlock = 5;
 /// Crashes are forgotten after this time.
 constexpr duration CrashMemory = std::chrono::minutes(10);
-constexpr std::size_t MaxCrashes = 256;
-constexpr std::size_t MaxPromptsPerCrash = 128;
+constexpr std::size_t MaxCrashes = 64;
+constexpr std::size_t MaxPromptsPerCrash = 32;
+/// Gateways report every 100 ms each; in a storm of crashes all reports within
+/// this time are evaluated together.
+constexpr duration EvaluationInterval = std::chrono::milliseconds(50);
+/// Answers are reported for parts with this many crashes, and for this many
+/// parts, since all gateways get the list with each exchange.
+constexpr std::size_t CrashesToWatch = 2;
+constexpr std::size_t MaxWatched = 256;
 constexpr std::size_t MaxBlocked = 1024;
 /// A blocked part is tried again after this time, and then after four times as
 /// long each: each try may crash a server.
@@ -84,16 +91,12 @@
   if (Report.Epoch != Epoch)
     for (const auto Part : Report.Blocked)
       addBlock(Part, true, Now);
-  if (!Report.Broken.empty())
-    while (blockNext(Now))
-      continue;
+  Changed = Changed || !Report.Broken.empty() || !Report.Sound.empty();
+  if (Changed && Now - EvaluatedAt >= EvaluationInterval)
+    evaluate(Now);
   crash_verdicts Verdicts;
   Verdicts.Epoch = Epoch;
-  std::set<part_id> Watched;
-  for (const auto &Crash : Crashes)
-    for (const auto &[Prompt, Begun] : Crash.Prompts)
-      Watched.insert(Prompt.begin(), Prompt.end());
-  Verdicts.Watched.assign(Watched.begin(), Watched.end());
+  Verdicts.Watched = Watched;
   for (auto &[Part, Block] : Blocked) {
     Verdicts.Blocked.push_back(Part);
     if (Now < Block.ProbeAt)
@@ -156,6 +159,32 @@
       });
 }
 
+auto crash_attribution::unanswered(const crash &Crash, part_id Part) const
+    -> bool {
+  const auto Sound = LastSound.find(Part);
+  return Sound == LastSound.end() || Sound->second < Crash.At;
+}
+
+auto crash_attribution::evaluate(time_point Now) -> void {
+  Changed = false;
+  EvaluatedAt = Now;
+  while (blockNext(Now))
+    continue;
+  std::map<part_id, std::size_t> Counts;
+  for (const auto &Crash : Crashes) {
+    std::set<part_id> Parts;
+    for (const auto &[Prompt, Begun] : Crash.Prompts)
+      Parts.insert(Prompt.begin(), Prompt.end());
+    for (const auto Part : Parts)
+      if (unanswered(Crash, Part))
+        ++Counts[Part];
+  }
+  Watched.clear();
+  for (const auto &[Part, Count] : Counts)
+    if (Count >= CrashesToWatch && Watched.size() < MaxWatched)
+      Watched.push_back(Part);
+}
+
 /// Blocks the part with the strongest evidence. \return whether there is one.
 auto crash_attribution::blockNext(time_point Now) -> bool {
   std::map<part_id, suspect> Suspects;
@@ -166,10 +195,7 @@
     for (const auto &[Prompt, Begun] : Crash.Prompts)
       for (std::size_t Position = 0; Position < Prompt.size(); ++Position) {
         const auto Part = Prompt[Position];
-        const auto Sound = LastSound.find(Part);
-        const auto Answered =
-            Sound != LastSound.end() && Sound->second >= Crash.At;
-        if (Answered || Blocked.contains(Part))
+        if (!unanswered(Crash, Part) || Blocked.contains(Part))
           continue;
         auto &Suspect = Suspects[Part];
         Suspect.Position = std::max(Suspect.Position, Position);
--- a/src/controller/crash_attribution.h
+++ b/src/controller/crash_attribution.h
@@ -65,6 +65,8 @@
   auto addBlock(part_id Part, bool Shared, time_point Now) -> void;
   auto addSound(part_id Part, time_point Now) -> void;
   auto forgetOld(time_point Now) -> void;
+  [[nodiscard]] auto unanswered(const crash &Crash, part_id Part) const -> bool;
+  auto evaluate(time_point Now) -> void;
   auto blockNext(time_point Now) -> bool;
   auto releaseExplained() -> void;
   [[nodiscard]] auto explained(const crash &Crash) const -> bool;
@@ -72,6 +74,9 @@
   std::deque<crash> Crashes; ///< In order of time.
   std::map<part_id, time_point> LastSound;
   std::map<part_id, block> Blocked;
+  std::vector<part_id> Watched; ///< As of the last evaluation.
+  bool Changed = false;         ///< Evidence came after it.
+  time_point EvaluatedAt{};
 };
 
 } // namespace acacianotch
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -117,6 +117,23 @@
   }
 }
 
+// Guards against a list of watched parts that grows with each crash and goes to
+// all gateways ten times a second.
+TEST_CASE("the watched parts stay few in a storm of crashes") {
+  leader Leader;
+  crash_report Empty;
+  Empty.Epoch = Epoch;
+  for (part_id Crash = 0; Crash < 300; ++Crash) {
+    std::vector<std::vector<part_id>> Prompts;
+    for (part_id Prompt = 0; Prompt < 100; ++Prompt)
+      Prompts.push_back({Common, 2 + Prompt, 1000 + Crash * 100 + Prompt});
+    (void)Leader.crash(Prompts);
+    Leader.pass(std::chrono::milliseconds(60));
+    CHECK(Leader.send(Empty).Watched.size() <= 256);
+    Leader.sound(Common);
+  }
+}
+
 // Guards against verdicts that are lost with the leader, and against a new
 // leader that takes back what it has released.
 TEST_CASE("a new leader adopts the blocked parts that gateways know") {
