Fix: [Control] a stored document is not replicated again

What operators saw: 503 `no_quorum` to each try although the document was stored by the first one.

Cause: each repetition of a stored document went through the log as a whole. If its copies hold up the loop, the lease is lost at the moment of the acknowledgement again, and the next try does the same.

Change: a document whose number is stored or overtaken is acknowledged from the state while the leader holds its lease.

--- a/src/control/routing_publisher.cpp
+++ b/src/control/routing_publisher.cpp
@@ -86,6 +86,12 @@
   Publication.Number = Table->Number;
   const auto RouteCount = Table->routeCount();
   LastValid = std::make_shared<const routing_table>(std::move(*Table));
+  // A document that is stored already, or overtaken, is not replicated again:
+  // operators repeat what was stored without an acknowledgement.
+  const auto &Stored = Service.state().data().Routing;
+  if (Stored && Stored->Number >= Publication.Number &&
+      Service.confirmedEpoch())
+    return complete(Publication, command_result::of(errc::ok, "unchanged"));
   auto Compressed = compress(Text);
   if (!Compressed)
     return complete(Publication, command_result::of(Compressed.error().Code,
