Fix: [Test] a relay delivers nothing after a gap in a connection

The one-way mode dropped what it had read and went on with later bytes of the same connection once it was over, which TCP never does. The direction now stays silent until the connection ends, which is stricter on the programs.

--- a/test/process/support/tcp_relay.cpp
+++ b/test/process/support/tcp_relay.cpp
@@ -87,12 +87,15 @@
   const auto Count = recv(From, Buffer.data(), Buffer.size(), 0);
   const auto Size = static_cast<std::size_t>(Count);
   if (Count > 0 && Mode == relay_mode::one_way && TargetSockets.contains(From))
+    Interrupted.insert(From);
+  if (Count > 0 && Interrupted.contains(From))
     return;
   if (Count > 0 && send(To, Buffer.data(), Size, MSG_NOSIGNAL) == Count)
     return;
   for (const auto Socket : {From, To}) {
     PeerOf.erase(Socket);
     TargetSockets.erase(Socket);
+    Interrupted.erase(Socket);
     close(Socket);
   }
 }
@@ -106,6 +109,7 @@
   }
   PeerOf.clear();
   TargetSockets.clear();
+  Interrupted.clear();
 }
 
 } // namespace acacianotch
--- a/test/process/support/tcp_relay.h
+++ b/test/process/support/tcp_relay.h
@@ -46,6 +46,9 @@
   int Listener = -1;
   std::map<int, int> PeerOf;   ///< The other socket of each connection.
   std::set<int> TargetSockets; ///< Sockets connected to the target.
+  /// Sockets of which bytes were dropped: a connection never delivers what
+  /// follows a gap.
+  std::set<int> Interrupted;
   std::atomic<relay_mode> Mode = relay_mode::pass;
   std::atomic<bool> ResetRequested = false;
   std::atomic<bool> StopRequested = false;
