--- a/src/control/routing_publisher.cpp
+++ b/src/control/routing_publisher.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-/// Text decoded in one turn of the event loop: a few milliseconds on the
-/// slowest VM.
-constexpr std::size_t StepBytes = 16U << 10U;
 /// Operators send up to eight orders at once, and some of them again.
 constexpr std::size_t MaxPublications = 16;
 
@@ -68,7 +65,7 @@
       Loop, Alive,
       [&Publication] {
         ++Publication.Steps;
-        return Publication.Decoder.step(StepBytes);
+        return Publication.Decoder.step(platform::DecodingStepBytes);
       },
       [this, &Publication] {
         Validating = false;
--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -141,11 +141,11 @@
 }
 
 auto crash_attribution::forgetOld(time_point Now) -> void {
-  while (!Crashes.empty() && Now - Crashes.front().At > CrashMemory)
+  const auto IsOld = [&](const crash &Crash) {
+    return Now - Crash.At > CrashMemory;
+  };
+  for (; !Crashes.empty() && IsOld(Crashes.front()); Changed = true)
     Crashes.pop_front();
-  std::erase_if(LastSound, [&](const auto &Row) {
-    return Now - Row.second > CrashMemory;
-  });
 }
 
 auto crash_attribution::explained(const crash &Crash) const -> bool {
@@ -176,9 +176,10 @@
     for (const auto &[Prompt, Begun] : Crash.Prompts)
       Parts.insert(Prompt.begin(), Prompt.end());
     for (const auto Part : Parts)
-      if (unanswered(Crash, Part))
-        ++Counts[Part];
+      Counts[Part] += unanswered(Crash, Part) ? 1 : 0;
   }
+  std::erase_if(LastSound,
+                [&](const auto &Row) { return !Counts.contains(Row.first); });
   Watched.clear();
   for (const auto &[Part, Count] : Counts)
     if (Count >= CrashesToWatch && Watched.size() < MaxWatched)
--- a/src/controller/crash_attribution.h
+++ b/src/controller/crash_attribution.h
@@ -42,10 +42,6 @@
   [[nodiscard]] auto exchange(const crash_report &Report, std::uint64_t Epoch,
                               time_point Now) -> crash_verdicts;
 
-  [[nodiscard]] auto blockedCount() const -> std::size_t {
-    return Blocked.size();
-  }
-
 private:
   /// A server that closed connections within a short time.
   struct crash {
@@ -71,8 +67,8 @@
   auto releaseExplained() -> void;
   [[nodiscard]] auto explained(const crash &Crash) const -> bool;
 
-  std::deque<crash> Crashes; ///< In order of time.
-  std::map<part_id, time_point> LastSound;
+  std::deque<crash> Crashes;               ///< In order of time.
+  std::map<part_id, time_point> LastSound; ///< Of parts in Crashes.
   std::map<part_id, block> Blocked;
   std::vector<part_id> Watched; ///< As of the last evaluation.
   bool Changed = false;         ///< Evidence came after it.
--- a/src/controller/crash_type.h
+++ b/src/controller/crash_type.h
@@ -16,8 +16,6 @@
   std::string Server;
   std::vector<part_id> Parts; ///< In the order of the prompt.
   bool Begun = false;         ///< The head of the answer had arrived.
-
-  auto operator==(const broken_attempt &) const -> bool = default;
 };
 
 /// What a gateway has observed since its last accepted report.
--- a/src/core/compression.cpp
+++ b/src/core/compression.cpp
@@ -3,25 +3,14 @@
 
 #include <zstd.h>
 
-#include <cstdint>
-
 namespace acacianotch {
 
 namespace {
 
 /// Fastest level; higher ones cost time on the event loop.
 constexpr int CompressionLevel = 1;
-
-auto isFrame(std::string_view Bytes) -> bool {
-  std::uint32_t Magic = 0;
-  if (Bytes.size() < sizeof(Magic))
-    return false;
-  for (std::size_t Index = 0; Index < sizeof(Magic); ++Index)
-    Magic |=
-        static_cast<std::uint32_t>(static_cast<unsigned char>(Bytes[Index]))
-        << (8U * Index);
-  return Magic == ZSTD_MAGICNUMBER;
-}
+/// First bytes of a frame, ZSTD_MAGICNUMBER in little-endian order.
+constexpr std::string_view FrameStart = "\x28\xB5\x2F\xFD";
 
 auto corrupt(const char *Detail) -> failure {
   return failure::of(errc::corrupt_data,
@@ -43,7 +32,7 @@
 
 auto decompress(std::string_view Frame, std::size_t MaxBytes)
     -> result<std::string> {
-  if (!isFrame(Frame))
+  if (!Frame.starts_with(FrameStart))
     return std::string(Frame);
   const auto Size = ZSTD_getFrameContentSize(Frame.data(), Frame.size());
   if (Size == ZSTD_CONTENTSIZE_ERROR || Size == ZSTD_CONTENTSIZE_UNKNOWN)
--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -1,13 +1,22 @@
-/// \file Text helpers for messages to people.
+/// \file Text helpers.
 #include "core/text_func.h"
 
 #include <algorithm>
+#include <cctype>
 #include <limits>
 #include <numeric>
 #include <utility>
 
 namespace acacianotch {
 
+auto lowerCase(std::string_view Text) -> std::string {
+  std::string Lower(Text);
+  std::transform(
+      Lower.begin(), Lower.end(), Lower.begin(),
+      [](unsigned char Byte) { return static_cast<char>(std::tolower(Byte)); });
+  return Lower;
+}
+
 auto editDistance(std::string_view Left, std::string_view Right)
     -> std::size_t {
   std::vector<std::size_t> Row(Right.size() + 1);
--- a/src/core/text_func.h
+++ b/src/core/text_func.h
@@ -1,4 +1,4 @@
-/// \file Text helpers for messages to people.
+/// \file Text helpers.
 #pragma once
 
 #include <string>
@@ -7,6 +7,9 @@
 
 namespace acacianotch {
 
+/// \return \p Text with ASCII letters in lower case.
+[[nodiscard]] auto lowerCase(std::string_view Text) -> std::string;
+
 /// \return the number of insertions, deletions and substitutions that turn
 /// \p Left into \p Right.
 [[nodiscard]] auto editDistance(std::string_view Left, std::string_view Right)
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -4,7 +4,6 @@
 #include "controller/crash_type.h"
 #include "gateway/request_type.h"
 
-#include <cstddef>
 #include <optional>
 #include <set>
 #include <string>
@@ -35,10 +34,6 @@
   /// Applies the answer to the last report.
   auto accept(const crash_verdicts &Verdicts) -> void;
 
-  [[nodiscard]] auto blockedCount() const -> std::size_t {
-    return Blocked.size();
-  }
-
 private:
   crash_report Pending; ///< Collected since the last report().
   crash_report Sent;    ///< Not accepted yet.
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -30,10 +30,6 @@
 /// Events of a stream after which its pace is known.
 constexpr std::uint32_t PaceEvents = 8;
 
-/// A request that crashes its server does so within this time after the answer
-/// begins.
-constexpr duration CrashOnset = std::chrono::milliseconds(500);
-
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
@@ -192,8 +188,7 @@
   Attempt->LastDataAt = steady_clock::now();
   startStallTimer();
   recordEventTimes();
-  if (Attempt->LastDataAt - Attempt->AnsweredAt >= CrashOnset)
-    recordSound();
+  recordSoundAfterOnset();
   if (Events.count() - Attempt->EventsBefore >= PaceEvents)
     recordPace();
   Caller->write(Complete);
@@ -279,9 +274,7 @@
 
 auto forward_task::handleFailure(const failure &Failure) -> void {
   const auto Backend = Attempt->Backend;
-  if (mayHaveCrashed(Failure))
-    Context.Crashes.recordBroken(Attempt->BackendId, Request.Prompt,
-                                 Attempt->AnsweredAt != time_point{});
+  recordPossibleCrash(Failure);
   abandonAttempt(Failure);
   if (Failure.Verdict == verdict::not_run) {
     Context.Directory.suspend(Backend);
@@ -295,19 +288,6 @@
   startNextAttempt();
 }
 
-auto forward_task::mayHaveCrashed(const failure &Failure) const -> bool {
-  if (Failure.Code != errc::incomplete_answer ||
-      Failure.Verdict == verdict::not_run)
-    return false;
-  return Attempt->AnsweredAt == time_point{} ||
-         steady_clock::now() - Attempt->AnsweredAt < CrashOnset;
-}
-
-auto forward_task::recordSound() -> void {
-  if (!std::exchange(Attempt->SoundRecorded, true))
-    Context.Crashes.recordSound(Request.Prompt);
-}
-
 /// \return whether a request that may have been executed may be sent again. If
 /// so, charges the budget of extra attempts.
 auto forward_task::tryAcquireRetry() -> bool {
@@ -366,24 +346,15 @@
   finish();
 }
 
-// Without a time to come back: the request would be rejected again.
-auto forward_task::refuseBlocked(part_id Part) -> void {
-  logInfo(log_category::entry, "a part of the prompt is blocked",
-          {{"request", Request.Id},
-           {"part", Part},
-           {"may_have_run", MayHaveRun},
-           {"attempts", AttemptsSent}});
-  constexpr std::string_view Reason =
-      "a part of the prompt crashes backend servers";
-  if (MayHaveRun)
-    return failMayHaveRun(BadGateway, Reason);
-  refuse(Unavailable, Reason);
+auto forward_task::refuseNotRun(std::string_view Reason) -> void {
+  refuseNotRun(Reason, OverloadRetryAfter);
 }
 
-auto forward_task::refuseNotRun(std::string_view Reason) -> void {
+auto forward_task::refuseNotRun(std::string_view Reason, duration RetryAfter)
+    -> void {
   if (MayHaveRun)
     return failMayHaveRun(BadGateway, Reason);
-  refuse(Unavailable, Reason, OverloadRetryAfter);
+  refuse(Unavailable, Reason, RetryAfter);
 }
 
 auto forward_task::failMayHaveRun(int Status, std::string_view Reason) -> void {
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -143,9 +143,10 @@
   [[nodiscard]] auto measuredAttempt() const -> measured_attempt;
   auto recordOutcome(bool Failed) -> void;
   auto recordPace() -> void;
+  /// Records that the present attempt may have crashed its server.
+  auto recordPossibleCrash(const failure &Failure) -> void;
   auto recordSound() -> void;
-  /// \return whether the attempt may have crashed its server.
-  [[nodiscard]] auto mayHaveCrashed(const failure &Failure) const -> bool;
+  auto recordSoundAfterOnset() -> void;
   auto revertToServing() -> void;
   auto startStallTimer() -> void;
   auto handleStallTimer() -> void;
@@ -177,6 +178,7 @@
   auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
       -> void;
   auto refuseNotRun(std::string_view Reason) -> void;
+  auto refuseNotRun(std::string_view Reason, duration RetryAfter) -> void;
   auto refuseBlocked(part_id Part) -> void;
   auto failMayHaveRun(int Status, std::string_view Reason) -> void;
   auto handleDeadline() -> void;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -46,10 +46,6 @@
 /// election in control and the first update.
 constexpr duration StartupRetryAfter = std::chrono::milliseconds(1200);
 
-/// Text of a routing document that is decoded in one turn of the event loop: a
-/// few milliseconds on the slowest VM.
-constexpr std::size_t DecodingStepBytes = 16U << 10U;
-
 constexpr int Success = 200;
 constexpr int Unavailable = 503;
 
@@ -279,7 +275,8 @@
       return reportUndecodable(Text.error());
     Decoder.emplace(std::move(*Text), Table);
     runStepped(
-        Loop, Alive, [this] { return Decoder->step(DecodingStepBytes); },
+        Loop, Alive,
+        [this] { return Decoder->step(platform::DecodingStepBytes); },
         [this] { applyDecoded(); });
   }
 
--- a/src/platform/configuration_codec.h
+++ b/src/platform/configuration_codec.h
@@ -14,6 +14,10 @@
 /// Size of the largest configuration.
 inline constexpr std::size_t MaxConfigurationBytes = 8ULL * 1024 * 1024;
 
+/// Text that a process decodes in one turn of its event loop: a few
+/// milliseconds on the slowest VM.
+inline constexpr std::size_t DecodingStepBytes = 16U << 10U;
+
 /// Parses and validates a configuration in steps of bounded size, so that the
 /// event loop runs in between. Routes whose text is unchanged are taken from
 /// the previous table, so that a change costs as much as it changes.
--- a/src/routing/routing_table.cpp
+++ b/src/routing/routing_table.cpp
@@ -1,8 +1,9 @@
 /// \file Route and client account look-up in a routing table.
 #include "routing/routing_type.h"
 
+#include "core/text_func.h"
+
 #include <algorithm>
-#include <cctype>
 #include <utility>
 
 namespace acacianotch {
@@ -19,15 +20,12 @@
 // looked up.
 auto routing_table::match(std::string_view Host, std::string_view Path) const
     -> const gateway_route * {
-  const auto HostName = Host.substr(0, Host.find(':'));
-  std::string Key(HostName);
-  std::transform(Key.begin(), Key.end(), Key.begin(), [](unsigned char Byte) {
-    return static_cast<char>(std::tolower(Byte));
-  });
+  auto Key = lowerCase(Host.substr(0, Host.find(':')));
+  const auto HostLength = Key.size();
   Key += Path.substr(0, MaxPrefixLength);
   while (true) {
     const auto Slash = Key.rfind('/');
-    if (Slash == std::string::npos || Slash < HostName.size())
+    if (Slash == std::string::npos || Slash < HostLength)
       return nullptr;
     Key.resize(Slash + 1);
     const auto Found = Routes.find(Key);
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -15,11 +15,16 @@
 constexpr part_id Common = 1; ///< First part of all prompts.
 constexpr part_id Deadly = 77;
 
+/// Time after the fifth crash from which the users count arrivals.
+constexpr duration ContactBound = std::chrono::seconds(3);
+constexpr duration Pause = std::chrono::milliseconds(300);
+
 /// The leader of control and its view of time.
 struct leader {
   crash_attribution Attribution;
   time_point Now{std::chrono::hours(1)};
   std::uint64_t Server = 0;
+  std::vector<part_id> Blocked; ///< As of crashUntilBlocked().
 
   auto send(const crash_report &Report) -> crash_verdicts {
     return Attribution.exchange(Report, Epoch, Now);
@@ -34,6 +39,19 @@
       Report.Broken.push_back({"s" + std::to_string(Server), Prompt, Begun});
     return send(Report).Blocked;
   }
+  /// Crashes one server after the other under prompts with Deadly, at most ten,
+  /// beside prompts whose parts are answered. \return their number.
+  auto crashUntilBlocked(bool Begun) -> std::size_t {
+    std::size_t Crashes = 0;
+    for (; Blocked.empty() && Crashes < 10; ++Crashes) {
+      Blocked =
+          crash({{Common, Deadly, 1000 + Crashes}, {Common, 5, 2000}}, Begun);
+      sound(Common);
+      sound(5);
+      pass(Pause);
+    }
+    return Crashes;
+  }
   auto sound(part_id Part) -> void {
     crash_report Report;
     Report.Epoch = Epoch;
@@ -43,26 +61,13 @@
   auto pass(duration Time) -> void { Now += Time; }
 };
 
-/// Time after the fifth crash from which the users count arrivals.
-constexpr duration ContactBound = std::chrono::seconds(3);
-constexpr duration Pause = std::chrono::milliseconds(300);
-
 } // namespace
 
 // Guards against a part that crashes every server it reaches.
 TEST_CASE("a part that is common to crashes is blocked before the fifth one") {
   leader Leader;
-  std::vector<part_id> Blocked;
-  part_id Crashes = 0;
-  while (Blocked.empty() && Crashes < 10) {
-    const auto Prompt = 1000 + Crashes;
-    Blocked = Leader.crash({{Common, Deadly, Prompt}, {Common, 5, 2000}});
-    ++Crashes;
-    Leader.sound(Common);
-    Leader.sound(5);
-    Leader.pass(Pause);
-  }
-  CHECK(Blocked == std::vector{Deadly});
+  const auto Crashes = Leader.crashUntilBlocked(true);
+  CHECK(Leader.Blocked == std::vector{Deadly});
   CHECK(Crashes < 5);
 }
 
@@ -70,16 +75,8 @@
 // before the head of the answer is out.
 TEST_CASE("prompts that only waited are blocked after five crashes") {
   leader Leader;
-  std::vector<part_id> Blocked;
-  part_id Crashes = 0;
-  while (Blocked.empty() && Crashes < 10) {
-    const auto Prompt = 1000 + Crashes;
-    Blocked = Leader.crash({{Common, Deadly, Prompt}}, false);
-    ++Crashes;
-    Leader.sound(Common);
-    Leader.pass(Pause);
-  }
-  CHECK(Blocked == std::vector{Deadly});
+  const auto Crashes = Leader.crashUntilBlocked(false);
+  CHECK(Leader.Blocked == std::vector{Deadly});
   CHECK(Crashes == 5);
 }
 
