Fix: [Agent] a token count of another type does not end the process

What callers would see: an agent that ends with all its streams.

Cause: the counts of an engine's `usage` were read with a conversion that throws for a text, null, list or object; nothing catches it there.

Change: `countAt` reads a whole number or 0; the list of servers uses it in place of its own copy.

Evidence: unit.sse_scanner_test threw json.exception.type_error.302 before, and passes now.

--- a/src/agent/attempt.cpp
+++ b/src/agent/attempt.cpp
@@ -1,10 +1,10 @@
 /// \file One attempt of an agent to run a request on its backend server.
 #include "agent/attempt.h"
 
+#include "catalogue/cbor.h"
 #include "net/kj_func.h"
 
 #include <event2/util.h>
-#include <nlohmann/json.hpp>
 
 namespace acacianotch {
 
@@ -189,14 +189,14 @@
 }
 
 auto attempt::readBodyUsage() -> void {
-  const auto Answer = nlohmann::json::parse(Body, nullptr, false);
+  const auto Answer = json::parse(Body, nullptr, false);
   if (!Answer.is_object() || !Answer.contains("usage"))
     return;
   const auto &Usage = Answer["usage"];
   if (!Usage.is_object())
     return;
-  PromptTokens = Usage.value("prompt_tokens", std::uint64_t{0});
-  CompletionTokens = Usage.value("completion_tokens", std::uint64_t{0});
+  PromptTokens = countAt(Usage, "prompt_tokens");
+  CompletionTokens = countAt(Usage, "completion_tokens");
 }
 
 auto attempt::fillOutcome(const attempt_end &End) -> void {
--- a/src/agent/sse_scanner.cpp
+++ b/src/agent/sse_scanner.cpp
@@ -1,7 +1,7 @@
 /// \file Scanner of the server-sent events in a streamed answer of an engine.
 #include "agent/sse_scanner.h"
 
-#include <nlohmann/json.hpp>
+#include "catalogue/cbor.h"
 
 namespace acacianotch {
 
@@ -56,14 +56,14 @@
 }
 
 auto sse_scanner::readUsage(std::string_view Json) -> bool {
-  const auto Event = nlohmann::json::parse(Json, nullptr, false);
+  const auto Event = json::parse(Json, nullptr, false);
   if (!Event.is_object() || !Event.contains("usage") ||
       !Event["usage"].is_object())
     return true;
   const auto &Usage = Event["usage"];
   UsageSeen = true;
-  PromptTokens = Usage.value("prompt_tokens", std::uint64_t{0});
-  CompletionTokens = Usage.value("completion_tokens", std::uint64_t{0});
+  PromptTokens = countAt(Usage, "prompt_tokens");
+  CompletionTokens = countAt(Usage, "completion_tokens");
   const auto OnlyUsage = Event.contains("choices") && Event["choices"].empty();
   return !(HidesUsage && OnlyUsage);
 }
--- a/src/catalogue/cbor.cpp
+++ b/src/catalogue/cbor.cpp
@@ -176,6 +176,13 @@
   }
 }
 
+auto countAt(const json &Object, const char *Key) -> std::uint64_t {
+  const auto Found = Object.find(Key);
+  return Found != Object.end() && Found->is_number_unsigned()
+             ? Found->get<std::uint64_t>()
+             : 0;
+}
+
 auto printJson(const json &Value, int Indent) -> std::string {
   return Value.dump(Indent, ' ', false, json::error_handler_t::replace);
 }
--- a/src/catalogue/cbor.h
+++ b/src/catalogue/cbor.h
@@ -3,6 +3,7 @@
 
 #include "catalogue/value_codec.h"
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,11 @@
 /// errors.
 [[nodiscard]] auto parseJson(std::string_view Text) -> result<json>;
 
+/// \return the whole number under \p Key of an object from outside; 0 if there
+/// is none or another value.
+[[nodiscard]] auto countAt(const json &Object, const char *Key)
+    -> std::uint64_t;
+
 /// \return \p Value as JSON text; \p Indent below 0 gives one line.
 [[nodiscard]] auto printJson(const json &Value, int Indent = -1) -> std::string;
 
--- a/src/platform/instance_codec.cpp
+++ b/src/platform/instance_codec.cpp
@@ -20,13 +20,6 @@
                                                     : std::string();
 }
 
-auto numberOf(const json &Entry, const char *Key) -> std::uint64_t {
-  const auto Found = Entry.find(Key);
-  return Found != Entry.end() && Found->is_number_unsigned()
-             ? Found->get<std::uint64_t>()
-             : 0;
-}
-
 /// Longest warm-up that is plausible; a server with a longer one is skipped.
 constexpr std::uint64_t MaxWarmupMs = 86'400'000;
 
@@ -40,8 +33,8 @@
   Record.Version = textOf(Entry, "version");
   const auto Address = parseAddress(textOf(Entry, "address"));
   const auto State = textOf(Entry, "state");
-  const auto Slots = numberOf(Entry, "slots");
-  const auto WarmupMs = numberOf(Entry, "cold-remaining-ms");
+  const auto Slots = countAt(Entry, "slots");
+  const auto WarmupMs = countAt(Entry, "cold-remaining-ms");
   const auto StateValid = State == "ready" || State == "draining";
   if (!Address || !StateValid || Record.Id.empty() || Record.Service.empty() ||
       Slots == 0 || Slots > std::numeric_limits<std::uint32_t>::max() ||
@@ -52,7 +45,7 @@
   Record.Slots = static_cast<std::uint32_t>(Slots);
   Record.Warmup =
       std::chrono::milliseconds(static_cast<std::int64_t>(WarmupMs));
-  Record.StartedMs = numberOf(Entry, "born");
+  Record.StartedMs = countAt(Entry, "born");
   return Record;
 }
 
