--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -85,13 +85,13 @@
   forgetOld(Now);
   for (const auto &Attempt : Report.Broken)
     addBroken(Attempt, Now);
-  for (const auto Part : Report.Sound)
-    addSound(Part, Now);
+  for (const auto Part : Report.Answered)
+    addAnswered(Part, Now);
   // What an earlier leader blocked is kept; what this one released is not.
   if (Report.Epoch != Epoch)
     for (const auto Part : Report.Blocked)
       addBlock(Part, true, Now);
-  Changed = Changed || !Report.Broken.empty() || !Report.Sound.empty();
+  Changed = Changed || !Report.Broken.empty() || !Report.Answered.empty();
   if (Changed && Now - EvaluatedAt >= EvaluationInterval)
     evaluate(Now);
   crash_verdicts Verdicts;
@@ -134,8 +134,8 @@
     Blocked.try_emplace(Part, block{Now + FirstProbe, FirstProbe, Shared});
 }
 
-auto crash_attribution::addSound(part_id Part, time_point Now) -> void {
-  LastSound[Part] = Now;
+auto crash_attribution::addAnswered(part_id Part, time_point Now) -> void {
+  LastAnswered[Part] = Now;
   if (Blocked.erase(Part) != 0 && OnReleased)
     OnReleased(Part);
 }
@@ -161,8 +161,8 @@
 
 auto crash_attribution::unanswered(const crash &Crash, part_id Part) const
     -> bool {
-  const auto Sound = LastSound.find(Part);
-  return Sound == LastSound.end() || Sound->second < Crash.At;
+  const auto Answered = LastAnswered.find(Part);
+  return Answered == LastAnswered.end() || Answered->second < Crash.At;
 }
 
 auto crash_attribution::evaluate(time_point Now) -> void {
@@ -178,7 +178,7 @@
     for (const auto Part : Parts)
       Counts[Part] += unanswered(Crash, Part) ? 1 : 0;
   }
-  std::erase_if(LastSound,
+  std::erase_if(LastAnswered,
                 [&](const auto &Row) { return !Counts.contains(Row.first); });
   Watched.clear();
   for (const auto &[Part, Count] : Counts)
--- a/src/controller/crash_attribution.h
+++ b/src/controller/crash_attribution.h
@@ -59,7 +59,7 @@
 
   auto addBroken(const broken_attempt &Attempt, time_point Now) -> void;
   auto addBlock(part_id Part, bool Shared, time_point Now) -> void;
-  auto addSound(part_id Part, time_point Now) -> void;
+  auto addAnswered(part_id Part, time_point Now) -> void;
   auto forgetOld(time_point Now) -> void;
   [[nodiscard]] auto unanswered(const crash &Crash, part_id Part) const -> bool;
   auto evaluate(time_point Now) -> void;
@@ -67,8 +67,8 @@
   auto releaseExplained() -> void;
   [[nodiscard]] auto explained(const crash &Crash) const -> bool;
 
-  std::deque<crash> Crashes;               ///< In order of time.
-  std::map<part_id, time_point> LastSound; ///< Of parts in Crashes.
+  std::deque<crash> Crashes;                  ///< In order of time.
+  std::map<part_id, time_point> LastAnswered; ///< Of parts in Crashes.
   std::map<part_id, block> Blocked;
   std::vector<part_id> Watched; ///< As of the last evaluation.
   bool Changed = false;         ///< Evidence came after it.
--- a/src/controller/crash_type.h
+++ b/src/controller/crash_type.h
@@ -21,7 +21,8 @@
 /// What a gateway has observed since its last accepted report.
 struct crash_report {
   std::vector<broken_attempt> Broken;
-  std::vector<part_id> Sound; ///< Watched parts of prompts that were answered.
+  std::vector<part_id>
+      Answered; ///< Watched parts of prompts that were answered.
   std::vector<part_id> Blocked; ///< Known to the gateway.
   std::uint64_t Epoch = 0;      ///< Of the leader that it knows them from.
 };
--- a/src/gateway/crash_watch.cpp
+++ b/src/gateway/crash_watch.cpp
@@ -29,13 +29,15 @@
   Pending.Broken.push_back(std::move(Attempt));
 }
 
-auto crash_watch::recordSound(const std::vector<prompt_part> &Prompt) -> void {
+auto crash_watch::recordAnswered(const std::vector<prompt_part> &Prompt)
+    -> void {
   for (const auto &Part : Prompt) {
     const auto Wanted = Watched.contains(Part.Id) || Blocked.contains(Part.Id);
-    const auto Known = std::find(Pending.Sound.begin(), Pending.Sound.end(),
-                                 Part.Id) != Pending.Sound.end();
-    if (Wanted && !Known && Pending.Sound.size() < MaxPending)
-      Pending.Sound.push_back(Part.Id);
+    const auto Known =
+        std::find(Pending.Answered.begin(), Pending.Answered.end(), Part.Id) !=
+        Pending.Answered.end();
+    if (Wanted && !Known && Pending.Answered.size() < MaxPending)
+      Pending.Answered.push_back(Part.Id);
   }
 }
 
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -21,7 +21,7 @@
                     const std::vector<prompt_part> &Prompt, bool Begun) -> void;
 
   /// Records that a server answers \p Prompt.
-  auto recordSound(const std::vector<prompt_part> &Prompt) -> void;
+  auto recordAnswered(const std::vector<prompt_part> &Prompt) -> void;
 
   /// \return the part for which \p Prompt is rejected, if any. A request that
   /// tries a blocked part again passes once.
--- a/src/gateway/forward_crash.cpp
+++ b/src/gateway/forward_crash.cpp
@@ -22,14 +22,14 @@
     Context.Crashes.recordBroken(Attempt->BackendId, Request.Prompt, Begun);
 }
 
-auto forward_task::recordSound() -> void {
-  if (!std::exchange(Attempt->SoundRecorded, true))
-    Context.Crashes.recordSound(Request.Prompt);
+auto forward_task::recordAnswered() -> void {
+  if (!std::exchange(Attempt->AnswerRecorded, true))
+    Context.Crashes.recordAnswered(Request.Prompt);
 }
 
-auto forward_task::recordSoundAfterOnset() -> void {
+auto forward_task::recordAnswerAfterOnset() -> void {
   if (Attempt->LastDataAt - Attempt->AnsweredAt >= CrashOnset)
-    recordSound();
+    recordAnswered();
 }
 
 // Without a time to come back: the request would be rejected again.
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -188,7 +188,7 @@
   Attempt->LastDataAt = steady_clock::now();
   startStallTimer();
   recordEventTimes();
-  recordSoundAfterOnset();
+  recordAnswerAfterOnset();
   if (Events.count() - Attempt->EventsBefore >= PaceEvents)
     recordPace();
   Caller->write(Complete);
@@ -239,7 +239,7 @@
   MayHaveRun = true;
   Context.Directory.recordSuccess(Attempt->Backend);
   if (Attempt->Facts.success())
-    recordSound();
+    recordAnswered();
   recordOutcome(Attempt->Facts.Status >= ServerError);
   if (Attempt->StreamsBody) {
     Caller->write(Events.takeRest());
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -110,7 +110,7 @@
     std::uint64_t WaitingId = 0; ///< See rollout_recorder::startWaiting.
     double WorkUnits = 0;        ///< Counted on the work board.
     bool PaceRecorded = false;
-    bool SoundRecorded = false; ///< Its server outlasted the answer's begin.
+    bool AnswerRecorded = false; ///< Its server outlasted the answer's begin.
     bool LongWork = false;
     bool StreamsBody = false; ///< Its body is forwarded as it arrives.
   };
@@ -145,8 +145,8 @@
   auto recordPace() -> void;
   /// Records that the present attempt may have crashed its server.
   auto recordPossibleCrash(const failure &Failure) -> void;
-  auto recordSound() -> void;
-  auto recordSoundAfterOnset() -> void;
+  auto recordAnswered() -> void;
+  auto recordAnswerAfterOnset() -> void;
   auto revertToServing() -> void;
   auto startStallTimer() -> void;
   auto handleStallTimer() -> void;
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -159,7 +159,7 @@
 struct CrashReport {
   # See src/controller/crash_type.h.
   broken @0 :List(BrokenAttempt);
-  sound @1 :List(UInt64);
+  answered @1 :List(UInt64);
   blocked @2 :List(UInt64);
   epoch @3 :UInt64;
 }
--- a/src/net/wire/acacianotch.capnp.c++
+++ b/src/net/wire/acacianotch.capnp.c++
@@ -2442,7 +2442,7 @@
   0, 3, i_90954b4e7138dff3, nullptr, nullptr, { &s_90954b4e7138dff3, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
-static const ::capnp::_::AlignedData<90> b_dc400cbdcfd400e1 = {
+static const ::capnp::_::AlignedData<91> b_dc400cbdcfd400e1 = {
   {   0,   0,   0,   0,   5,   0,   6,   0,
     225,   0, 212, 207, 189,  12,  64, 220,
      18,   0,   0,   0,   1,   0,   1,   0,
@@ -2471,24 +2471,24 @@
       1,   0,   0,   0,   1,   0,   0,   0,
       0,   0,   1,   0,   1,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    117,   0,   0,   0,  50,   0,   0,   0,
+    117,   0,   0,   0,  74,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    112,   0,   0,   0,   3,   0,   1,   0,
-    140,   0,   0,   0,   2,   0,   1,   0,
+    116,   0,   0,   0,   3,   0,   1,   0,
+    144,   0,   0,   0,   2,   0,   1,   0,
       2,   0,   0,   0,   2,   0,   0,   0,
       0,   0,   1,   0,   2,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    137,   0,   0,   0,  66,   0,   0,   0,
+    141,   0,   0,   0,  66,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    132,   0,   0,   0,   3,   0,   1,   0,
-    160,   0,   0,   0,   2,   0,   1,   0,
+    136,   0,   0,   0,   3,   0,   1,   0,
+    164,   0,   0,   0,   2,   0,   1,   0,
       3,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   1,   0,   3,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    157,   0,   0,   0,  50,   0,   0,   0,
+    161,   0,   0,   0,  50,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    152,   0,   0,   0,   3,   0,   1,   0,
-    164,   0,   0,   0,   2,   0,   1,   0,
+    156,   0,   0,   0,   3,   0,   1,   0,
+    168,   0,   0,   0,   2,   0,   1,   0,
      98, 114, 111, 107, 101, 110,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2501,7 +2501,8 @@
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
-    115, 111, 117, 110, 100,   0,   0,   0,
+     97, 110, 115, 119, 101, 114, 101, 100,
+      0,   0,   0,   0,   0,   0,   0,   0,
      14,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
       0,   0,   0,   0,   0,   0,   0,   0,
@@ -2539,10 +2540,10 @@
 static const ::capnp::_::RawSchema* const d_dc400cbdcfd400e1[] = {
   &s_90954b4e7138dff3,
 };
-static const uint16_t m_dc400cbdcfd400e1[] = {2, 0, 3, 1};
+static const uint16_t m_dc400cbdcfd400e1[] = {1, 2, 0, 3};
 static const uint16_t i_dc400cbdcfd400e1[] = {0, 1, 2, 3};
 const ::capnp::_::RawSchema s_dc400cbdcfd400e1 = {
-  0xdc400cbdcfd400e1, b_dc400cbdcfd400e1.words, 90, d_dc400cbdcfd400e1, m_dc400cbdcfd400e1,
+  0xdc400cbdcfd400e1, b_dc400cbdcfd400e1.words, 91, d_dc400cbdcfd400e1, m_dc400cbdcfd400e1,
   1, 4, i_dc400cbdcfd400e1, nullptr, nullptr, { &s_dc400cbdcfd400e1, nullptr, nullptr, 0, 0, nullptr }
 };
 #endif  // !CAPNP_LITE
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -3173,8 +3173,8 @@
   inline bool hasBroken() const;
   inline  ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>::Reader getBroken() const;
 
-  inline bool hasSound() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSound() const;
+  inline bool hasAnswered() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getAnswered() const;
 
   inline bool hasBlocked() const;
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getBlocked() const;
@@ -3216,13 +3216,13 @@
   inline void adoptBroken(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::BrokenAttempt,  ::capnp::Kind::STRUCT>> disownBroken();
 
-  inline bool hasSound();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSound();
-  inline void setSound( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setSound(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSound(unsigned int size);
-  inline void adoptSound(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSound();
+  inline bool hasAnswered();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getAnswered();
+  inline void setAnswered( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setAnswered(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initAnswered(unsigned int size);
+  inline void adoptAnswered(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownAnswered();
 
   inline bool hasBlocked();
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getBlocked();
@@ -6982,40 +6982,40 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool CrashReport::Reader::hasSound() const {
+inline bool CrashReport::Reader::hasAnswered() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool CrashReport::Builder::hasSound() {
+inline bool CrashReport::Builder::hasAnswered() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getSound() const {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader CrashReport::Reader::getAnswered() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getSound() {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::getAnswered() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void CrashReport::Builder::setSound( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+inline void CrashReport::Builder::setAnswered( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline void CrashReport::Builder::setSound(::kj::ArrayPtr<const  ::uint64_t> value) {
+inline void CrashReport::Builder::setAnswered(::kj::ArrayPtr<const  ::uint64_t> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initSound(unsigned int size) {
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder CrashReport::Builder::initAnswered(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void CrashReport::Builder::adoptSound(
+inline void CrashReport::Builder::adoptAnswered(
     ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownSound() {
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> CrashReport::Builder::disownAnswered() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
--- a/src/node/crash_codec.cpp
+++ b/src/node/crash_codec.cpp
@@ -36,7 +36,7 @@
     Broken[Index].setBegun(Attempt.Begun);
     writeParts(Broken[Index].initParts(count(Attempt.Parts)), Attempt.Parts);
   }
-  writeParts(Out.initSound(count(Report.Sound)), Report.Sound);
+  writeParts(Out.initAnswered(count(Report.Answered)), Report.Answered);
   writeParts(Out.initBlocked(count(Report.Blocked)), Report.Blocked);
   Out.setEpoch(Report.Epoch);
 }
@@ -47,7 +47,7 @@
     Report.Broken.push_back({toString(Attempt.getServer()),
                              readParts(Attempt.getParts()),
                              Attempt.getBegun()});
-  Report.Sound = readParts(In.getSound());
+  Report.Answered = readParts(In.getAnswered());
   Report.Blocked = readParts(In.getBlocked());
   Report.Epoch = In.getEpoch();
   return Report;
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -13,7 +13,7 @@
 
 constexpr std::uint64_t Epoch = 1;
 constexpr part_id Common = 1; ///< First part of all prompts.
-constexpr part_id Deadly = 77;
+constexpr part_id Crashing = 77;
 
 /// Time after the fifth crash from which the users count arrivals.
 constexpr duration ContactBound = std::chrono::seconds(3);
@@ -39,23 +39,23 @@
       Report.Broken.push_back({"s" + std::to_string(Server), Prompt, Begun});
     return send(Report).Blocked;
   }
-  /// Crashes one server after the other under prompts with Deadly, at most ten,
-  /// beside prompts whose parts are answered. \return their number.
+  /// Crashes one server after the other under prompts with Crashing, at most
+  /// ten, beside prompts whose parts are answered. \return their number.
   auto crashUntilBlocked(bool Begun) -> std::size_t {
     std::size_t Crashes = 0;
     for (; Blocked.empty() && Crashes < 10; ++Crashes) {
       Blocked =
-          crash({{Common, Deadly, 1000 + Crashes}, {Common, 5, 2000}}, Begun);
-      sound(Common);
-      sound(5);
+          crash({{Common, Crashing, 1000 + Crashes}, {Common, 5, 2000}}, Begun);
+      answer(Common);
+      answer(5);
       pass(Pause);
     }
     return Crashes;
   }
-  auto sound(part_id Part) -> void {
+  auto answer(part_id Part) -> void {
     crash_report Report;
     Report.Epoch = Epoch;
-    Report.Sound = {Part};
+    Report.Answered = {Part};
     (void)send(Report);
   }
   auto pass(duration Time) -> void { Now += Time; }
@@ -67,21 +67,19 @@
 TEST_CASE("a part that is common to crashes is blocked before the fifth one") {
   leader Leader;
   const auto Crashes = Leader.crashUntilBlocked(true);
-  CHECK(Leader.Blocked == std::vector{Deadly});
+  CHECK(Leader.Blocked == std::vector{Crashing});
   CHECK(Crashes < 5);
 }
 
-// Guards against a deadly part that is never blocked because its servers end
-// before the head of the answer is out.
+// Guards against a part that crashes servers before the answer's head is out.
 TEST_CASE("prompts that only waited are blocked after five crashes") {
   leader Leader;
   const auto Crashes = Leader.crashUntilBlocked(false);
-  CHECK(Leader.Blocked == std::vector{Deadly});
+  CHECK(Leader.Blocked == std::vector{Crashing});
   CHECK(Crashes == 5);
 }
 
-// Guards against the parts of one prompt, which crash together, being blocked
-// for all other prompts with them.
+// Guards against blocking shared parts on the evidence of one prompt.
 TEST_CASE("repeats of one prompt block its last part only") {
   leader Leader;
   std::vector<part_id> Blocked;
@@ -92,7 +90,8 @@
   CHECK(Blocked == std::vector<part_id>{2000});
 }
 
-// Guards against sound parts being blocked because many servers fail at once.
+// Guards against innocent parts being blocked because many servers fail at
+// once.
 TEST_CASE("servers that fail at the same moment block nothing") {
   leader Leader;
   for (int Moment = 0; Moment < 2; ++Moment) {
@@ -109,13 +108,12 @@
     const auto Prompt = 1000 + Crash;
     CHECK(Leader.crash({{Common, 5, Prompt}}).empty());
     Leader.pass(Pause);
-    Leader.sound(Common);
-    Leader.sound(5);
+    Leader.answer(Common);
+    Leader.answer(5);
   }
 }
 
-// Guards against a list of watched parts that grows with each crash and goes to
-// all gateways ten times a second.
+// Guards against a list for all gateways that grows with each crash.
 TEST_CASE("the watched parts stay few in a storm of crashes") {
   leader Leader;
   crash_report Empty;
@@ -127,29 +125,27 @@
     (void)Leader.crash(Prompts);
     Leader.pass(std::chrono::milliseconds(60));
     CHECK(Leader.send(Empty).Watched.size() <= 256);
-    Leader.sound(Common);
+    Leader.answer(Common);
   }
 }
 
-// Guards against verdicts that are lost with the leader, and against a new
-// leader that takes back what it has released.
+// Guards against verdicts that are lost, or come back, with a change of leader.
 TEST_CASE("a new leader adopts the blocked parts that gateways know") {
   leader Leader;
   crash_report Report;
-  Report.Blocked = {Deadly};
+  Report.Blocked = {Crashing};
   Report.Epoch = Epoch + 1;
-  CHECK(Leader.send(Report).Blocked == std::vector{Deadly});
-  Leader.sound(Deadly);
+  CHECK(Leader.send(Report).Blocked == std::vector{Crashing});
+  Leader.answer(Crashing);
   Report.Epoch = Epoch;
   CHECK(Leader.send(Report).Blocked.empty());
 }
 
-// Guards against a part that stays blocked for ever, and against tries that
-// crash more than a few servers.
+// Guards against a part that stays blocked for ever or crashes more servers.
 TEST_CASE("a blocked part is tried again by one request at growing intervals") {
   leader Leader;
   crash_report Adopted;
-  Adopted.Blocked = {Deadly};
+  Adopted.Blocked = {Crashing};
   (void)Leader.send(Adopted);
   int Probes = 0;
   crash_report Empty;
@@ -162,10 +158,9 @@
   CHECK(Probes == 2);
 }
 
-// Guards against wrong verdicts in mixed traffic, with rare parts, crashes of
-// other causes and answers that are reported late.
+// Guards against wrong verdicts beside rare parts and crashes of other causes.
 TEST_CASE(
-    "in random traffic only the deadly part is blocked among shared ones") {
+    "in random traffic only the crashing part is blocked among shared ones") {
   constexpr std::uint64_t Seeds = 200;
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     INFO("seed ", Seed);
@@ -184,18 +179,18 @@
                            20'000 + randomBelow(Random, 100'000)});
       const auto Dies = randomBelow(Random, 8) == 0;
       if (Dies)
-        Prompts.push_back({Common, Group, Deadly, Own});
+        Prompts.push_back({Common, Group, Crashing, Own});
       if (Dies || randomBelow(Random, 20) == 0)
         Blocked = Leader.crash(Prompts);
       if (Dies && ++Deaths == 5)
         Fifth = Leader.Now;
-      Leader.sound(Common);
-      Leader.sound(100 + randomBelow(Random, 40));
-      Leader.sound(100 + randomBelow(Random, 40));
-      if (std::find(Blocked.begin(), Blocked.end(), Deadly) != Blocked.end())
+      Leader.answer(Common);
+      Leader.answer(100 + randomBelow(Random, 40));
+      Leader.answer(100 + randomBelow(Random, 40));
+      if (std::find(Blocked.begin(), Blocked.end(), Crashing) != Blocked.end())
         break;
     }
-    CHECK(Blocked == std::vector{Deadly});
+    CHECK(Blocked == std::vector{Crashing});
     CHECK(Leader.Now - ContactBound <= Fifth);
   }
 }
--- a/test/crash_watch_test.cpp
+++ b/test/crash_watch_test.cpp
@@ -85,8 +85,8 @@
   CHECK(Fixture.requestCount() == 1);
 }
 
-// Guards against sound parts that are blocked because answers go unreported.
-TEST_CASE("a whole answer to a watched part is reported as sound") {
+// Guards against innocent parts that are blocked because answers go unreported.
+TEST_CASE("a whole answer to a watched part is reported") {
   watch_fixture Fixture;
   crash_verdicts Verdicts;
   Verdicts.Watched = {0xa, 0xd};
@@ -94,7 +94,7 @@
   *Fixture.First.Answers = {{std::string(StreamHead) + "0\r\n\r\n"}};
   Fixture.send("s1");
   REQUIRE(Fixture.receive("0\r\n\r\n"));
-  CHECK(Fixture.Gateway.Crashes.report().Sound == std::vector<part_id>{0xa});
+  CHECK(Fixture.Gateway.Crashes.report().Answered == std::vector<part_id>{0xa});
 }
 
 // Guards against evidence that is lost with an exchange that failed.
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -183,8 +183,7 @@
   CHECK_FALSE(contains(Fixture.Caller.Received, "stale"));
 }
 
-// Guards against a refusal of an earlier request, written once more on a kept
-// connection, being taken for that of work that runs.
+// Guards against a stale refusal on a kept connection that ends running work.
 TEST_CASE("a repeated refusal of an earlier request refuses no other request") {
   for (const auto *RepeatedId : {"", "X-Acacianotch-Request-Id: u1\r\n"}) {
     const std::string Id(RepeatedId);
@@ -230,8 +229,7 @@
   }
 }
 
-// Guards against a stream without a length that looks complete although its
-// server ended inside an event.
+// Guards against a stream without a length that is cut but looks complete.
 TEST_CASE("a stream that ends inside an event goes on at another server") {
   forward_fixture Fixture(makeRoute(route_kind::streaming));
   scripted_answer Broken{std::string(AnswerHead) + "\r\n" + eventWithId(1) +
--- a/test/json_outline_test.cpp
+++ b/test/json_outline_test.cpp
@@ -35,8 +35,7 @@
 
 } // namespace
 
-// Guards against an invalid document that is accepted because only its parts
-// are valid.
+// Guards against accepting an invalid document whose parts are valid.
 TEST_CASE("an outline is valid exactly if the document is") {
   const std::string Valid =
       R"({"a":[{"b":[1,"],}"]},"x\",[", -1.5e3 ],"c":{"d":[1,2]},"e":[ ]})";
@@ -62,8 +61,7 @@
   }
 }
 
-// Guards against a step that decodes the whole document and so holds up the
-// event loop.
+// Guards against a step that decodes the whole document.
 TEST_CASE("a large configuration is decoded in steps of bounded size") {
   constexpr std::size_t StepBytes = 4096;
   const auto Text = routes(1000);
@@ -79,8 +77,7 @@
   CHECK(Table->match("h", "/1000/x") == nullptr);
 }
 
-// Guards against a change of one route that costs as much as all of them, and
-// against a reused route that is not checked against the new document.
+// Guards against decoding all routes for one, and against unchecked reuse.
 TEST_CASE("routes with unchanged text are taken from the previous table") {
   constexpr std::size_t StepBytes = 4096;
   const auto First = platform::decodeConfiguration(routes(1000));
--- a/test/platform_codec_test.cpp
+++ b/test/platform_codec_test.cpp
@@ -65,13 +65,12 @@
   CHECK_FALSE(platform::decodeInstancePage("garbage").ok());
 }
 
-// Guards against an odd entry of another writer that ends the process, or for
-// which the rest of the list is dropped.
+// Guards against a malformed entry that ends the process or hides the list.
 TEST_CASE("an entry with extreme values does not affect the others") {
   const auto Nested = std::string(300'000, '[') + std::string(300'000, ']');
   const std::string Plain =
       R"("service":"chat","state":"ready","id":"i-2","address":)";
-  for (const auto &Odd : {
+  for (const auto &Entry : {
            Nested,
            R"({"id":)" + Nested + "}",
            std::string("1e999"),
@@ -84,9 +83,9 @@
            "{" + Plain + R"("10.0.0.8:80","slots":8,)" +
                R"("cold-remaining-ms":18446744073709551615})",
        }) {
-    INFO(Odd.substr(0, 120));
+    INFO(Entry.substr(0, 120));
     const auto Page = platform::decodeInstancePage(
-        R"({"instances":[)" + Odd +
+        R"({"instances":[)" + Entry +
         R"(,{"service":"chat","address":"10.0.0.9:80","slots":48,)"
         R"("state":"ready","id":"i-1"}],"next":null})");
     REQUIRE(Page.ok());
--- a/test/process/log_growth_test.cpp
+++ b/test/process/log_growth_test.cpp
@@ -38,8 +38,7 @@
 
 } // namespace
 
-// Guards against a log of large documents that fills the disk before the number
-// of its records makes a snapshot due.
+// Guards against a log of few but large records that fills the disk.
 TEST_CASE("the log of large documents is compacted by its size") {
   constexpr std::uint64_t Seed = 23;
   seeded_random Random(Seed);
