Fix: [Gateway] a success without a seal is no answer

What callers would see: a 200 with an empty or short body, framed as whole, if a server leaves out a part of its head, seal or framing, and closes. Cause: the seal was decoded but not required of a success. Ruled out: a head that is cut, at each of its bytes, with a length, with chunks and with neither, never becomes an answer; the new test of it passes without a change, because a head is parsed only once its end has arrived. Change: a 2xx without a seal fails the attempt, as work that may have run. Evidence: 'a success without a seal or a request id is no answer' failed before (a 200 was delivered for the two forms of framing) and passes now.

--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -145,6 +145,10 @@
   if (Attempt->WorkUnits > 0)
     setWork(RunningStreamWork * modelWeight(Model));
   Attempt->Head = std::move(Head);
+  // A server that stops in the middle of the head may leave the seal out.
+  if (Facts.success() && !Facts.Sealed)
+    return handleFailure({errc::protocol_error, "the answer carries no seal",
+                          verdict::may_have_run});
   if (Route->Kind != route_kind::streaming || !Facts.success())
     return;
   recordModelAnswer();
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -380,6 +380,45 @@
   CHECK(contains(First[0], "Kv-Fetch: ") != contains(Second[0], "Kv-Fetch: "));
 }
 
+// Guards against a success that is made of a head that its server broke off.
+TEST_CASE("a head that ends in the middle is no answer") {
+  const auto Length = completeAnswer("body").Text;
+  const auto Chunked = streamHead();
+  const auto Unframed = std::string(AnswerHead) + "Content-Type: x\r\n\r\n";
+  for (const auto &Answer : {Length, Chunked, Unframed}) {
+    const auto Head = Answer.substr(0, Answer.find("\r\n\r\n") + 4);
+    for (std::size_t Size = 0; Size < Head.size(); ++Size) {
+      INFO(Head.substr(0, Size));
+      forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+      scripted_answer Broken{Head.substr(0, Size)};
+      Broken.Close = true;
+      Fixture.setAnswers({Broken});
+      Fixture.Caller.request("POST", "c1", "body");
+      REQUIRE(Fixture.waitForText("HTTP/1.1 "));
+      CHECK(contains(Fixture.Caller.Received, "HTTP/1.1 502"));
+      CHECK(Fixture.requestCount() == 1);
+    }
+  }
+}
+
+// Guards against a head whose server left out fields but not its end.
+TEST_CASE("a success without a seal or a request id is no answer") {
+  const std::string Id = "X-Acacianotch-Request-Id: $ID\r\n";
+  const std::string Seal = "X-Acacianotch-Response-Seal: seal\r\n";
+  for (const auto &Lines : {Id, Seal, std::string()}) {
+    for (const auto *Framing : {"", "Content-Length: 0\r\n"}) {
+      INFO(Lines, Framing);
+      forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+      scripted_answer Partial{"HTTP/1.1 200 OK\r\n" + Lines + Framing + "\r\n"};
+      Partial.Close = true;
+      Fixture.setAnswers({Partial});
+      Fixture.Caller.request("POST", "c2", "body");
+      REQUIRE(Fixture.waitForText("HTTP/1.1 "));
+      CHECK(contains(Fixture.Caller.Received, "HTTP/1.1 502"));
+    }
+  }
+}
+
 // Guards against a HEAD request that waits for a body until the deadline,
 // because the head of its answer states a Content-Length.
 TEST_CASE("an answer to HEAD has no body") {
