Fix: [Gateway] a planned stop answers all requests that it has forwarded

What callers saw: in a stop with a short grace period, requests that came late in it were forwarded and cut off without an answer when the process ended, among them requests that may not be repeated. Work that outlasts the grace period ended without an answer, whatever its length. Cause: requests were taken for 2.5 s after SIGTERM even if the process ends 2.7 s after it, and the end of the process closed the connections of what was still open. Change: the time in which requests are taken is at most a third of the time to the end. 0.2 s before the end each open request gets its final answer: 502 if it may have run, else a refusal; a stream that has begun is broken off as before. A connection whose next request has been read, but not handled, is not closed as idle.

--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -62,7 +62,9 @@
 }
 
 auto caller_connection::reading() const -> bool {
-  return State == state::reading && Reader.inMessage();
+  return State == state::reading &&
+         (Reader.inMessage() ||
+          evbuffer_get_length(bufferevent_get_input(Socket.get())) > 0);
 }
 
 auto caller_connection::onRead(bufferevent * /*Event*/, void *Self) -> void {
@@ -231,7 +233,7 @@
 
 // The output buffer may still hold a part of the last answer.
 auto caller_connection::closeIfIdle() -> void {
-  if (State != state::reading || Reader.inMessage())
+  if (State != state::reading || reading())
     return;
   if (unsentBytes() == 0)
     return close();
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -73,7 +73,8 @@
   /// \return whether the answer to a request is not complete.
   [[nodiscard]] auto busy() const -> bool { return State == state::answering; }
 
-  /// \return whether only a part of a request has arrived.
+  /// \return whether a request, or a part of it, has arrived and waits to be
+  /// handled.
   [[nodiscard]] auto reading() const -> bool;
 
   /// Closes the connection after the current answer.
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -380,12 +380,23 @@
 auto forward_task::handleDeadline() -> void {
   if (Done)
     return;
-  const auto InFlight = Attempt != nullptr;
   recordOutcome(true);
+  endWith(GatewayTimeout, "the time for the request is over");
+}
+
+auto forward_task::endNow() -> void {
+  if (!Done)
+    endWith(BadGateway, "the gateway ends");
+}
+
+/// Ends the request with \p Status if it may have been executed, else with a
+/// refusal.
+auto forward_task::endWith(int Status, std::string_view Reason) -> void {
+  const auto InFlight = Attempt != nullptr;
   releaseAttempt(false);
   if (InFlight || MayHaveRun)
-    return failMayHaveRun(GatewayTimeout, "the time for the request is over");
-  refuse(Unavailable, "the time for the request is over");
+    return failMayHaveRun(Status, Reason);
+  refuse(Unavailable, Reason);
 }
 
 auto forward_task::handleCallerDisconnect() -> void {
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -91,6 +91,10 @@
   /// Starts the first attempt, or refuses the request.
   auto start() -> void;
 
+  /// Gives the final answer now, because the process is about to end. A stream
+  /// that has begun is broken off.
+  auto endNow() -> void;
+
 private:
   struct attempt {
     backend_handle Backend;
@@ -182,6 +186,7 @@
   auto refuseBlocked(part_id Part) -> void;
   auto failMayHaveRun(int Status, std::string_view Reason) -> void;
   auto handleDeadline() -> void;
+  auto endWith(int Status, std::string_view Reason) -> void;
   auto handleCallerDisconnect() -> void;
   auto finish() -> void;
   [[nodiscard]] auto affinityKey() const -> std::optional<std::uint64_t>;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -32,7 +32,13 @@
 /// check readiness once a second and act on the second failure, so callers
 /// still arrive. Later requests are refused, because they could not complete in
 /// time.
-constexpr duration DrainPeriod = std::chrono::milliseconds(2500);
+constexpr duration MaxDrainPeriod = std::chrono::milliseconds(2500);
+/// The drain period is at most this part of a short shutdown, so that what
+/// arrives at its end can still complete.
+constexpr int DrainPeriodDivisor = 3;
+/// Requests without a complete answer get a final one this long before the
+/// process exits, which is enough to send it.
+constexpr duration FinalAnswerTime = std::chrono::milliseconds(200);
 /// The process exits this long before the grace period ends and it is killed.
 constexpr duration KillMargin = std::chrono::milliseconds(300);
 /// Age of the backend list at which the gateway polls the platform itself: two
@@ -95,7 +101,11 @@
         Context{TheLoop, Directory, ExtraAttemptBudget, Rollouts, ReportClient,
                 Work,    Crashes,   model_cascade()},
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
-        DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })) {
+        ShutdownLimit(shutdownLimit(Settings)),
+        DrainPeriod(
+            std::min(MaxDrainPeriod, ShutdownLimit / DrainPeriodDivisor)),
+        DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })),
+        EndTimer(TheLoop.oneShot([this] { endTasks(); })) {
     Link.FollowMembers = true;
     Link.onChange([this] { applyView(); });
     Link.OnBackends = [this](duration Age,
@@ -135,6 +145,8 @@
     Server->closeAfterAnswers();
     Server->closeIdle();
     DrainTimer->start(DrainPeriod);
+    EndTimer->start(
+        std::max(ShutdownLimit - FinalAnswerTime, ShutdownLimit / 2));
   }
 
   [[nodiscard]] auto idle() const -> bool {
@@ -231,6 +243,18 @@
   }
 
 private:
+  auto endTasks() -> void {
+    if (Tasks.empty())
+      return;
+    logWarning(log_category::entry,
+               "the shutdown ends requests without a complete answer",
+               {{"requests", Tasks.size()}});
+    // A task removes itself from the set when it ends.
+    const std::vector Remaining(Tasks.begin(), Tasks.end());
+    for (const auto &Task : Remaining)
+      Task->endNow();
+  }
+
   // Control polls the list for all gateways. A gateway polls it itself while
   // control sends no updates.
   [[nodiscard]] auto isListOutdated() const -> bool {
@@ -307,14 +331,15 @@
     json Rows = json::array();
     for (const auto &[Id, Backend] : Directory.backends()) {
       const auto *Row = Directory.board().row(Backend->Handle);
-      Rows.push_back({{"id", Id},
-                      {"service", Backend->Record.Service},
-                      {"address", Backend->Record.Address.text()},
-                      {"version", Backend->Record.Version},
-                      {"leaving", Backend->Record.Leaving},
-                      {"suspended", Backend->Suspended},
-                      {"in_flight", Row == nullptr ? 0 : Row->InFlight},
-                      {"others", Row == nullptr ? 0 : Row->OtherLoad}});
+      Rows.push_back(
+          {{"id", Id},
+           {"service", Backend->Record.Service},
+           {"address", Backend->Record.Address.text()},
+           {"version", Backend->Record.Version},
+           {"leaving", Backend->Record.Leaving},
+           {"suspended", Backend->Suspended},
+           {"in_flight", Row == nullptr ? 0 : Row->InFlight},
+           {"others", Row == nullptr ? 0 : Row->OtherLoad}});
     }
     return Rows;
   }
@@ -340,7 +365,10 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   caller_server *Server = nullptr;
   std::unique_ptr<loop_timer> Ticker;
+  duration ShutdownLimit; ///< Time from SIGTERM to the end of the process.
+  duration DrainPeriod;
   std::unique_ptr<loop_timer> DrainTimer;
+  std::unique_ptr<loop_timer> EndTimer;
   time_point ListReadAt{}; ///< Last poll of the list, here or by control.
   bool Stopping = false;
   time_point StoppingAt{};
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -419,6 +419,21 @@
   }
 }
 
+// Guards against requests that get no answer when the process ends.
+TEST_CASE("a request that is open at the end of a shutdown is answered") {
+  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+  Fixture.Caller.request("POST", "z1", "body");
+  REQUIRE(
+      Fixture.Gateway.runUntil([&] { return Fixture.requestCount() == 1; }));
+  const auto Open = Fixture.Gateway.Tasks;
+  for (const auto &Task : Open)
+    Task->endNow();
+  REQUIRE(Fixture.waitForText("HTTP/1.1 "));
+  CHECK(contains(Fixture.Caller.Received, "HTTP/1.1 502"));
+  CHECK(
+      Fixture.Gateway.runUntil([&] { return Fixture.Gateway.Tasks.empty(); }));
+}
+
 // Guards against a HEAD request that waits for a body until the deadline,
 // because the head of its answer states a Content-Length.
 TEST_CASE("an answer to HEAD has no body") {
--- a/test/process/support/http_call.cpp
+++ b/test/process/support/http_call.cpp
@@ -112,10 +112,15 @@
     disconnect();
     return;
   }
+  send(Bytes);
+}
+
+auto http_call::send(const std::string &Bytes) -> void {
+  Received.clear();
   std::size_t Sent = 0;
   while (Sent < Bytes.size()) {
     const auto Count =
-        send(Socket, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
+        ::send(Socket, Bytes.data() + Sent, Bytes.size() - Sent, MSG_NOSIGNAL);
     if (Count <= 0)
       return;
     Sent += static_cast<std::size_t>(Count);
--- a/test/process/support/http_call.h
+++ b/test/process/support/http_call.h
@@ -36,6 +36,10 @@
   http_call(const http_call &) = delete;
   auto operator=(const http_call &) -> http_call & = delete;
 
+  /// Sends a further request on the connection; what was read before it is
+  /// dropped.
+  auto send(const std::string &Bytes) -> void;
+
   /// Reads until \p Text has arrived. \return whether it has.
   [[nodiscard]] auto readUntil(const std::string &Text) -> bool;
 
--- a/test/standin/standin_platform.cpp
+++ b/test/standin/standin_platform.cpp
@@ -6,8 +6,8 @@
 /// is answered with its request id, a seal and the path as the body. If the
 /// request expects another instance, it is rejected with status 421 and does
 /// not run. A path that begins with /stream/ returns a stream of events, which
-/// resumes after Last-Event-Id. GET /api/report at a server returns its active
-/// streams.
+/// resumes after Last-Event-Id. A path that ends in /delay/N is answered after
+/// N ms. GET /api/report at a server returns its active streams.
 ///
 /// On the address of the list, GET /standin/runs returns all runs, POST
 /// /standin/drain/N marks server N as draining, and POST /standin/renew/N
@@ -130,7 +130,26 @@
           {{"id", Id}, {"server", Server.Id}, {"leaving", Server.Draining}});
     if (Exchange->path().starts_with("/stream/"))
       return startStream(Index, Exchange, Id);
-    Exchange->reply(HttpOk, headers(*Exchange, Id), Exchange->target());
+    replyAfter(delayOf(Exchange->path()), Exchange, Id);
+  }
+
+  static auto delayOf(const std::string &Path) -> duration {
+    const std::string Name = "/delay/";
+    const auto At = Path.rfind(Name);
+    return std::chrono::milliseconds(
+        At == std::string::npos ? 0 : std::stol(Path.substr(At + Name.size())));
+  }
+
+  auto replyAfter(duration Delay,
+                  const std::shared_ptr<http_exchange> &Exchange,
+                  const std::string &Id) -> void {
+    const auto Reply = [Exchange, Id] {
+      Exchange->reply(HttpOk, headers(*Exchange, Id), Exchange->target());
+    };
+    if (Delay == duration::zero())
+      return Reply();
+    DelayedReplies.push_back(Loop.oneShot(Reply));
+    DelayedReplies.back()->start(Delay);
   }
 
   static auto headers(const http_exchange &Exchange, const std::string &Id)
@@ -206,6 +225,7 @@
   std::string Service;
   std::vector<backend_server> Servers;
   std::map<stream *, std::shared_ptr<stream>> Streams;
+  std::vector<std::unique_ptr<loop_timer>> DelayedReplies;
   json Runs = json::array();
 };
 
