Feature: [Gateway] servers that leave or ask for a pause get no new work

What the platform does: a server that leaves says so in all its answers (Server-Leaving), and one that rejects with 503 may add Retry-After, the time for which it wants nothing from that gateway. Nothing read either, so that a gateway cut off from the list went on sending to a leaving server, and one that was asked to wait tried again with the next request. Change: controller/server_intake keeps both statements by instance (id and start), apart from the network. Leaving holds across lists that still show the server as ready, miss it, or lack its start, and ends with another start. A pause is never shortened by a later answer, is at most 60 s, and is followed by one request, then two more for each one that the server accepts; gateways come back up to a quarter of the pause apart. The head of each answer is read for them, late answers and status reports too. Unused connections are closed, and calls whose connection is not established yet are placed anew. If all servers of a service have asked for a pause, callers hear at once when the first one ends. A log line for each statement and for a request that finds no server, a gauge by state, and the state with its age in the dump.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -40,6 +40,10 @@
                "acacianotch_ejected_backends", "", "entry, gateway",
                "backend servers that get no requests because they are slow or "
                "fail"},
+    metric_row{metric::backend_intake, kind::gauge,
+               "acacianotch_backend_intake", "state", "gateway",
+               "backend servers that take no or little new work by their own "
+               "statement"},
     metric_row{metric::unsettled_usage, kind::gauge,
                "acacianotch_unsettled_usage_records", "", "entry, agent",
                "usage records that control has not synced yet"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -29,6 +29,7 @@
   retries,
   hedges,
   ejected_backends,
+  backend_intake,
   unsettled_usage,
   catalogue_revision,
   confirmation_age_seconds,
--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -94,6 +94,11 @@
   close();
 }
 
+auto backend_channel::failIfUnsent() -> void {
+  if (State == state::connecting && HasCall)
+    fail(errc::backend_leaving, "the backend server takes no new work");
+}
+
 auto backend_channel::pauseReading() -> void {
   if (State != state::closed)
     bufferevent_disable(Socket.get(), EV_READ);
@@ -156,6 +161,8 @@
     return;
   }
   const auto Facts = platform::decodeAnswer(Head);
+  if (HeadCallback)
+    HeadCallback(Facts);
   // A duplicate or late answer carries the id of an earlier request.
   Skipping = !Facts.RequestId.empty() && Facts.RequestId != RequestId;
   if (Skipping)
@@ -222,8 +229,6 @@
   bufferevent_setcb(Socket.get(), nullptr, nullptr, nullptr, nullptr);
   bufferevent_disable(Socket.get(), EV_READ | EV_WRITE);
   Loop.defer([Self = shared_from_this()] { Self->Socket.reset(); });
-  if (ClosedCallback)
-    Loop.defer(std::exchange(ClosedCallback, nullptr));
 }
 
 } // namespace acacianotch
--- a/src/gateway/backend_channel.h
+++ b/src/gateway/backend_channel.h
@@ -61,9 +61,18 @@
   /// the backend server will not close the connection soon.
   [[nodiscard]] auto reusable(time_point Now) const -> bool;
 
-  /// Runs \p Callback once after the connection was closed.
-  auto onClosed(std::function<void()> Callback) -> void {
-    ClosedCallback = std::move(Callback);
+  /// \return whether the connection is not established yet.
+  [[nodiscard]] auto connecting() const -> bool {
+    return State == state::connecting;
+  }
+
+  /// Fails a call of which no byte was sent.
+  auto failIfUnsent() -> void;
+
+  /// Runs \p Callback for the head of each answer, also of one to an earlier
+  /// request, but not of interim answers.
+  auto onHead(std::function<void(const answer_facts &)> Callback) -> void {
+    HeadCallback = std::move(Callback);
   }
 
 private:
@@ -98,7 +107,7 @@
   bool KeepAlive = false;
   std::optional<duration> IdleLimit;
   time_point IdleSince{};
-  std::function<void()> ClosedCallback;
+  std::function<void(const answer_facts &)> HeadCallback;
 };
 
 } // namespace acacianotch
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -21,6 +21,10 @@
 /// A working model engine sends tokens of some request at least this often: a
 /// generation step with a chunk of the longest prompt takes a tenth of it.
 constexpr duration StallTimeout = std::chrono::seconds(1);
+/// The end of a stated pause is spread over this share of it, so that gateways
+/// do not come back at the same moment; the spread is limited.
+constexpr double PauseSpreadShare = 0.25;
+constexpr duration MaxPauseSpread = std::chrono::seconds(1);
 /// Idle connections kept for one backend server.
 constexpr std::size_t MaxIdleChannels = 32;
 
@@ -53,6 +57,10 @@
   return Settings;
 }
 
+auto instanceOf(const known_backend &Backend) -> server_instance {
+  return {Backend.Record.Id, Backend.Record.StartedMs};
+}
+
 } // namespace
 
 backend_directory::backend_directory(event_loop &TheLoop, node_id TheNode,
@@ -61,6 +69,7 @@
       Random(Seed) {}
 
 auto backend_directory::applyList(std::vector<backend_record> Listed) -> void {
+  const auto Now = steady_clock::now();
   std::set<std::string> Present;
   auto Changed = !std::exchange(HasList, true);
   for (auto &Record : Listed) {
@@ -82,8 +91,11 @@
       logInfo(log_category::placement, "backend server is leaving",
               {{"backend", Record.Id}, {"service", Record.Service}});
     }
-    Record.Leaving =
-        Record.Leaving || (!IsNewInstance && Backend->Record.Leaving);
+    const server_instance Instance{Record.Id, Record.StartedMs};
+    Intake.recordListed(Instance, Now);
+    Record.Leaving = Record.Leaving ||
+                     (!IsNewInstance && Backend->Record.Leaving) ||
+                     Intake.state(Instance, Now) == intake_state::leaving;
     if (Backend->Record == Record)
       continue;
     Changed = true;
@@ -93,6 +105,7 @@
                                  Facts.Slots, Facts.Leaving});
     Backend->Key = serverKey(Facts.Id);
     ByHandle[Backend->Handle] = Backend.get();
+    updateIntake(*Backend);
   }
   for (auto Iterator = Backends.begin(); Iterator != Backends.end();) {
     if (Present.contains(Iterator->first)) {
@@ -112,6 +125,8 @@
 auto backend_directory::remove(known_backend &Backend) -> void {
   if (Backend.Suspended)
     Board.restore(Backend.Handle);
+  if (Backend.IntakeClosed)
+    Board.restore(Backend.Handle);
   for (const auto &Channel : Backend.IdleChannels)
     Channel->cancel();
   ByHandle.erase(Backend.Handle);
@@ -217,14 +232,138 @@
       return Channel;
     Channel->cancel();
   }
-  return backend_channel::connect(Loop, Backend.Record.Address);
+  auto Opened = backend_channel::connect(Loop, Backend.Record.Address);
+  if (!Opened)
+    return Opened;
+  std::erase_if(Backend.NewChannels, [](const auto &Weak) {
+    const auto Channel = Weak.lock();
+    return Channel == nullptr || !Channel->connecting();
+  });
+  Backend.NewChannels.push_back(*Opened);
+  (*Opened)->onHead([this, Handle = Backend.Handle](const answer_facts &Facts) {
+    recordStatements(Handle, Facts);
+  });
+  return Opened;
+}
+
+auto backend_directory::recordStatements(backend_handle Handle,
+                                         const answer_facts &Facts) -> void {
+  auto *Backend = find(Handle);
+  // An answer of a server that has taken over the address says nothing about
+  // this one.
+  if (Backend == nullptr || Facts.Replaced)
+    return;
+  const auto Now = steady_clock::now();
+  if (Facts.Leaving)
+    recordLeaving(Handle);
+  if (!Facts.RetryAfter) {
+    if (!Facts.NotRun)
+      Intake.recordAccepted(instanceOf(*Backend), Now);
+    return updateIntake(*Backend);
+  }
+  const auto Largest =
+      std::min<duration>(std::chrono::duration_cast<duration>(
+                             PauseSpreadShare * *Facts.RetryAfter),
+                         MaxPauseSpread);
+  const auto Range = static_cast<std::uint64_t>(Largest.count()) + 1;
+  const duration Spread(static_cast<duration::rep>(randomBelow(Random, Range)));
+  Intake.recordRejection(instanceOf(*Backend), *Facts.RetryAfter, Spread, Now);
+  logInfo(log_category::placement, "backend server asks for a pause",
+          {{"backend", Backend->Record.Id},
+           {"service", Backend->Record.Service},
+           {"retry_after_ms", *Facts.RetryAfter / std::chrono::milliseconds(1)},
+           {"spread_ms", Spread / std::chrono::milliseconds(1)}});
+  updateIntake(*Backend);
+  closeUnusedChannels(*Backend);
+}
+
+auto backend_directory::recordLeaving(backend_handle Handle) -> void {
+  auto *Backend = find(Handle);
+  if (Backend == nullptr ||
+      !Intake.recordLeaving(instanceOf(*Backend), steady_clock::now()))
+    return;
+  logInfo(log_category::placement, "backend server states that it leaves",
+          {{"backend", Backend->Record.Id},
+           {"service", Backend->Record.Service},
+           {"listed_as_leaving", Backend->Record.Leaving}});
+  markLeaving(*Backend);
+  closeUnusedChannels(*Backend);
+}
+
+auto backend_directory::recordSent(backend_handle Handle) -> void {
+  auto *Backend = find(Handle);
+  if (Backend == nullptr)
+    return;
+  Intake.recordSent(instanceOf(*Backend), steady_clock::now());
+  updateIntake(*Backend);
+}
+
+auto backend_directory::updateIntake(known_backend &Backend) -> void {
+  const auto Closed = !Intake.admits(instanceOf(Backend), steady_clock::now());
+  if (std::exchange(Backend.IntakeClosed, Closed) == Closed)
+    return;
+  if (Closed)
+    Board.eject(Backend.Handle);
+  else
+    Board.restore(Backend.Handle);
+}
+
+/// Closes connections without a request, and those whose request has not been
+/// sent, which is then placed anew.
+auto backend_directory::closeUnusedChannels(known_backend &Backend) -> void {
+  for (const auto &Channel : std::exchange(Backend.IdleChannels, {}))
+    Channel->cancel();
+  for (const auto &Weak : std::exchange(Backend.NewChannels, {}))
+    if (const auto Channel = Weak.lock())
+      Loop.defer([Channel] { Channel->failIfUnsent(); });
+}
+
+auto backend_directory::pauseLeft(const std::string &Service) const
+    -> std::optional<duration> {
+  const auto Now = steady_clock::now();
+  std::optional<duration> Least;
+  for (const auto &[Id, Backend] : Backends) {
+    if (Backend->Record.Service != Service || Backend->Record.Leaving)
+      continue;
+    const auto Left = Intake.pauseLeft(instanceOf(*Backend), Now);
+    if (!Left)
+      return std::nullopt;
+    Least = std::min(Least.value_or(*Left), *Left);
+  }
+  return Least;
+}
+
+auto backend_directory::intakeCounts(std::string_view Service) const
+    -> intake_counts {
+  const auto Now = steady_clock::now();
+  intake_counts Counts;
+  for (const auto &[Id, Backend] : Backends) {
+    if (!Service.empty() && Backend->Record.Service != Service)
+      continue;
+    switch (Intake.state(instanceOf(*Backend), Now)) {
+    case intake_state::leaving:
+      ++Counts.Leaving;
+      break;
+    case intake_state::paused:
+      ++Counts.Paused;
+      break;
+    case intake_state::resuming:
+      ++Counts.Resuming;
+      break;
+    case intake_state::open:
+    case intake_state::invalid:
+      ++Counts.Open;
+      break;
+    }
+  }
+  return Counts;
 }
 
 auto backend_directory::releaseChannel(backend_handle Handle,
                                        std::shared_ptr<backend_channel> Channel)
     -> void {
   auto *Backend = find(Handle);
-  const auto Reusable = Backend != nullptr &&
+  const auto Reusable = Backend != nullptr && !Backend->Record.Leaving &&
                         Backend->IdleChannels.size() < MaxIdleChannels &&
                         Channel->reusable(steady_clock::now());
   if (Reusable)
@@ -258,12 +397,16 @@
   auto *Backend = find(Handle);
   if (Backend == nullptr || Backend->Record.Leaving)
     return;
-  Backend->Record.Leaving = true;
-  const auto &Facts = Backend->Record;
+  markLeaving(*Backend);
+  logInfo(
+      log_category::placement, "another backend server has replaced this one",
+      {{"backend", Backend->Record.Id}, {"service", Backend->Record.Service}});
+}
+
+auto backend_directory::markLeaving(known_backend &Backend) -> void {
+  Backend.Record.Leaving = true;
+  const auto &Facts = Backend.Record;
   Board.put({backend_id(Facts.Id), zone_id(Facts.Zone), Facts.Slots, true});
-  logInfo(log_category::placement,
-          "another backend server has replaced this one",
-          {{"backend", Facts.Id}, {"service", Facts.Service}});
 }
 
 auto backend_directory::recordProgress(backend_handle Handle) -> void {
@@ -319,6 +462,7 @@
 
 auto backend_directory::tick() -> void {
   const auto Now = steady_clock::now();
+  Intake.forgetUnlisted(Now);
   for (auto &[Id, Backend] : Backends) {
     std::erase_if(Backend->IdleChannels, [&](const auto &Channel) {
       const auto Unusable = !Channel->reusable(Now);
@@ -326,6 +470,7 @@
         Channel->cancel();
       return Unusable;
     });
+    updateIntake(*Backend);
     if (!Backend->Suspended || Now < Backend->SuspendedUntil)
       continue;
     Backend->Suspended = false;
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -5,6 +5,7 @@
 #include "board/work_board.h"
 #include "catalogue/catalogue_view.h"
 #include "controller/placement.h"
+#include "controller/server_intake.h"
 #include "core/random_type.h"
 #include "gateway/backend_channel.h"
 #include "routing/backend_type.h"
@@ -34,13 +35,24 @@
   backend_handle Handle;
   server_key Key = 0;
   std::vector<std::shared_ptr<backend_channel>> IdleChannels;
+  /// Recently opened connections, which may still be connecting.
+  std::vector<std::weak_ptr<backend_channel>> NewChannels;
   time_point SuspendedUntil{}; ///< End of the last suspension.
   bool Suspended = false;
+  bool IntakeClosed = false;     ///< Ejected on its own statement.
   time_point LastByteAt{};       ///< When the last answer data arrived.
   std::uint32_t Failures = 0;    ///< Consecutive.
   std::uint32_t Suspensions = 0; ///< Consecutive.
 };
 
+/// Numbers of the listed backend servers of one service by their intake.
+struct intake_counts {
+  std::size_t Open = 0;
+  std::size_t Leaving = 0;
+  std::size_t Paused = 0;
+  std::size_t Resuming = 0;
+};
+
 /// A backend server as needed by the work exchange between gateways.
 struct used_server {
   server_key Key = 0;
@@ -85,6 +97,29 @@
   auto releaseChannel(backend_handle Handle,
                       std::shared_ptr<backend_channel> Channel) -> void;
 
+  /// Records what the head of an answer states about new work.
+  auto recordStatements(backend_handle Handle, const answer_facts &Facts)
+      -> void;
+
+  /// Records that a backend server leaves: it gets no new work until it starts
+  /// again, whatever the list says.
+  auto recordLeaving(backend_handle Handle) -> void;
+
+  /// Records that a request was sent to a backend server.
+  auto recordSent(backend_handle Handle) -> void;
+
+  /// \return the time until the first backend server of a service takes work
+  /// again, if all of them have asked for a pause.
+  [[nodiscard]] auto pauseLeft(const std::string &Service) const
+      -> std::optional<duration>;
+
+  /// \return the number of backend servers in each state of intake, of one
+  /// service or, if it is empty, of all.
+  [[nodiscard]] auto intakeCounts(std::string_view Service) const
+      -> intake_counts;
+
+  [[nodiscard]] auto intake() const -> const server_intake & { return Intake; }
+
   /// Sends no new work to a backend server for a time that grows exponentially
   /// with consecutive suspensions.
   auto suspend(backend_handle Handle) -> void;
@@ -129,6 +164,9 @@
 
 private:
   auto remove(known_backend &Backend) -> void;
+  auto markLeaving(known_backend &Backend) -> void;
+  auto updateIntake(known_backend &Backend) -> void;
+  auto closeUnusedChannels(known_backend &Backend) -> void;
   auto rebuildPools() -> void;
   auto limitCandidates(std::vector<backend_handle> &Members,
                        std::size_t Limit) const -> void;
@@ -140,6 +178,7 @@
   steady_clock Clock;
   seeded_random Random;
   backend_board Board;
+  server_intake Intake;
   std::map<std::string, std::unique_ptr<known_backend>> Backends; ///< By id.
   std::map<backend_handle, known_backend *> ByHandle;
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
--- a/src/gateway/backend_report_client.cpp
+++ b/src/gateway/backend_report_client.cpp
@@ -2,6 +2,7 @@
 #include "gateway/backend_report_client.h"
 
 #include "platform/report_codec.h"
+#include "platform/request_codec.h"
 
 namespace acacianotch {
 
@@ -31,8 +32,9 @@
   Options.TimeLimit = AnswerTimeout;
   Options.MaxBodyBytes = MaxReportBytes;
   http_call_events Events;
-  Events.OnHead = [&PendingRequest](int Status, const http_headers &) {
+  Events.OnHead = [&PendingRequest](int Status, const http_headers &Headers) {
     PendingRequest.Status = Status;
+    PendingRequest.Leaving = platform::statesLeaving(Headers);
   };
   Events.OnData = [&PendingRequest](std::string_view Data) {
     PendingRequest.Body.append(Data);
@@ -52,13 +54,21 @@
                                       const result<void> &Result) -> void {
   const auto Completed = std::move(PendingRequests[Key]);
   PendingRequests.erase(Key);
-  auto Report = [&]() -> result<backend_report> {
+  const auto Report = [&]() -> result<backend_report> {
     if (!Result)
       return failure::of(errc::backend_unreachable, Result.error().Detail);
+    if (Completed.Status != Success && Completed.Leaving) {
+      backend_report Statement;
+      Statement.Leaving = true;
+      return Statement;
+    }
     if (Completed.Status != Success)
       return failure::of(errc::bad_request,
                          "status " + std::to_string(Completed.Status));
-    return platform::decodeReport(Completed.Body);
+    auto Decoded = platform::decodeReport(Completed.Body);
+    if (Decoded)
+      Decoded->Leaving = Completed.Leaving;
+    return Decoded;
   }();
   for (const auto &Callback : Completed.Callbacks)
     Callback(Report);
--- a/src/gateway/backend_report_client.h
+++ b/src/gateway/backend_report_client.h
@@ -37,6 +37,7 @@
     std::vector<callback> Callbacks;
     std::string Body;
     int Status = 0;
+    bool Leaving = false;
   };
 
   auto handleEnd(const std::string &Key, const result<void> &Result) -> void;
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -186,6 +186,7 @@
         Context.Rollouts.startWaiting(*Rollout, measuredAttempt());
   Attempt->LongWork = Request.PromptTokens > LongPromptTokens;
   Context.Directory.board().started(Chosen, Attempt->LongWork);
+  Context.Directory.recordSent(Chosen);
   if (!Request.Prompt.empty())
     setWork(promptWork().Total);
   attempt_options AttemptOptions;
--- a/src/gateway/forward_stall.cpp
+++ b/src/gateway/forward_stall.cpp
@@ -66,6 +66,9 @@
   const auto *Backend = Context.Directory.find(Attempt->Backend);
   if (Backend == nullptr)
     return abandonStalledAttempt();
+  // A server that has asked for a pause gets no further requests of any kind.
+  if (Backend->IntakeClosed && !Backend->Record.Leaving)
+    return StallTimer->start(StallCheckInterval);
   ++Attempt->ReportRequests;
   Context.ReportClient.requestReport(
       Backend->Record.Address,
@@ -81,6 +84,8 @@
 }
 
 auto forward_task::handleReport(const result<backend_report> &Report) -> void {
+  if (Report && Report->Leaving)
+    Context.Directory.recordLeaving(Attempt->Backend);
   const auto StalledFor = steady_clock::now() - Attempt->LastDataAt;
   // The stream may have continued while the report was requested.
   if (StalledFor < StallCheckInterval)
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -126,7 +126,7 @@
       return refuseNotRun("all attempts were refused");
     const auto Chosen = chooseBackend();
     if (!Chosen)
-      return refuseNotRun("no backend server takes it");
+      return refuseUnplaced();
     TriedBackends.push_back(*Chosen);
     ++AttemptsStarted;
     if (send(*Chosen))
@@ -281,7 +281,8 @@
   recordPossibleCrash(Failure);
   abandonAttempt(Failure);
   if (Failure.Verdict == verdict::not_run) {
-    Context.Directory.suspend(Backend);
+    if (Failure.Code != errc::backend_leaving)
+      Context.Directory.suspend(Backend);
     return startNextAttempt();
   }
   Context.Directory.recordFailure(Backend);
@@ -361,6 +362,25 @@
   refuse(Unavailable, Reason, RetryAfter);
 }
 
+// The servers know best when they take work again.
+auto forward_task::refuseUnplaced() -> void {
+  const auto Pause = Context.Directory.pauseLeft(Service);
+  const auto Counts = Context.Directory.intakeCounts(Service);
+  logInfo(
+      log_category::placement, "no backend server takes a request",
+      {{"request", Request.Id},
+       {"service", Service},
+       {"open", Counts.Open},
+       {"leaving", Counts.Leaving},
+       {"paused", Counts.Paused},
+       {"resuming", Counts.Resuming},
+       {"pause_left_ms", Pause ? *Pause / std::chrono::milliseconds(1) : -1},
+       {"tried", TriedBackends.size()}});
+  refuseNotRun("no backend server takes it",
+               Pause ? std::max(*Pause, OverloadRetryAfter)
+                     : OverloadRetryAfter);
+}
+
 auto forward_task::failMayHaveRun(int Status, std::string_view Reason) -> void {
   ++Context.Counters.Failed;
   logWarning(log_category::entry, "request failed; it may have been executed",
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -184,6 +184,7 @@
   auto refuseNotRun(std::string_view Reason) -> void;
   auto refuseNotRun(std::string_view Reason, duration RetryAfter) -> void;
   auto refuseBlocked(part_id Part) -> void;
+  auto refuseUnplaced() -> void;
   auto failMayHaveRun(int Status, std::string_view Reason) -> void;
   auto handleDeadline() -> void;
   auto endWith(int Status, std::string_view Reason) -> void;
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -236,6 +236,16 @@
             static_cast<std::uint64_t>(View.currentRevision())));
     Metrics.gauge(metric::ejected_backends)
         .Set(static_cast<double>(Directory.suspendedCount()));
+    const auto Counts = Directory.intakeCounts({});
+    const auto SetIntake = [&](intake_state State, std::size_t Count) {
+      Metrics
+          .gauge(metric::backend_intake,
+                 {{"state", std::string(IntakeStateNames.name(State))}})
+          .Set(static_cast<double>(Count));
+    };
+    SetIntake(intake_state::leaving, Counts.Leaving);
+    SetIntake(intake_state::paused, Counts.Paused);
+    SetIntake(intake_state::resuming, Counts.Resuming);
     if (const auto Confirmed = View.lastConfirmation())
       Metrics.gauge(metric::confirmation_age_seconds)
           .Set(std::chrono::duration<double>(steady_clock::now() - *Confirmed)
@@ -329,8 +339,14 @@
 
   [[nodiscard]] auto backendRows() -> json {
     json Rows = json::array();
+    const auto Now = steady_clock::now();
+    const auto &Intake = Directory.intake();
+    const auto Milliseconds = [](const std::optional<duration> &Time) -> json {
+      return Time ? json(*Time / std::chrono::milliseconds(1)) : json();
+    };
     for (const auto &[Id, Backend] : Directory.backends()) {
       const auto *Row = Directory.board().row(Backend->Handle);
+      const server_instance Instance{Id, Backend->Record.StartedMs};
       Rows.push_back(
           {{"id", Id},
            {"service", Backend->Record.Service},
@@ -338,6 +354,10 @@
            {"version", Backend->Record.Version},
            {"leaving", Backend->Record.Leaving},
            {"suspended", Backend->Suspended},
+           {"intake", IntakeStateNames.name(Intake.state(Instance, Now))},
+           {"statement_age_ms",
+            Milliseconds(Intake.statementAge(Instance, Now))},
+           {"pause_left_ms", Milliseconds(Intake.pauseLeft(Instance, Now))},
            {"in_flight", Row == nullptr ? 0 : Row->InFlight},
            {"others", Row == nullptr ? 0 : Row->OtherLoad}});
     }
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -75,6 +75,9 @@
   bool NotRun = false;   ///< The request was not executed.
   bool Replaced = false; ///< Another backend server has the address now.
   bool Sealed = false;   ///< The answer carries the seal of a backend server.
+  bool Leaving = false;  ///< The server takes no new work any more.
+  /// Time for which a server that rejected the request wants no other one.
+  std::optional<duration> RetryAfter;
   std::optional<backend_load> Load;
   std::optional<std::uint32_t> Confidence; ///< 0 to 100.
   std::optional<duration> IdleLimit;       ///< Idle timeout of the connection.
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace acacianotch::platform {
@@ -27,6 +28,8 @@
 constexpr std::string_view NotExecutedName = "X-Acacianotch-Not-Executed";
 constexpr std::string_view LoadName = "X-Acacianotch-Engine-Load";
 constexpr std::string_view ConfidenceName = "X-Acacianotch-Confidence";
+constexpr std::string_view LeavingName = "Server-Leaving";
+constexpr std::string_view RetryAfterName = "Retry-After";
 /// Model name with which a caller lets the gateway choose.
 constexpr std::string_view AnyModelText = "*";
 
@@ -137,6 +140,51 @@
     Request.LikelyOutputTokens = parseNumber<std::uint32_t>(*Length);
 }
 
+/// Longest pause that a backend server can ask for. A larger value is more
+/// likely an error of the server than a time that it needs.
+constexpr double MaxRetryAfterSeconds = 60;
+/// Pause for a value that states a date: the clocks of VMs may differ.
+constexpr double DatedRetryAfterSeconds = 1;
+
+/// \return the seconds that one value states; 0 if it states none.
+auto retryAfterSeconds(std::string_view Text) -> double {
+  while (!Text.empty() && Text.front() == ' ')
+    Text.remove_prefix(1);
+  while (!Text.empty() && Text.back() == ' ')
+    Text.remove_suffix(1);
+  const auto StatesDate =
+      Text.find(':') != std::string_view::npos && Text.ends_with("GMT");
+  if (StatesDate)
+    return DatedRetryAfterSeconds;
+  double Seconds = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Seconds);
+  if (Read.ec == std::errc::result_out_of_range && Read.ptr == End)
+    return Text.front() == '-' || Text.find("e-") != std::string_view::npos
+               ? 0
+               : MaxRetryAfterSeconds;
+  if (Read.ec != std::errc() || Read.ptr != End || !std::isfinite(Seconds))
+    return 0;
+  return std::clamp(Seconds, 0.0, MaxRetryAfterSeconds);
+}
+
+/// \return the longest time that any Retry-After header states.
+auto decodeRetryAfter(const http_head &Head) -> std::optional<duration> {
+  double Longest = 0;
+  for (const auto &[Name, Value] : Head.Headers) {
+    if (!sameHeaderName(Name, RetryAfterName))
+      continue;
+    Longest = std::max(Longest, retryAfterSeconds(Value));
+    forEachPart(Value, [&](std::string_view Part) {
+      Longest = std::max(Longest, retryAfterSeconds(Part));
+    });
+  }
+  if (Longest <= 0)
+    return std::nullopt;
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(Longest));
+}
+
 auto millisecondsText(duration Time) -> std::string {
   const auto Count =
       std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
@@ -203,13 +251,23 @@
   return Headers;
 }
 
+auto statesLeaving(const http_headers &Headers) -> bool {
+  return std::any_of(Headers.begin(), Headers.end(), [](const auto &Row) {
+    return sameHeaderName(Row.first, LeavingName) && Row.second == "1";
+  });
+}
+
 auto decodeAnswer(const http_head &Head) -> answer_facts {
   constexpr int MisdirectedRequest = 421;
+  constexpr int Unavailable = 503;
   answer_facts Facts;
   Facts.Status = Head.Status;
   Facts.Replaced = Head.Status == MisdirectedRequest;
   Facts.NotRun = Head.find(NotExecutedName) != nullptr || Facts.Replaced;
   Facts.Sealed = Head.find(SealName) != nullptr;
+  Facts.Leaving = statesLeaving(Head.Headers);
+  if (Head.Status == Unavailable)
+    Facts.RetryAfter = decodeRetryAfter(Head);
   if (const auto *Id = Head.find(RequestIdName))
     Facts.RequestId = *Id;
   if (const auto *Confidence = Head.find(ConfidenceName))
@@ -255,7 +313,7 @@
     const auto Size =
         std::snprintf(Text.data(), Text.size(), "%.3f",
                       std::chrono::duration<double>(RetryAfter).count());
-    Headers.emplace_back("Retry-After",
+    Headers.emplace_back(RetryAfterName,
                          std::string(Text.data(), static_cast<size_t>(Size)));
   }
   return Headers;
--- a/src/platform/request_codec.h
+++ b/src/platform/request_codec.h
@@ -15,6 +15,10 @@
                                   const attempt_options &AttemptOptions)
     -> http_headers;
 
+/// \return whether the headers of a backend server's answer, of any kind, state
+/// that it takes no new work any more.
+[[nodiscard]] auto statesLeaving(const http_headers &Headers) -> bool;
+
 /// Parses the head of a backend server's answer.
 [[nodiscard]] auto decodeAnswer(const http_head &Head) -> answer_facts;
 
--- a/src/routing/backend_type.h
+++ b/src/routing/backend_type.h
@@ -45,6 +45,7 @@
   std::uint32_t Running = 0;
   std::uint32_t Waiting = 0;
   bool ListsRuns = false; ///< The report includes Runs.
+  bool Leaving = false;   ///< The server takes no new work any more.
   std::vector<running_request> Runs;
 };
 
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -56,8 +56,9 @@
   std::uint16_t Port = 0;
   /// Answer to a request for its report; it sends none if empty.
   std::string Report;
-  int ReportRequests = 0; ///< Received.
-  int Closed = 0;         ///< Connections that the gateway has closed.
+  std::string ReportHeaders; ///< More header lines of its report.
+  int ReportRequests = 0;    ///< Received.
+  int Closed = 0;            ///< Connections that the gateway has closed.
 
   auto sendLate(const std::string &Text) -> void {
     REQUIRE_FALSE(Connections.empty());
@@ -124,9 +125,10 @@
     ++ReportRequests;
     if (Report.empty())
       return;
-    const auto Text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
-                      "Content-Length: " +
-                      std::to_string(Report.size()) + "\r\n\r\n" + Report;
+    const auto Text = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" +
+                      ReportHeaders +
+                      "Content-Length: " + std::to_string(Report.size()) +
+                      "\r\n\r\n" + Report;
     bufferevent_write(Connection.Socket.get(), Text.data(), Text.size());
   }
 
