--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -21,10 +21,6 @@
 /// A working model engine sends tokens of some request at least this often: a
 /// generation step with a chunk of the longest prompt takes a tenth of it.
 constexpr duration StallTimeout = std::chrono::seconds(1);
-/// The end of a stated pause is spread over this share of it, so that gateways
-/// do not come back at the same moment; the spread is limited.
-constexpr double PauseSpreadShare = 0.25;
-constexpr duration MaxPauseSpread = std::chrono::seconds(1);
 /// Idle connections kept for one backend server.
 constexpr std::size_t MaxIdleChannels = 32;
 
@@ -57,10 +53,6 @@
   return Settings;
 }
 
-auto instanceOf(const known_backend &Backend) -> server_instance {
-  return {Backend.Record.Id, Backend.Record.StartedMs};
-}
-
 } // namespace
 
 backend_directory::backend_directory(event_loop &TheLoop, node_id TheNode,
@@ -246,119 +238,6 @@
   return Opened;
 }
 
-auto backend_directory::recordStatements(backend_handle Handle,
-                                         const answer_facts &Facts) -> void {
-  auto *Backend = find(Handle);
-  // An answer of a server that has taken over the address says nothing about
-  // this one.
-  if (Backend == nullptr || Facts.Replaced)
-    return;
-  const auto Now = steady_clock::now();
-  if (Facts.Leaving)
-    recordLeaving(Handle);
-  if (!Facts.RetryAfter) {
-    if (!Facts.NotRun)
-      Intake.recordAccepted(instanceOf(*Backend), Now);
-    return updateIntake(*Backend);
-  }
-  const auto Largest =
-      std::min<duration>(std::chrono::duration_cast<duration>(
-                             PauseSpreadShare * *Facts.RetryAfter),
-                         MaxPauseSpread);
-  const auto Range = static_cast<std::uint64_t>(Largest.count()) + 1;
-  const duration Spread(static_cast<duration::rep>(randomBelow(Random, Range)));
-  Intake.recordRejection(instanceOf(*Backend), *Facts.RetryAfter, Spread, Now);
-  logInfo(log_category::placement, "backend server asks for a pause",
-          {{"backend", Backend->Record.Id},
-           {"service", Backend->Record.Service},
-           {"retry_after_ms", *Facts.RetryAfter / std::chrono::milliseconds(1)},
-           {"spread_ms", Spread / std::chrono::milliseconds(1)}});
-  updateIntake(*Backend);
-  closeUnusedChannels(*Backend);
-}
-
-auto backend_directory::recordLeaving(backend_handle Handle) -> void {
-  auto *Backend = find(Handle);
-  if (Backend == nullptr ||
-      !Intake.recordLeaving(instanceOf(*Backend), steady_clock::now()))
-    return;
-  logInfo(log_category::placement, "backend server states that it leaves",
-          {{"backend", Backend->Record.Id},
-           {"service", Backend->Record.Service},
-           {"listed_as_leaving", Backend->Record.Leaving}});
-  markLeaving(*Backend);
-  closeUnusedChannels(*Backend);
-}
-
-auto backend_directory::recordSent(backend_handle Handle) -> void {
-  auto *Backend = find(Handle);
-  if (Backend == nullptr)
-    return;
-  Intake.recordSent(instanceOf(*Backend), steady_clock::now());
-  updateIntake(*Backend);
-}
-
-auto backend_directory::updateIntake(known_backend &Backend) -> void {
-  const auto Closed = !Intake.admits(instanceOf(Backend), steady_clock::now());
-  if (std::exchange(Backend.IntakeClosed, Closed) == Closed)
-    return;
-  if (Closed)
-    Board.eject(Backend.Handle);
-  else
-    Board.restore(Backend.Handle);
-}
-
-/// Closes connections without a request, and those whose request has not been
-/// sent, which is then placed anew.
-auto backend_directory::closeUnusedChannels(known_backend &Backend) -> void {
-  for (const auto &Channel : std::exchange(Backend.IdleChannels, {}))
-    Channel->cancel();
-  for (const auto &Weak : std::exchange(Backend.NewChannels, {}))
-    if (const auto Channel = Weak.lock())
-      Loop.defer([Channel] { Channel->failIfUnsent(); });
-}
-
-auto backend_directory::pauseLeft(const std::string &Service) const
-    -> std::optional<duration> {
-  const auto Now = steady_clock::now();
-  std::optional<duration> Least;
-  for (const auto &[Id, Backend] : Backends) {
-    if (Backend->Record.Service != Service || Backend->Record.Leaving)
-      continue;
-    const auto Left = Intake.pauseLeft(instanceOf(*Backend), Now);
-    if (!Left)
-      return std::nullopt;
-    Least = std::min(Least.value_or(*Left), *Left);
-  }
-  return Least;
-}
-
-auto backend_directory::intakeCounts(std::string_view Service) const
-    -> intake_counts {
-  const auto Now = steady_clock::now();
-  intake_counts Counts;
-  for (const auto &[Id, Backend] : Backends) {
-    if (!Service.empty() && Backend->Record.Service != Service)
-      continue;
-    switch (Intake.state(instanceOf(*Backend), Now)) {
-    case intake_state::leaving:
-      ++Counts.Leaving;
-      break;
-    case intake_state::paused:
-      ++Counts.Paused;
-      break;
-    case intake_state::resuming:
-      ++Counts.Resuming;
-      break;
-    case intake_state::open:
-    case intake_state::invalid:
-      ++Counts.Open;
-      break;
-    }
-  }
-  return Counts;
-}
-
 auto backend_directory::releaseChannel(backend_handle Handle,
                                        std::shared_ptr<backend_channel> Channel)
     -> void {
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -31,6 +31,10 @@
 
 /// One listed backend server, its connections and failures.
 struct known_backend {
+  [[nodiscard]] auto instance() const -> server_instance {
+    return {Record.Id, Record.StartedMs};
+  }
+
   backend_record Record;
   backend_handle Handle;
   server_key Key = 0;
@@ -156,6 +160,7 @@
   [[nodiscard]] auto suspendedCount() const -> std::size_t;
 
   [[nodiscard]] auto board() -> backend_board & { return Board; }
+  [[nodiscard]] auto board() const -> const backend_board & { return Board; }
   [[nodiscard]] auto random() -> seeded_random & { return Random; }
   [[nodiscard]] auto backends() const
       -> const std::map<std::string, std::unique_ptr<known_backend>> & {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -4,6 +4,7 @@
 #include "controller/rollout_evaluator.h"
 #include "core/compression_func.h"
 #include "core/log_func.h"
+#include "gateway/backend_dump.h"
 #include "gateway/caller_server.h"
 #include "gateway/forward_task.h"
 #include "gateway/work_reporter.h"
@@ -190,7 +191,7 @@
         {"escalations", Counters.Escalations},
         {"inquiries", ReportClient.calls()}};
     if (What == "dump")
-      Answer["backends"] = backendRows();
+      Answer["backends"] = dumpBackends(Directory);
     return Answer;
   }
 
@@ -337,33 +338,6 @@
     decodeRouting();
   }
 
-  [[nodiscard]] auto backendRows() -> json {
-    json Rows = json::array();
-    const auto Now = steady_clock::now();
-    const auto &Intake = Directory.intake();
-    const auto Milliseconds = [](const std::optional<duration> &Time) -> json {
-      return Time ? json(*Time / std::chrono::milliseconds(1)) : json();
-    };
-    for (const auto &[Id, Backend] : Directory.backends()) {
-      const auto *Row = Directory.board().row(Backend->Handle);
-      const server_instance Instance{Id, Backend->Record.StartedMs};
-      Rows.push_back(
-          {{"id", Id},
-           {"service", Backend->Record.Service},
-           {"address", Backend->Record.Address.text()},
-           {"version", Backend->Record.Version},
-           {"leaving", Backend->Record.Leaving},
-           {"suspended", Backend->Suspended},
-           {"intake", IntakeStateNames.name(Intake.state(Instance, Now))},
-           {"statement_age_ms",
-            Milliseconds(Intake.statementAge(Instance, Now))},
-           {"pause_left_ms", Milliseconds(Intake.pauseLeft(Instance, Now))},
-           {"in_flight", Row == nullptr ? 0 : Row->InFlight},
-           {"others", Row == nullptr ? 0 : Row->OtherLoad}});
-    }
-    return Rows;
-  }
-
   event_loop &Loop;
   catalogue_view View;
   leader_client Control;
