Fix: [Test] the test of a resumed server waits until it takes work

Cause: the test went on as soon as the clock showed the end of the pause, but a gateway opens a server at its next tick (100 ms; 20 ms in the test). Under load the requests came in between. Ruled out: a server that stays closed; the log shows 'resuming' with nothing sent, and no tick before the requests. Change: it waits until the server is eligible, and checks the state as well. The checks on what is sent and rejected are the same.

--- a/test/server_statement_test.cpp
+++ b/test/server_statement_test.cpp
@@ -178,9 +178,12 @@
   Fixture.setAnswers({rejection("Retry-After: 0.3\r\n")});
   Fixture.Caller.request("GET", "q1");
   REQUIRE(Fixture.waitForText("HTTP/1.1 503"));
-  REQUIRE(Fixture.Gateway.runUntil([&] {
-    return Fixture.Gateway.Directory.intakeCounts("s").Resuming == 1;
-  }));
+  // A gateway notices the end of a pause at its next tick.
+  auto &Directory = Fixture.Gateway.Directory;
+  const auto Server = Directory.backends().at("i-0")->Handle;
+  REQUIRE(Fixture.Gateway.runUntil(
+      [&] { return Directory.board().eligible(Server); }));
+  CHECK(Directory.intakeCounts("s").Resuming == 1);
   std::vector<std::unique_ptr<raw_caller>> Callers;
   for (int Caller = 0; Caller < 10; ++Caller) {
     Callers.push_back(std::make_unique<raw_caller>(
