Codechange: [Platform] one copy of the removal of spaces around a value

Both call withoutSpaces now; no behaviour differs. unit.server_intake_test, unit.server_statement_test, unit.platform_codec_test and unit.gateway_forward_test pass; the file is linted.

--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -59,13 +59,19 @@
                      });
 }
 
-template <typename number>
-auto parseNumber(std::string_view Text, int Base = 10)
-    -> std::optional<number> {
+/// \return the text without spaces at its ends.
+auto withoutSpaces(std::string_view Text) -> std::string_view {
   while (!Text.empty() && Text.front() == ' ')
     Text.remove_prefix(1);
   while (!Text.empty() && Text.back() == ' ')
     Text.remove_suffix(1);
+  return Text;
+}
+
+template <typename number>
+auto parseNumber(std::string_view Text, int Base = 10)
+    -> std::optional<number> {
+  Text = withoutSpaces(Text);
   number Value{};
   const auto *End = Text.data() + Text.size();
   const auto Read = std::from_chars(Text.data(), End, Value, Base);
@@ -148,10 +154,7 @@
 
 /// \return the seconds that one value states; 0 if it states none.
 auto retryAfterSeconds(std::string_view Text) -> double {
-  while (!Text.empty() && Text.front() == ' ')
-    Text.remove_prefix(1);
-  while (!Text.empty() && Text.back() == ' ')
-    Text.remove_suffix(1);
+  Text = withoutSpaces(Text);
   const auto StatesDate =
       Text.find(':') != std::string_view::npos && Text.ends_with("GMT");
   if (StatesDate)
