--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -27,11 +27,6 @@
 constexpr std::string_view ServingSuffix = "/serving";
 constexpr std::string_view CandidateSuffix = "/candidate";
 
-auto armKey(const std::string &Service, version_arm Arm) -> std::string {
-  return Service + std::string(Arm == version_arm::candidate ? CandidateSuffix
-                                                             : ServingSuffix);
-}
-
 /// Backend servers of one pool that a gateway uses. In pools up to this size,
 /// all gateways agree on the home server of a prompt; in larger ones, the limit
 /// bounds the data that they exchange.
@@ -55,6 +50,12 @@
 
 } // namespace
 
+auto backend_directory::armKey(const std::string &Service, version_arm Arm)
+    -> std::string {
+  return Service + std::string(Arm == version_arm::candidate ? CandidateSuffix
+                                                             : ServingSuffix);
+}
+
 backend_directory::backend_directory(event_loop &TheLoop, node_id TheNode,
                                      zone_id TheZone, std::uint64_t Seed)
     : Loop(TheLoop), Node(std::move(TheNode)), Zone(std::move(TheZone)),
@@ -255,6 +256,7 @@
   auto *Backend = find(Handle);
   if (Backend == nullptr)
     return;
+  Backend->Displaced = false;
   auto Suspension = FirstSuspension;
   for (std::uint32_t Count = 0; Count < Backend->Suspensions; ++Count)
     Suspension = std::min(2 * Suspension, MaxSuspension);
@@ -272,16 +274,6 @@
       {{"backend", Backend->Record.Id}, {"service", Backend->Record.Service}});
 }
 
-auto backend_directory::recordReplaced(backend_handle Handle) -> void {
-  auto *Backend = find(Handle);
-  if (Backend == nullptr || Backend->Record.Leaving)
-    return;
-  markLeaving(*Backend);
-  logInfo(
-      log_category::placement, "another backend server has replaced this one",
-      {{"backend", Backend->Record.Id}, {"service", Backend->Record.Service}});
-}
-
 auto backend_directory::markLeaving(known_backend &Backend) -> void {
   Backend.Record.Leaving = true;
   const auto &Facts = Backend.Record;
@@ -352,11 +344,16 @@
     updateIntake(*Backend);
     if (!Backend->Suspended || Now < Backend->SuspendedUntil)
       continue;
-    Backend->Suspended = false;
-    Board.restore(Backend->Handle);
-    logInfo(log_category::placement, "backend server is no longer suspended",
-            {{"backend", Id}});
+    endSuspension(*Backend);
   }
 }
 
+auto backend_directory::endSuspension(known_backend &Backend) -> void {
+  Backend.Suspended = false;
+  Backend.Displaced = false;
+  Board.restore(Backend.Handle);
+  logInfo(log_category::placement, "backend server is no longer suspended",
+          {{"backend", Backend.Record.Id}});
+}
+
 } // namespace acacianotch
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -4,6 +4,7 @@
 #include "board/backend_board.h"
 #include "board/work_board.h"
 #include "catalogue/catalogue_view.h"
+#include "controller/model_evidence.h"
 #include "controller/placement.h"
 #include "controller/server_intake.h"
 #include "core/random_type.h"
@@ -43,7 +44,9 @@
   std::vector<std::weak_ptr<backend_channel>> NewChannels;
   time_point SuspendedUntil{}; ///< End of the last suspension.
   bool Suspended = false;
-  bool IntakeClosed = false;     ///< Ejected on its own statement.
+  bool IntakeClosed = false; ///< Ejected on its own statement.
+  bool Displaced = false;    ///< Suspended because it seems to be replaced.
+  model_evidence Models;
   time_point LastByteAt{};       ///< When the last answer data arrived.
   std::uint32_t Failures = 0;    ///< Consecutive.
   std::uint32_t Suspensions = 0; ///< Consecutive.
@@ -128,9 +131,26 @@
   /// with consecutive suspensions.
   auto suspend(backend_handle Handle) -> void;
 
-  /// Records that the address of a backend server belongs to another one now,
-  /// and sends it no new work. The list shows this later.
-  auto recordReplaced(backend_handle Handle) -> void;
+  /// Records that a backend server rejected a request for \p Model as
+  /// misdirected. \p MayLackModel: see model_evidence. \return what it shows.
+  auto recordMisdirected(backend_handle Handle, const std::string &Model,
+                         bool MayLackModel) -> misdirection;
+
+  /// Records that a backend server runs a request for \p Model.
+  auto recordAccepted(backend_handle Handle, const std::string &Model) -> void;
+
+  /// \return the members of a pool that do not run \p Model at present.
+  [[nodiscard]] auto membersWithoutModel(const backend_pool &Pool,
+                                         const std::string &Model) const
+      -> std::vector<backend_handle>;
+
+  /// \return whether some backend server of \p Service may run \p Model.
+  [[nodiscard]] auto mayRunModel(const std::string &Service,
+                                 const std::string &Model) const -> bool;
+
+  /// \return whether a backend server of \p Service has run \p Model.
+  [[nodiscard]] auto hasRunModel(const std::string &Service,
+                                 const std::string &Model) const -> bool;
 
   /// Records that a part of an answer arrived.
   auto recordProgress(backend_handle Handle) -> void;
@@ -170,11 +190,17 @@
 private:
   auto remove(known_backend &Backend) -> void;
   auto markLeaving(known_backend &Backend) -> void;
+  auto suspendDisplaced(known_backend &Backend) -> void;
+  auto endSuspension(known_backend &Backend) -> void;
+  [[nodiscard]] auto membersOf(const std::string &Service) const
+      -> std::vector<const known_backend *>;
   auto updateIntake(known_backend &Backend) -> void;
   auto closeUnusedChannels(known_backend &Backend) -> void;
   auto rebuildPools() -> void;
   auto limitCandidates(std::vector<backend_handle> &Members,
                        std::size_t Limit) const -> void;
+  [[nodiscard]] static auto armKey(const std::string &Service, version_arm Arm)
+      -> std::string;
   [[nodiscard]] auto poolKey(const backend_record &Record) const -> std::string;
 
   event_loop &Loop;
@@ -189,6 +215,7 @@
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
   bool HasList = false;
+  time_point ModelsMissingUntil{}; ///< Nothing is missing after this time.
 };
 
 } // namespace acacianotch
--- a/src/gateway/backend_dump.cpp
+++ b/src/gateway/backend_dump.cpp
@@ -20,6 +20,7 @@
          {"version", Backend->Record.Version},
          {"leaving", Backend->Record.Leaving},
          {"suspended", Backend->Suspended},
+         {"displaced", Backend->Displaced},
          {"intake", IntakeStateNames.name(Intake.state(Instance, Now))},
          {"statement_age_ms", Milliseconds(Intake.statementAge(Instance, Now))},
          {"pause_left_ms", Milliseconds(Intake.pauseLeft(Instance, Now))},
--- a/src/gateway/backend_statements.cpp
+++ b/src/gateway/backend_statements.cpp
@@ -19,9 +19,8 @@
 auto backend_directory::recordStatements(backend_handle Handle,
                                          const answer_facts &Facts) -> void {
   auto *Backend = find(Handle);
-  // An answer of a server that has taken over the address says nothing about
-  // this one.
-  if (Backend == nullptr || Facts.Replaced)
+  // It may be the answer of a server that has taken over the address.
+  if (Backend == nullptr || Facts.Misdirected)
     return;
   const auto Now = steady_clock::now();
   if (Facts.Leaving)
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -83,12 +83,14 @@
   auto *Pool = Context.Directory.pool(Service, PoolArm);
   if (Pool == nullptr)
     return failure::of(errc::no_backend);
+  auto Excluded = Context.Directory.membersWithoutModel(*Pool, Model);
+  Excluded.insert(Excluded.end(), TriedBackends.begin(), TriedBackends.end());
   if (!Request.Prompt.empty())
-    if (const auto Chosen = choosePromptServer(*Pool))
+    if (const auto Chosen = choosePromptServer(*Pool, Excluded))
       return *Chosen;
   place_request Place;
   Place.AffinityKey = affinityKey();
-  Place.Exclude = TriedBackends;
+  Place.Exclude = Excluded;
   return Pool->Placement.pick(Place);
 }
 
@@ -117,7 +119,8 @@
           RemotePrefixUnits * Shared / TokensPerUnit};
 }
 
-auto forward_task::choosePromptServer(backend_pool &Pool)
+auto forward_task::choosePromptServer(
+    backend_pool &Pool, const std::vector<backend_handle> &Excluded)
     -> std::optional<backend_handle> {
   const auto Now = steady_clock::now();
   auto &Directory = Context.Directory;
@@ -132,8 +135,8 @@
   };
   const auto Usable = [&](backend_handle Handle) {
     return Directory.board().eligible(Handle) &&
-           std::find(TriedBackends.begin(), TriedBackends.end(), Handle) ==
-               TriedBackends.end();
+           std::find(Excluded.begin(), Excluded.end(), Handle) ==
+               Excluded.end();
   };
   return placePrompt(Directory.random(), Pool.Placement.subset().members(),
                      Home, promptWork(), {}, OutstandingUnits, Usable);
--- a/src/gateway/forward_end.cpp
+++ b/src/gateway/forward_end.cpp
@@ -14,6 +14,7 @@
 /// running request ends on a fully loaded server.
 constexpr duration OverloadRetryAfter = std::chrono::milliseconds(200);
 
+constexpr int MisdirectedRequest = 421;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
@@ -93,6 +94,16 @@
                      : OverloadRetryAfter);
 }
 
+// A caller that has named the model gets what a server would answer. Otherwise
+// the routing document is ahead of the servers, and another attempt may
+// succeed.
+auto forward_task::refuseWithoutModel() -> void {
+  constexpr std::string_view Reason = "no backend server runs the model";
+  if (Request.AnyModel || MayHaveRun)
+    return refuseNotRun(Reason);
+  refuse(MisdirectedRequest, Reason);
+}
+
 auto forward_task::failMayHaveRun(int Status, std::string_view Reason) -> void {
   ++Context.Counters.Failed;
   logWarning(log_category::entry, "request failed; it may have been executed",
--- a/src/gateway/forward_model.cpp
+++ b/src/gateway/forward_model.cpp
@@ -4,6 +4,7 @@
 
 #include "core/log_func.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace acacianotch {
@@ -38,6 +39,59 @@
   Model = Route->Models[CascadeStage];
 }
 
+auto forward_task::namesUnknownModel() const -> bool {
+  const auto &Models = Route->Models;
+  return !Models.empty() && !Request.Model.empty() &&
+         std::find(Models.begin(), Models.end(), Request.Model) == Models.end();
+}
+
+// A stream that has begun goes on with its model.
+auto forward_task::useAvailableModel() -> bool {
+  const auto &Directory = Context.Directory;
+  if (Directory.mayRunModel(Service, Model))
+    return true;
+  const auto &Models = Route->Models;
+  if (!Request.AnyModel || Models.empty() || StreamStarted)
+    return false;
+  for (std::size_t Step = 1; Step < Models.size(); ++Step) {
+    const auto Stage = (CascadeStage + Step) % Models.size();
+    if (!Directory.mayRunModel(Service, Models[Stage]))
+      continue;
+    CascadeStage = Stage;
+    Model = Models[Stage];
+    return true;
+  }
+  return false;
+}
+
+auto forward_task::recordMisdirected() -> void {
+  ++Misdirected;
+  const auto Found = Table->Services.find(Service);
+  const auto RunsModels =
+      Found != Table->Services.end() && !Found->second.Models.empty();
+  const auto Reason = Context.Directory.recordMisdirected(
+      Attempt->Backend, Model, RunsModels || !Model.empty());
+  // It may run another model of the cascade.
+  if (Reason == misdirection::model_missing)
+    std::erase(TriedBackends, Attempt->Backend);
+}
+
+// One answer alone may be that of a server that has taken over the address. The
+// routing document, or another server, confirms it.
+auto forward_task::isModelRejected() const -> bool {
+  if (Misdirected == 0 || Request.AnyModel || Model.empty() ||
+      Context.Directory.hasRunModel(Service, Model))
+    return false;
+  const auto Found = Table->Services.find(Service);
+  if (Found == Table->Services.end() || Found->second.Models.empty())
+    return Misdirected >= 2;
+  const auto &Prices = Found->second.Models;
+  const auto Listed =
+      std::any_of(Prices.begin(), Prices.end(),
+                  [&](const auto &Price) { return Price.Model == Model; });
+  return !Listed || Misdirected >= 2;
+}
+
 auto forward_task::cascadeModels() const -> std::vector<cascade_model> {
   std::vector<cascade_model> Models;
   const auto Found = Table->Services.find(Service);
@@ -130,7 +184,9 @@
   Answer.Models = Models;
   Answer.AnswerValue = CorrectAnswerValue;
   const auto NextStage = Context.Cascade.next(Answer);
-  if (!NextStage || !Context.ExtraAttemptBudget.tryAcquire())
+  if (!NextStage ||
+      !Context.Directory.mayRunModel(Service, Route->Models[*NextStage]) ||
+      !Context.ExtraAttemptBudget.tryAcquire())
     return std::nullopt;
   return NextStage;
 }
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -71,6 +71,8 @@
     return refuse(Unavailable, "this gateway stops", GatewayRefusalRetryAfter);
   Context.ExtraAttemptBudget.firstAttempt();
   chooseService();
+  if (namesUnknownModel())
+    return refuseWithoutModel();
   chooseArm();
   chooseModel();
   auto Limit = Route->Timeout;
@@ -120,6 +122,8 @@
       return refuseBlocked(*Part);
     if (!attemptsLeft())
       return refuseNotRun("all attempts were refused");
+    if (!useAvailableModel())
+      return refuseWithoutModel();
     const auto Chosen = chooseBackend();
     if (!Chosen)
       return refuseUnplaced();
@@ -145,6 +149,8 @@
   if (Facts.success() && !Facts.Sealed)
     return handleFailure({errc::protocol_error, "the answer carries no seal",
                           verdict::may_have_run});
+  if (Facts.success())
+    Context.Directory.recordAccepted(Attempt->Backend, Model);
   if (Route->Kind != route_kind::streaming || !Facts.success())
     return;
   recordModelAnswer();
@@ -222,9 +228,11 @@
   if (Attempt->Facts.NotRun) {
     logDroppedAnswer();
     ++AttemptsSent;
-    if (Attempt->Facts.Replaced)
-      Context.Directory.recordReplaced(Attempt->Backend);
+    if (Attempt->Facts.Misdirected)
+      recordMisdirected();
     releaseAttempt(true);
+    if (isModelRejected())
+      return refuseWithoutModel();
     if (StreamStarted && !attemptsLeft())
       return failMayHaveRun(BadGateway, "a broken stream could not go on");
     if (!Context.ExtraAttemptBudget.tryAcquire())
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -122,6 +122,15 @@
   auto admit() -> bool;
   auto chooseService() -> void;
   auto chooseModel() -> void;
+  /// \return whether the route excludes the model that the request names.
+  [[nodiscard]] auto namesUnknownModel() const -> bool;
+  /// Changes to a model of the cascade that some backend server may run, if
+  /// none may run the present one. \return whether there is a model to run.
+  [[nodiscard]] auto useAvailableModel() -> bool;
+  auto refuseWithoutModel() -> void;
+  auto recordMisdirected() -> void;
+  /// \return whether enough servers reject the model that the request names.
+  [[nodiscard]] auto isModelRejected() const -> bool;
   [[nodiscard]] auto tryEscalation() -> std::optional<std::size_t>;
   [[nodiscard]] auto cascadeModels() const -> std::vector<cascade_model>;
   [[nodiscard]] auto onTimeProbability(const std::string &Name) const -> double;
@@ -134,7 +143,9 @@
   [[nodiscard]] auto chooseBackend() -> result<backend_handle>;
   [[nodiscard]] auto chooseFromPool(version_arm PoolArm)
       -> result<backend_handle>;
-  [[nodiscard]] auto choosePromptServer(backend_pool &Pool)
+  [[nodiscard]] auto
+  choosePromptServer(backend_pool &Pool,
+                     const std::vector<backend_handle> &Excluded)
       -> std::optional<backend_handle>;
   [[nodiscard]] auto promptWork() const -> prompt_work;
   [[nodiscard]] auto modelWeight(const std::string &Name) const -> double;
@@ -218,6 +229,7 @@
   std::unique_ptr<loop_timer> StallTimer;
   std::uint32_t AttemptsSent = 0; ///< Attempts that reached a backend server.
   std::uint32_t AttemptsStarted = 0; ///< Including failed connections.
+  std::uint32_t Misdirected = 0;     ///< Attempts rejected as misdirected.
   duration FirstEventDelay{};        ///< From the request to its first event.
   duration LongestGap{};             ///< Between two forwarded events.
   time_point LastEventAt{};          ///< When the last event was forwarded.
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -72,10 +72,12 @@
 struct answer_facts {
   int Status = 0;
   std::string RequestId;
-  bool NotRun = false;   ///< The request was not executed.
-  bool Replaced = false; ///< Another backend server has the address now.
-  bool Sealed = false;   ///< The answer carries the seal of a backend server.
-  bool Leaving = false;  ///< The server takes no new work any more.
+  bool NotRun = false; ///< The request was not executed.
+  /// Another backend server has the address now, or this one does not run the
+  /// model that the request names.
+  bool Misdirected = false;
+  bool Sealed = false;  ///< The answer carries the seal of a backend server.
+  bool Leaving = false; ///< The server takes no new work any more.
   /// Time for which a server that rejected the request wants no other one.
   std::optional<duration> RetryAfter;
   std::optional<backend_load> Load;
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -265,8 +265,8 @@
   constexpr int Unavailable = 503;
   answer_facts Facts;
   Facts.Status = Head.Status;
-  Facts.Replaced = Head.Status == MisdirectedRequest;
-  Facts.NotRun = Head.find(NotExecutedName) != nullptr || Facts.Replaced;
+  Facts.Misdirected = Head.Status == MisdirectedRequest;
+  Facts.NotRun = Head.find(NotExecutedName) != nullptr || Facts.Misdirected;
   Facts.Sealed = Head.find(SealName) != nullptr;
   Facts.Leaving = statesLeaving(Head.Headers);
   if (Head.Status == Unavailable)
