Fix: [Gateway] a caller cannot have its request id left out

Callers would see: three requests with "Connection: X-Acacianotch-Request-Id" suspend a server for all. The id was taken for hop-by-hop and not forwarded; the server rejects the request without one, which is counted as a crossed answer and a failure.

The test fails without the change by reading; it was not run on the code before.

--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -113,14 +113,20 @@
   return Numbers;
 }
 
+/// Headers that a peer cannot declare to be hop-by-hop: a server that gets a
+/// request without them rejects it, or runs another one than the caller's.
+constexpr std::array<std::string_view, 7> EndToEndNames{
+    RequestIdName, SessionName, TokensName,    PromptName,
+    LengthName,    SealName,    ConfidenceName};
+
 /// \return the header names that the Connection header lists as hop-by-hop.
 auto connectionOptions(const http_head &Head) -> std::vector<std::string> {
   std::vector<std::string> Names;
   if (const auto *Value = Head.find("Connection"))
     forEachPart(*Value, [&](std::string_view Part) {
-      while (!Part.empty() && Part.front() == ' ')
-        Part.remove_prefix(1);
-      Names.emplace_back(Part);
+      const auto Name = withoutSpaces(Part);
+      if (!oneOf(Name, EndToEndNames))
+        Names.emplace_back(Name);
     });
   return Names;
 }
--- a/test/gateway_misdirected_test.cpp
+++ b/test/gateway_misdirected_test.cpp
@@ -123,3 +123,19 @@
   Fixture.Caller.request("POST", "v2", "body");
   CHECK(Fixture.waitForText("served"));
 }
+
+// Guards against a server that is suspended for all because one caller's
+// request reaches it without an id, which it must reject without one.
+TEST_CASE("a caller cannot have its request id left out") {
+  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+  Fixture.setAnswers({completeAnswer("one")});
+  Fixture.Caller.request("POST", "a1", "body",
+                         "Connection: X-Acacianotch-Request-Id , "
+                         "X-Other\r\nX-Other: 1\r\n");
+  REQUIRE(Fixture.waitForText("one"));
+  const auto &Received = Fixture.First.Requests.empty()
+                             ? Fixture.Second.Requests[0]
+                             : Fixture.First.Requests[0];
+  CHECK(contains(Received, "X-Acacianotch-Request-Id: a1\r\n"));
+  CHECK_FALSE(contains(Received, "X-Other: 1"));
+}
