Fix: [Gateway] a prompt above the memory of the servers reaches none of them

A request that is larger than a server's memory is rejected as if the server were full. It used up its attempts and the shared budget, and a server that states a time to come back with the rejection was paused for all callers. The routing document states the memory, so that the gateway knows that the request is unservable and rejects it at once, without a time to come back.

--- a/src/gateway/forward_model.cpp
+++ b/src/gateway/forward_model.cpp
@@ -45,6 +45,12 @@
          std::find(Models.begin(), Models.end(), Request.Model) == Models.end();
 }
 
+auto forward_task::exceedsServerMemory() const -> bool {
+  const auto Found = Table->Services.find(Service);
+  return Found != Table->Services.end() && Found->second.KvCacheTokens > 0 &&
+         Request.PromptTokens > Found->second.KvCacheTokens;
+}
+
 // A stream that has begun goes on with its model.
 auto forward_task::useAvailableModel() -> bool {
   const auto &Directory = Context.Directory;
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -73,6 +73,8 @@
   chooseService();
   if (namesUnknownModel())
     return refuseWithoutModel();
+  if (exceedsServerMemory())
+    return refuse(Unavailable, "the prompt exceeds the memory of a server");
   chooseArm();
   chooseModel();
   auto Limit = Route->Timeout;
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -128,6 +128,9 @@
   /// none may run the present one. \return whether there is a model to run.
   [[nodiscard]] auto useAvailableModel() -> bool;
   auto refuseWithoutModel() -> void;
+  /// \return whether the prompt exceeds the memory of each server.
+  [[nodiscard]] auto exceedsServerMemory() const -> bool;
+  /// Records the rejection of the present attempt as misdirected.
   auto recordMisdirected() -> void;
   /// \return whether enough servers reject the model that the request names.
   [[nodiscard]] auto isModelRejected() const -> bool;
--- a/test/gateway_misdirected_test.cpp
+++ b/test/gateway_misdirected_test.cpp
@@ -139,3 +139,23 @@
   CHECK(contains(Received, "X-Acacianotch-Request-Id: a1\r\n"));
   CHECK_FALSE(contains(Received, "X-Other: 1"));
 }
+
+// Guards against a request that no server can take and for which full servers
+// ask all callers for a pause.
+TEST_CASE("a prompt above the memory of the servers reaches none of them") {
+  forward_fixture Fixture(makeRoute(route_kind::streaming));
+  auto Table = *Fixture.Gateway.Table;
+  Table.Services["s"].KvCacheTokens = 1000;
+  Fixture.Gateway.Table =
+      std::make_shared<const routing_table>(std::move(Table));
+  const std::string Large = "X-Acacianotch-Token-Counts: 1001,10\r\n";
+  Fixture.Caller.request("POST", "a1", "prompt", Large);
+  REQUIRE(Fixture.waitForText("HTTP/1.1 503"));
+  CHECK_FALSE(contains(Fixture.Caller.Received, "Retry-After"));
+  CHECK(Fixture.requestCount() == 0);
+  Fixture.Caller.Received.clear();
+  Fixture.setAnswers({stream()});
+  Fixture.Caller.request("POST", "a2", "prompt",
+                         "X-Acacianotch-Token-Counts: 1000,10\r\n");
+  CHECK(Fixture.waitForText("\r\n0\r\n\r\n"));
+}
