--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -10,7 +10,8 @@
 control_service::control_service(event_loop &TheLoop) : Loop(TheLoop) {
   Crashes.OnBlocked = [](const crash_attribution::cause &Cause) {
     logWarning(log_category::placement,
-               "blocked a part of prompts that crashes backend servers",
+               "blocked a request, or a part of prompts, that crashes backend "
+               "servers",
                {{"part", Cause.Part},
                 {"crashes", Cause.Crashes},
                 {"moments", Cause.Moments},
@@ -18,12 +19,13 @@
                 {"prompts", Cause.Prompts}});
   };
   Crashes.OnReleased = [](part_id Part) {
-    logInfo(log_category::placement, "released a blocked part of prompts",
-            {{"part", Part}});
+    logInfo(log_category::placement,
+            "released a blocked request or part of prompts", {{"part", Part}});
   };
   Crashes.OnCrash = [](const std::string &Server, std::size_t Known) {
     logInfo(log_category::placement,
-            "a backend server broke off prompts as it began to answer",
+            "a backend server broke off requests before or as it began to "
+            "answer",
             {{"backend", Server}, {"crashes_known", Known}});
   };
 }
@@ -306,7 +308,7 @@
       Work.set(Index, OtherRows[Index].Work);
     }
     const auto Verdicts = Service.crashAttribution().exchange(
-        readCrashReport(Params.getCrashes()),
+        readCrashReport(Params.getCrashes(), steady_clock::now()),
         static_cast<std::uint64_t>(*Epoch), steady_clock::now());
     writeCrashVerdicts(Results.initVerdicts(), Verdicts);
     return kj::READY_NOW;
--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -1,4 +1,4 @@
-/// \file Finds the parts of prompts that crash backend servers.
+/// \file Finds the requests, and parts of prompts, that crash backend servers.
 #include "controller/crash_attribution.h"
 
 #include <algorithm>
@@ -17,10 +17,16 @@
 /// whose answer has just begun.
 constexpr std::size_t BegunMomentsToBlock = 3;
 constexpr std::size_t MomentsToBlock = 5;
+/// A plain request has no answer that begins before the work on it. Requests
+/// that only waited beside it are answered between the crashes.
+constexpr std::size_t PlainMomentsToBlock = 3;
+/// Of a whole request with a prompt. A wrong verdict holds back its repeats
+/// only, and its attempts at several servers are one moment.
+constexpr std::size_t RequestMomentsToBlock = 4;
 /// Crashes are forgotten after this time.
 constexpr duration CrashMemory = std::chrono::minutes(10);
 constexpr std::size_t MaxCrashes = 64;
-constexpr std::size_t MaxPromptsPerCrash = 32;
+constexpr std::size_t MaxRequestsPerCrash = 32;
 /// Gateways report every 100 ms each; in a storm of crashes all reports within
 /// this time are evaluated together.
 constexpr duration EvaluationInterval = std::chrono::milliseconds(50);
@@ -51,21 +57,29 @@
   time_point Last{};
 };
 
-/// Evidence against one part of prompts.
+/// Evidence against one part of prompts, or one whole request.
 struct suspect {
   std::size_t Crashes = 0;
   moment_count Moments;
   moment_count Begun;       ///< Moments with an answer that had begun.
   std::size_t Position = 0; ///< Largest one in a prompt.
   bool Shared = false;
+  bool Whole = false;          ///< It is a whole request.
+  bool Plain = false;          ///< It is a whole request without a prompt.
   std::set<part_id> LastParts; ///< Of the prompts with it.
+  std::set<part_id> Requests;  ///< With it, told apart by their fingerprints.
 
-  /// A prompt that crashes servers whenever it is repeated brings its other
-  /// parts along, so that one prompt is no evidence against a shared part.
+  /// A request that crashes servers whenever it is repeated brings the parts of
+  /// its prompt along, so that one prompt is no evidence against a shared part,
+  /// and one request none against the last part.
   [[nodiscard]] auto sufficient() const -> bool {
-    const auto Enough = Begun.count() >= BegunMomentsToBlock ||
-                        Moments.count() >= MomentsToBlock;
-    return Enough && (!Shared || LastParts.size() >= 2);
+    const auto Needed = Plain   ? PlainMomentsToBlock
+                        : Whole ? RequestMomentsToBlock
+                                : MomentsToBlock;
+    const auto Enough =
+        Begun.count() >= BegunMomentsToBlock || Moments.count() >= Needed;
+    const auto OneRequest = Requests.size() == 1 && !Requests.contains(0);
+    return Enough && !OneRequest && (!Shared || LastParts.size() >= 2);
   }
 
   /// Shared parts go first because they explain crashes of several prompts; of
@@ -110,20 +124,27 @@
 
 auto crash_attribution::addBroken(const broken_attempt &Attempt, time_point Now)
     -> void {
-  if (Attempt.Parts.empty())
+  if (Attempt.Parts.empty() && Attempt.Request == 0)
     return;
+  const broken_request Request{Attempt.Parts, Attempt.Request};
+  const auto At = Attempt.At == time_point{} ? Now : std::min(Attempt.At, Now);
   const auto Known =
       std::find_if(Crashes.rbegin(), Crashes.rend(), [&](const crash &Crash) {
-        return Crash.Server == Attempt.Server && Now - Crash.At < CrashSpread;
+        const auto Apart = At < Crash.At ? Crash.At - At : At - Crash.At;
+        return Crash.Server == Attempt.Server && Apart < CrashSpread;
       });
   if (Known != Crashes.rend()) {
-    if (Known->Prompts.size() < MaxPromptsPerCrash)
-      Known->Prompts[Attempt.Parts] |= Attempt.Begun;
+    if (Known->Requests.size() < MaxRequestsPerCrash)
+      Known->Requests[Request] |= Attempt.Begun;
     return;
   }
   if (Crashes.size() >= MaxCrashes)
     Crashes.pop_front();
-  Crashes.push_back({Attempt.Server, Now, {{Attempt.Parts, Attempt.Begun}}});
+  // A gateway reports late what it saw while there was no leader.
+  const auto Place =
+      std::find_if(Crashes.begin(), Crashes.end(),
+                   [&](const crash &Crash) { return Crash.At > At; });
+  Crashes.insert(Place, {Attempt.Server, At, {{Request, Attempt.Begun}}});
   if (OnCrash)
     OnCrash(Attempt.Server, Crashes.size());
 }
@@ -148,15 +169,20 @@
     Crashes.pop_front();
 }
 
-auto crash_attribution::explained(const crash &Crash) const -> bool {
-  return std::any_of(
-      Crash.Prompts.begin(), Crash.Prompts.end(), [&](const auto &Row) {
-        const auto &Prompt = Row.first;
-        return std::any_of(Prompt.begin(), Prompt.end(), [&](part_id Part) {
-          const auto Found = Blocked.find(Part);
-          return Found != Blocked.end() && Found->second.Shared;
-        });
-      });
+// The last part of a prompt, or its request, may only be a victim of a part
+// that it shares with others. A plain request has no parts.
+auto crash_attribution::explanations(const crash &Crash) const
+    -> std::set<part_id> {
+  std::set<part_id> Found;
+  for (const auto &[Request, Begun] : Crash.Requests) {
+    for (const auto Part : Request.Parts)
+      if (const auto Block = Blocked.find(Part);
+          Block != Blocked.end() && Block->second.Shared)
+        Found.insert(Part);
+    if (Request.Parts.empty() && Blocked.contains(Request.Request))
+      Found.insert(Request.Request);
+  }
+  return Found;
 }
 
 auto crash_attribution::unanswered(const crash &Crash, part_id Part) const
@@ -173,8 +199,11 @@
   std::map<part_id, std::size_t> Counts;
   for (const auto &Crash : Crashes) {
     std::set<part_id> Parts;
-    for (const auto &[Prompt, Begun] : Crash.Prompts)
-      Parts.insert(Prompt.begin(), Prompt.end());
+    for (const auto &[Request, Begun] : Crash.Requests) {
+      Parts.insert(Request.Parts.begin(), Request.Parts.end());
+      if (Request.Request != 0)
+        Parts.insert(Request.Request);
+    }
     for (const auto Part : Parts)
       Counts[Part] += unanswered(Crash, Part) ? 1 : 0;
   }
@@ -186,28 +215,43 @@
       Watched.push_back(Part);
 }
 
-/// Blocks the part with the strongest evidence. \return whether there is one.
+/// Blocks the part or request with the strongest evidence. \return whether
+/// there is one.
 auto crash_attribution::blockNext(time_point Now) -> bool {
   std::map<part_id, suspect> Suspects;
   for (const auto &Crash : Crashes) {
-    if (explained(Crash))
+    if (!explanations(Crash).empty())
       continue;
     std::set<part_id> Counted;
-    for (const auto &[Prompt, Begun] : Crash.Prompts)
-      for (std::size_t Position = 0; Position < Prompt.size(); ++Position) {
-        const auto Part = Prompt[Position];
-        if (!unanswered(Crash, Part) || Blocked.contains(Part))
+    const auto Count = [&](part_id Part, bool Begun) -> suspect * {
+      if (!unanswered(Crash, Part) || Blocked.contains(Part))
+        return nullptr;
+      auto &Suspect = Suspects[Part];
+      Suspect.Moments.add(Crash.At);
+      if (Begun)
+        Suspect.Begun.add(Crash.At);
+      if (Counted.insert(Part).second)
+        ++Suspect.Crashes;
+      return &Suspect;
+    };
+    for (const auto &[Request, Begun] : Crash.Requests) {
+      const auto &Parts = Request.Parts;
+      for (std::size_t Position = 0; Position < Parts.size(); ++Position) {
+        auto *Suspect = Count(Parts[Position], Begun);
+        if (Suspect == nullptr)
           continue;
-        auto &Suspect = Suspects[Part];
-        Suspect.Position = std::max(Suspect.Position, Position);
-        Suspect.Shared = Suspect.Shared || Position + 1 < Prompt.size();
-        Suspect.LastParts.insert(Prompt.back());
-        Suspect.Moments.add(Crash.At);
-        if (Begun)
-          Suspect.Begun.add(Crash.At);
-        if (Counted.insert(Part).second)
-          ++Suspect.Crashes;
+        Suspect->Position = std::max(Suspect->Position, Position);
+        Suspect->Shared = Suspect->Shared || Position + 1 < Parts.size();
+        Suspect->LastParts.insert(Parts.back());
+        Suspect->Requests.insert(Request.Request);
+      }
+      if (Request.Request == 0)
+        continue;
+      if (auto *Suspect = Count(Request.Request, Begun)) {
+        Suspect->Whole = true;
+        Suspect->Plain = Parts.empty();
       }
+    }
   }
   std::erase_if(Suspects,
                 [](const auto &Row) { return !Row.second.sufficient(); });
@@ -223,18 +267,29 @@
   if (OnBlocked)
     OnBlocked({Part, Suspect.Crashes, Suspect.Moments.count(),
                Suspect.Begun.count(), Suspect.LastParts.size()});
-  if (Suspect.Shared)
-    releaseExplained();
+  if (Suspect.Shared || Suspect.Plain)
+    releaseExplained(Part);
   return Blocked.contains(Part);
 }
 
-/// Releases last parts of prompts whose crashes a shared part explains.
-auto crash_attribution::releaseExplained() -> void {
-  std::set<part_id> Guilty;
-  for (const auto &Crash : Crashes)
-    if (!explained(Crash))
-      for (const auto &[Prompt, Begun] : Crash.Prompts)
-        Guilty.insert(Prompt.back());
+/// Releases what is blocked for crashes that others explain, too; of these,
+/// \p By is known the best.
+auto crash_attribution::releaseExplained(part_id By) -> void {
+  std::set<part_id> Guilty{By};
+  for (const auto &Crash : Crashes) {
+    const auto Explanations = explanations(Crash);
+    const auto Add = [&](part_id Part) {
+      const auto Alone = Explanations.empty() || (Explanations.size() == 1 &&
+                                                  Explanations.contains(Part));
+      if (Alone)
+        Guilty.insert(Part);
+    };
+    for (const auto &[Request, Begun] : Crash.Requests) {
+      if (!Request.Parts.empty())
+        Add(Request.Parts.back());
+      Add(Request.Request);
+    }
+  }
   for (auto Row = Blocked.begin(); Row != Blocked.end();) {
     const auto Part = Row->first;
     const auto Keep = Row->second.Shared || Guilty.contains(Part);
--- a/src/controller/crash_attribution.h
+++ b/src/controller/crash_attribution.h
@@ -1,4 +1,4 @@
-/// \file Finds the parts of prompts that crash backend servers.
+/// \file Finds the requests, and parts of prompts, that crash backend servers.
 #pragma once
 
 #include "controller/crash_type.h"
@@ -16,8 +16,9 @@
 
 /// Merges the reports of all gateways. A part is blocked when servers crashed
 /// under prompts with it at three moments and no prompt with it was answered
-/// since the first of them; at five moments if no answer had begun. Crashes
-/// that a blocked part explains do not count against others.
+/// since the first of them; at five moments if no answer had begun. A whole
+/// request is blocked at four moments, or three if it has no prompt. Crashes
+/// that a blocked one explains do not count against others.
 class crash_attribution {
 public:
   /// Why a part is blocked, for the log.
@@ -43,18 +44,26 @@
                               time_point Now) -> crash_verdicts;
 
 private:
+  /// What may have crashed a server.
+  struct broken_request {
+    std::vector<part_id> Parts;
+    part_id Request = 0;
+
+    auto operator<=>(const broken_request &) const = default;
+  };
+
   /// A server that closed connections within a short time.
   struct crash {
     std::string Server;
     time_point At;
-    /// That may have caused it, and whether their answer had begun.
-    std::map<std::vector<part_id>, bool> Prompts;
+    /// Whether their answer had begun.
+    std::map<broken_request, bool> Requests;
   };
 
   struct block {
     time_point ProbeAt;       ///< When the next request may pass.
     duration ProbeInterval{}; ///< Until the one after it.
-    bool Shared = false;      ///< It is not the last part of the prompts.
+    bool Shared = false; ///< It is a part, and not the last one, of prompts.
   };
 
   auto addBroken(const broken_attempt &Attempt, time_point Now) -> void;
@@ -64,8 +73,10 @@
   [[nodiscard]] auto unanswered(const crash &Crash, part_id Part) const -> bool;
   auto evaluate(time_point Now) -> void;
   auto blockNext(time_point Now) -> bool;
-  auto releaseExplained() -> void;
-  [[nodiscard]] auto explained(const crash &Crash) const -> bool;
+  auto releaseExplained(part_id By) -> void;
+  /// \return the blocked parts and requests that explain a crash.
+  [[nodiscard]] auto explanations(const crash &Crash) const
+      -> std::set<part_id>;
 
   std::deque<crash> Crashes;                  ///< In order of time.
   std::map<part_id, time_point> LastAnswered; ///< Of parts in Crashes.
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -120,7 +120,7 @@
 
 auto forward_task::startNextAttempt() -> void {
   while (!Done) {
-    if (const auto Part = Context.Crashes.findBlocked(Request.Prompt))
+    if (const auto Part = findBlocked())
       return refuseBlocked(*Part);
     if (!attemptsLeft())
       return refuseNotRun("all attempts were refused");
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -164,6 +164,9 @@
   /// Records that the present attempt may have crashed its server.
   auto recordPossibleCrash(const failure &Failure) -> void;
   auto recordAnswered() -> void;
+  [[nodiscard]] auto findBlocked() -> std::optional<part_id>;
+  /// \return the same number for each repeat of a request.
+  [[nodiscard]] auto fingerprint() -> part_id;
   auto recordAnswerAfterOnset() -> void;
   auto revertToServing() -> void;
   auto startStallTimer() -> void;
@@ -226,6 +229,7 @@
   /// Stage and confidence of the previous answer.
   std::optional<std::pair<std::size_t, std::uint32_t>> PreviousConfidence;
   std::unique_ptr<attempt> Attempt;
+  std::optional<part_id> Fingerprint;
   std::vector<backend_handle> TriedBackends;
   event_splitter Events;
   std::unique_ptr<loop_timer> Deadline;
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -80,7 +80,8 @@
     Servers.set(Index, Rows[Index].Server);
     Work.set(Index, Rows[Index].Work);
   }
-  writeCrashReport(Request.initCrashes(), Crashes.report());
+  writeCrashReport(Request.initCrashes(), Crashes.report(),
+                   steady_clock::now());
   auto Answer = Request.send().then(
       [](auto &&Response) { return decodeRows(Response); },
       [](kj::Exception &&Exception) -> answer {
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -154,6 +154,8 @@
   server @0 :Text;
   parts @1 :List(UInt64);  # Of the prompt, in its order.
   begun @2 :Bool;
+  request @3 :UInt64;  # Fingerprint of the whole request; 0 if unknown.
+  ageMs @4 :UInt32;  # Time since then.
 }
 
 struct CrashReport {
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -450,7 +450,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(90954b4e7138dff3, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(90954b4e7138dff3, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -3081,6 +3081,10 @@
 
   inline bool getBegun() const;
 
+  inline  ::uint64_t getRequest() const;
+
+  inline  ::uint32_t getAgeMs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -3127,6 +3131,12 @@
   inline bool getBegun();
   inline void setBegun(bool value);
 
+  inline  ::uint64_t getRequest();
+  inline void setRequest( ::uint64_t value);
+
+  inline  ::uint32_t getAgeMs();
+  inline void setAgeMs( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -6948,6 +6958,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BrokenAttempt::Reader::getRequest() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BrokenAttempt::Builder::getRequest() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BrokenAttempt::Builder::setRequest( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t BrokenAttempt::Reader::getAgeMs() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BrokenAttempt::Builder::getAgeMs() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void BrokenAttempt::Builder::setAgeMs( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool CrashReport::Reader::hasBroken() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/node/crash_codec.h
+++ b/src/node/crash_codec.h
@@ -7,10 +7,11 @@
 
 namespace acacianotch {
 
+/// Times are sent as ages, because the clocks of processes differ.
 auto writeCrashReport(wire::CrashReport::Builder Out,
-                      const crash_report &Report) -> void;
+                      const crash_report &Report, time_point Now) -> void;
 
-[[nodiscard]] auto readCrashReport(wire::CrashReport::Reader In)
+[[nodiscard]] auto readCrashReport(wire::CrashReport::Reader In, time_point Now)
     -> crash_report;
 
 auto writeCrashVerdicts(wire::CrashVerdicts::Builder Out,
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -1,4 +1,4 @@
-/// \file Attribution of crashes to parts of prompts.
+/// \file Attribution of crashes to requests and parts of prompts.
 #include "controller/crash_attribution.h"
 #include "core/random_type.h"
 
@@ -39,6 +39,18 @@
       Report.Broken.push_back({"s" + std::to_string(Server), Prompt, Begun});
     return send(Report).Blocked;
   }
+  /// One more server crashes while it runs plain requests. \return what is
+  /// blocked.
+  auto crashPlain(const std::vector<part_id> &Requests, duration Age = {})
+      -> std::vector<part_id> {
+    crash_report Report;
+    Report.Epoch = Epoch;
+    ++Server;
+    for (const auto Request : Requests)
+      Report.Broken.push_back(
+          {"s" + std::to_string(Server), {}, false, Request, Now - Age});
+    return send(Report).Blocked;
+  }
   /// Crashes one server after the other under prompts with Crashing, at most
   /// ten, beside prompts whose parts are answered. \return their number.
   auto crashUntilBlocked(bool Begun) -> std::size_t {
@@ -90,6 +102,98 @@
   CHECK(Blocked == std::vector<part_id>{2000});
 }
 
+// Guards against a plain request that crashes every server it reaches, as often
+// as it comes.
+TEST_CASE(
+    "a plain request is blocked when it crashed servers at three moments") {
+  constexpr part_id Booking = 88;
+  leader Leader;
+  for (int Repeat = 1; Repeat <= 2; ++Repeat) {
+    // Two attempts, each beside a sound request.
+    CHECK(Leader.crashPlain({Crashing, Booking}).empty());
+    Leader.pass(std::chrono::milliseconds(20));
+    CHECK(Leader.crashPlain({Crashing, Booking}).empty());
+    Leader.pass(std::chrono::milliseconds(200));
+    Leader.answer(Booking);
+    Leader.pass(std::chrono::seconds(4));
+  }
+  CHECK(Leader.crashPlain({Crashing, Booking}) == std::vector{Crashing});
+}
+
+// Guards against sound requests that stay blocked for crashes of another one.
+TEST_CASE("a request that ran beside the crashing one is released") {
+  constexpr part_id Booking = 5;
+  leader Leader;
+  for (int Moment = 0; Moment < 3; ++Moment) {
+    (void)Leader.crashPlain({Booking, Crashing});
+    Leader.pass(Pause);
+  }
+  crash_report Empty;
+  Empty.Epoch = Epoch;
+  auto Blocked = Leader.send(Empty).Blocked;
+  // The evidence on both is the same; another crash tells them apart.
+  REQUIRE(Blocked.size() == 1);
+  const auto Wrong = Blocked[0] == Booking;
+  if (Wrong)
+    Leader.answer(Booking);
+  Leader.pass(Pause);
+  Blocked = Leader.crashPlain({Crashing});
+  CHECK(std::find(Blocked.begin(), Blocked.end(), Booking) == Blocked.end());
+  CHECK(Blocked == std::vector{Crashing});
+}
+
+// Guards against parts that are blocked because one request with them is
+// repeated.
+TEST_CASE("repeats of one request with a prompt block only the request") {
+  leader Leader;
+  std::vector<part_id> Blocked;
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    crash_report Report;
+    Report.Epoch = Epoch;
+    Report.Broken = {
+        {"s" + std::to_string(Crash), {Common, 5, 2000}, true, Crashing}};
+    Blocked = Leader.send(Report).Blocked;
+    Leader.pass(Pause);
+  }
+  CHECK(Blocked == std::vector{Crashing});
+}
+
+// Guards against a prompt that reaches servers in more than three repeats after
+// its first three attempts crashed one server each.
+TEST_CASE(
+    "three repeats of a request that only waited are enough to block it") {
+  leader Leader;
+  std::vector<part_id> Blocked;
+  for (int Repeat = 0; Repeat < 4; ++Repeat) {
+    CHECK(Blocked.empty());
+    for (int Attempt = 0; Attempt < 3; ++Attempt) {
+      crash_report Report;
+      Report.Epoch = Epoch;
+      Report.Broken = {{"s" + std::to_string(3 * Repeat + Attempt),
+                        {Common, 5, 2000},
+                        false,
+                        Crashing}};
+      Blocked = Leader.send(Report).Blocked;
+      Leader.pass(std::chrono::milliseconds(60));
+    }
+    Leader.pass(std::chrono::seconds(4));
+  }
+  CHECK(Blocked == std::vector{Crashing});
+}
+
+// Guards against evidence that shrinks to one moment because no leader was
+// there to take it.
+TEST_CASE("crashes that are reported late count at their own times") {
+  leader Leader;
+  Leader.pass(std::chrono::seconds(30));
+  for (const auto Age : {12, 8, 4})
+    (void)Leader.crashPlain({Crashing}, std::chrono::seconds(Age));
+  Leader.pass(Pause);
+  crash_report Empty;
+  Empty.Epoch = Epoch;
+  CHECK(Leader.send(Empty).Blocked == std::vector{Crashing});
+}
+
 // Guards against innocent parts being blocked because many servers fail at
 // once.
 TEST_CASE("servers that fail at the same moment block nothing") {
--- a/test/crash_watch_test.cpp
+++ b/test/crash_watch_test.cpp
@@ -1,4 +1,4 @@
-/// \file Gateways and prompts that crash backend servers.
+/// \file Gateways and requests that crash backend servers.
 #include "gateway_fixture.h"
 
 using namespace acacianotch;
@@ -37,6 +37,37 @@
       return Caller.Received.find(Part) != std::string::npos || Caller.Closed;
     });
   }
+  /// Changes to a route without prompts, with two client accounts.
+  auto usePlainRoute() -> void {
+    auto Route = resumableRoute();
+    Route.Kind = route_kind::idempotent;
+    Gateway.setRoute(Route);
+    auto Table = *Gateway.Table;
+    Table.HasAccounts = true;
+    Table.AccountsByKey["k1"] = {"one", 0};
+    Table.AccountsByKey["k2"] = {"two", 0};
+    Gateway.Table = std::make_shared<const routing_table>(std::move(Table));
+  }
+  auto sendPlain(const std::string &Id, const std::string &Body,
+                 const std::string &Key = "k1") -> void {
+    Caller.Received.clear();
+    Caller.request("POST", Id, Body, "X-Api-Key: " + Key + "\r\n");
+  }
+  /// Sends a plain request that crashes its servers. \return its fingerprint.
+  auto crashPlain(const std::string &Id, const std::string &Body,
+                  const std::string &Key = "k1") -> part_id {
+    const scripted_answer Crash{"", false, true};
+    *First.Answers = {Crash, Crash, Crash};
+    sendPlain(Id, Body, Key);
+    REQUIRE(receive("HTTP/1.1 502"));
+    const auto Report = Gateway.Crashes.report();
+    Gateway.Crashes.accept({});
+    Gateway.Directory.applyList({});
+    Gateway.listBackends({&First, &Second});
+    REQUIRE_FALSE(Report.Broken.empty());
+    CHECK(Report.Broken[0].Parts.empty());
+    return Report.Broken.back().Request;
+  }
   [[nodiscard]] auto requestCount() const -> std::size_t {
     return First.Requests.size() + Second.Requests.size();
   }
@@ -97,12 +128,78 @@
   CHECK(Fixture.Gateway.Crashes.report().Answered == std::vector<part_id>{0xa});
 }
 
+// Guards against a plain request that is not recognised when it comes again,
+// and against sound ones that are taken for it.
+TEST_CASE("repeats of a plain request have one fingerprint, others have not") {
+  part_id Crashing = 0;
+  {
+    watch_fixture Fixture;
+    Fixture.usePlainRoute();
+    Crashing = Fixture.crashPlain("c1", "body");
+    CHECK(Crashing != 0);
+    CHECK(Fixture.crashPlain("c2", "body") == Crashing);
+    CHECK(Fixture.crashPlain("c3", "other") != Crashing);
+    CHECK(Fixture.crashPlain("c4", "body", "k2") != Crashing);
+  }
+  watch_fixture Other;
+  Other.usePlainRoute();
+  CHECK(Other.crashPlain("c5", "body") == Crashing);
+}
+
+// Guards against plain requests that crash servers although they are known to,
+// and against other requests of the route that are held back with them.
+TEST_CASE("a blocked plain request reaches no server, others of its path do") {
+  watch_fixture Fixture;
+  Fixture.usePlainRoute();
+  crash_verdicts Verdicts;
+  Verdicts.Blocked = {Fixture.crashPlain("c1", "body")};
+  Fixture.Gateway.Crashes.accept(Verdicts);
+  const auto Before = Fixture.requestCount();
+  Fixture.sendPlain("c2", "body");
+  REQUIRE(Fixture.receive("HTTP/1.1 503"));
+  CHECK(Fixture.Caller.Received.find("Retry-After") == std::string::npos);
+  CHECK(Fixture.requestCount() == Before);
+  const scripted_answer Answer{
+      "HTTP/1.1 200 OK\r\nX-Acacianotch-Request-Id: $ID\r\n"
+      "X-Acacianotch-Response-Seal: seal\r\nContent-Length: 2\r\n\r\nok"};
+  *Fixture.First.Answers = {Answer, Answer};
+  Fixture.sendPlain("s1", "other");
+  CHECK(Fixture.receive("HTTP/1.1 200"));
+  Fixture.sendPlain("s2", "body", "k2");
+  CHECK(Fixture.receive("HTTP/1.1 200"));
+}
+
+// Guards against sound requests that are suspected because they ran at servers
+// that others crashed.
+TEST_CASE("a plain request that was answered lately is no suspect") {
+  crash_watch Watch;
+  Watch.recordAnswered({}, 7);
+  Watch.recordBroken("s", {}, 7, false);
+  Watch.recordBroken("s", {}, 8, false);
+  const auto &Report = Watch.report();
+  REQUIRE(Report.Broken.size() == 1);
+  CHECK(Report.Broken[0].Request == 8);
+}
+
+// Guards against memory that grows with the number of requests.
+TEST_CASE("requests that were answered are remembered for a bounded time") {
+  answered_requests Answered;
+  const time_point Start = time_point{} + std::chrono::hours(1);
+  Answered.insert(1, Start);
+  CHECK(Answered.contains(1, Start + std::chrono::seconds(14)));
+  CHECK_FALSE(Answered.contains(1, Start + std::chrono::seconds(31)));
+  for (part_id Request = 1; Request <= 20'000; ++Request)
+    Answered.insert(Request, Start + std::chrono::minutes(2));
+  CHECK(Answered.contains(20'000, Start + std::chrono::minutes(2)));
+  CHECK_FALSE(Answered.contains(2, Start + std::chrono::minutes(2)));
+}
+
 // Guards against evidence that is lost with an exchange that failed.
 TEST_CASE("a report is repeated until the leader has accepted it") {
   crash_watch Watch;
-  Watch.recordBroken("s", {{1, 10}}, true);
+  Watch.recordBroken("s", {{1, 10}}, 3, true);
   CHECK(Watch.report().Broken.size() == 1);
-  Watch.recordBroken("t", {{2, 10}}, false);
+  Watch.recordBroken("t", {{2, 10}}, 4, false);
   CHECK(Watch.report().Broken[0].Server == "s");
   Watch.accept({});
   CHECK(Watch.report().Broken[0].Server == "t");
