Fix: [Gateway] answers without end use bounded memory, and take less from others

Cause: a bound for each answer (8 MiB) and none for all of them; a server that ended an answer this way got the next request at once; nothing bounded events.

Change: gateway/answer_memory counts what is held back (gateway.answer_memory_mb, a fifth of the VM's memory if 0). Once it is used up, and for an answer that uses half of it, bodies are passed on as they arrive with back pressure, so that sound large answers still arrive whole. Errors are replaced by another attempt then; rejections are not kept. An answer above 8 MiB, by its bytes or its stated length, suspends its server at once. A stream with far more events than the request allows tokens is cut and not continued; streams are read at 256 KiB/s at most.

Evidence: unit.gateway_excess_test.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -44,6 +44,10 @@
                "acacianotch_backend_intake", "state", "gateway",
                "backend servers that take no or little new work by their own "
                "statement"},
+    metric_row{metric::held_answer_bytes, kind::gauge,
+               "acacianotch_held_answer_bytes", "", "gateway",
+               "memory used for answers that are held back until they are "
+               "complete"},
     metric_row{metric::unsettled_usage, kind::gauge,
                "acacianotch_unsettled_usage_records", "", "entry, agent",
                "usage records that control has not synced yet"},
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -30,6 +30,7 @@
   hedges,
   ejected_backends,
   backend_intake,
+  held_answer_bytes,
   unsettled_usage,
   catalogue_revision,
   confirmation_age_seconds,
--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -28,6 +28,13 @@
 /// to earlier requests.
 constexpr std::size_t MaxUnrelatedBytes = 1024ULL * 1024;
 
+/// Reading of a stream. Events of some hundred bytes come a few hundred times
+/// a second at most.
+constexpr std::size_t TicksPerSecond = 10;
+constexpr timeval RateTick{0, 1'000'000 / TicksPerSecond};
+constexpr std::size_t StreamBytesPerSecond = 256ULL * 1024;
+constexpr std::size_t StreamBurstBytes = 512ULL * 1024;
+
 auto notRun(std::string Detail) -> failure {
   return {errc::backend_unreachable, std::move(Detail), verdict::not_run};
 }
@@ -109,6 +116,16 @@
     bufferevent_enable(Socket.get(), EV_READ);
 }
 
+// A server that sends events without end would take the link and the processor
+// from the other callers.
+auto backend_channel::limitRate() -> void {
+  static auto *const Rate = ev_token_bucket_cfg_new(
+      StreamBytesPerSecond / TicksPerSecond, StreamBurstBytes,
+      EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &RateTick);
+  if (State != state::closed)
+    RateLimited = bufferevent_set_rate_limit(Socket.get(), Rate) == 0;
+}
+
 auto backend_channel::reusable(time_point Now) const -> bool {
   const auto Limit = IdleLimit ? std::max(*IdleLimit - IdleMargin, IdleMargin)
                                : DefaultIdleLimit;
@@ -190,6 +207,8 @@
     return;
   const auto RequestSent =
       evbuffer_get_length(bufferevent_get_output(Socket.get())) == 0;
+  if (std::exchange(RateLimited, false))
+    bufferevent_set_rate_limit(Socket.get(), nullptr);
   if (KeepAlive && RequestSent) {
     State = state::idle;
     IdleSince = steady_clock::now();
--- a/src/gateway/backend_channel.h
+++ b/src/gateway/backend_channel.h
@@ -57,6 +57,10 @@
   auto pauseReading() -> void;
   auto resumeReading() -> void;
 
+  /// Limits the rate at which the rest of the current answer is read, to more
+  /// than a stream of tokens needs.
+  auto limitRate() -> void;
+
   /// \return whether another call may be sent: the last one ended cleanly and
   /// the backend server will not close the connection soon.
   [[nodiscard]] auto reusable(time_point Now) const -> bool;
@@ -105,6 +109,7 @@
   std::size_t UnrelatedBytes = 0; ///< Read before it.
   bool Skipping = false; ///< The current message is not the final answer.
   bool KeepAlive = false;
+  bool RateLimited = false;
   std::optional<duration> IdleLimit;
   time_point IdleSince{};
   std::function<void(const answer_facts &)> HeadCallback;
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -299,6 +299,13 @@
     suspend(Handle);
 }
 
+// Answers that were under way at the same time count once.
+auto backend_directory::recordExcessiveAnswer(backend_handle Handle) -> void {
+  const auto *Backend = find(Handle);
+  if (Backend != nullptr && !Backend->Suspended)
+    suspend(Handle);
+}
+
 auto backend_directory::recordSuccess(backend_handle Handle) -> void {
   if (auto *Backend = find(Handle)) {
     Backend->Failures = 0;
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -163,6 +163,9 @@
   /// suspend the backend server.
   auto recordFailure(backend_handle Handle) -> void;
 
+  /// Records an answer without end, which suspends the backend server.
+  auto recordExcessiveAnswer(backend_handle Handle) -> void;
+
   /// Records a complete answer; resets the counts of failures and suspensions.
   auto recordSuccess(backend_handle Handle) -> void;
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -175,7 +175,7 @@
     Context.Directory.suspend(Chosen);
     return false;
   }
-  Attempt = std::make_unique<attempt>();
+  Attempt = std::make_unique<attempt>(Context.Memory);
   Attempt->Backend = Chosen;
   Attempt->BackendId = Backend->Record.Id;
   Attempt->Key = Backend->Key;
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -12,21 +12,10 @@
 
 namespace {
 
-/// Bytes buffered for a slow caller before reading from the backend server is
-/// paused.
-constexpr std::size_t MaxUnsentBytes = 128ULL * 1024;
-/// Largest body that is forwarded as a whole, and largest event of a stream.
-/// Both are held in memory until they are complete.
-constexpr std::size_t MaxBodyBytes = 8ULL * 1024 * 1024;
-constexpr std::size_t MaxEventBytes = 1024ULL * 1024;
-
 /// Work units of a running stream of the largest model: each stream slows down
 /// token generation on its server a little.
 constexpr double RunningStreamWork = 0.1;
 
-/// Events of a stream after which its pace is known.
-constexpr std::uint32_t PaceEvents = 8;
-
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int BadGateway = 502;
@@ -153,6 +142,8 @@
                           verdict::may_have_run});
   if (Facts.success())
     Context.Directory.recordAccepted(Attempt->Backend, Model);
+  if (statesExcessiveLength())
+    return endExcessive("the answer states a length that is too large");
   if (Route->Kind != route_kind::streaming || !Facts.success())
     return;
   recordModelAnswer();
@@ -161,60 +152,6 @@
   beginStream();
 }
 
-auto forward_task::beginStream() -> void {
-  Attempt->StreamsBody = true;
-  if (std::exchange(StreamStarted, true)) {
-    ++Context.Counters.Resumed;
-    return;
-  }
-  Caller->startStream(Attempt->Facts.Status,
-                      platform::callerHeaders(Attempt->Head));
-}
-
-auto forward_task::handleBody(std::string_view Data) -> void {
-  if (!Attempt->StreamsBody) {
-    Attempt->Body.append(Data);
-    if (Attempt->Body.size() > MaxBodyBytes)
-      handleFailure({errc::protocol_error, "the answer is too large",
-                     verdict::may_have_run});
-    return;
-  }
-  Events.add(Data);
-  if (Events.pendingBytes() > MaxEventBytes)
-    return handleFailure(
-        {errc::protocol_error, "an event is too large", verdict::may_have_run});
-  forwardEvents();
-}
-
-// Bytes that complete no event are no progress: a faulty server may send them
-// without end.
-auto forward_task::forwardEvents() -> void {
-  const auto Complete = Events.takeEvents();
-  if (Complete.empty())
-    return;
-  Context.Directory.recordProgress(Attempt->Backend);
-  Attempt->LastDataAt = steady_clock::now();
-  startStallTimer();
-  recordEventTimes();
-  recordAnswerAfterOnset();
-  if (Events.count() - Attempt->EventsBefore >= PaceEvents)
-    recordPace();
-  Caller->write(Complete);
-  if (!Paused && Caller->unsentBytes() > MaxUnsentBytes) {
-    Paused = true;
-    Attempt->Channel->pauseReading();
-  }
-}
-
-auto forward_task::recordEventTimes() -> void {
-  const auto Now = steady_clock::now();
-  if (LastEventAt == time_point{})
-    FirstEventDelay = Now - Request.ReceivedAt;
-  else
-    LongestGap = std::max(LongestGap, Now - LastEventAt);
-  LastEventAt = Now;
-}
-
 auto forward_task::handleEnd(const result<void> &Result) -> void {
   if (Done || Attempt == nullptr)
     return;
@@ -226,21 +163,24 @@
 
 // An answer that states that nothing was executed leaves the request
 // repeatable, whatever its route.
+auto forward_task::handleRejection(bool Clean) -> void {
+  logDroppedAnswer();
+  ++AttemptsSent;
+  if (Attempt->Facts.Misdirected)
+    recordMisdirected();
+  releaseAttempt(Clean);
+  if (isModelRejected())
+    return refuseWithoutModel();
+  if (StreamStarted && !attemptsLeft())
+    return failMayHaveRun(BadGateway, "a broken stream could not go on");
+  if (!Context.ExtraAttemptBudget.tryAcquire())
+    return refuseNotRun("the budget for extra attempts is spent");
+  startNextAttempt();
+}
+
 auto forward_task::handleAnswer() -> void {
-  if (Attempt->Facts.NotRun) {
-    logDroppedAnswer();
-    ++AttemptsSent;
-    if (Attempt->Facts.Misdirected)
-      recordMisdirected();
-    releaseAttempt(true);
-    if (isModelRejected())
-      return refuseWithoutModel();
-    if (StreamStarted && !attemptsLeft())
-      return failMayHaveRun(BadGateway, "a broken stream could not go on");
-    if (!Context.ExtraAttemptBudget.tryAcquire())
-      return refuseNotRun("the budget for extra attempts is spent");
-    return startNextAttempt();
-  }
+  if (Attempt->Facts.NotRun)
+    return handleRejection(true);
   if (Attempt->StreamsBody && Events.insideEvent())
     return handleFailure({errc::incomplete_answer,
                           "the stream ended inside an event",
@@ -251,7 +191,7 @@
   if (Attempt->Facts.success())
     recordAnswered();
   recordOutcome(Attempt->Facts.Status >= ServerError);
-  if (Attempt->StreamsBody) {
+  if (Attempt->StreamsBody || Attempt->PassesBody) {
     Caller->write(Events.takeRest());
     logAnswer();
     releaseAttempt(true);
@@ -302,7 +242,7 @@
 /// \return whether a request that may have been executed may be sent again. If
 /// so, charges the budget of extra attempts.
 auto forward_task::tryAcquireRetry() -> bool {
-  if (!Route->repeatable() || !attemptsLeft() ||
+  if (AnswerPassed || !Route->repeatable() || !attemptsLeft() ||
       !Context.ExtraAttemptBudget.tryAcquire())
     return false;
   ++Context.Counters.Retries;
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -8,6 +8,7 @@
 #include "controller/prompt_placement.h"
 #include "controller/stall.h"
 #include "controller/traffic_budget.h"
+#include "gateway/answer_memory.h"
 #include "gateway/backend_directory.h"
 #include "gateway/backend_report_client.h"
 #include "gateway/caller_connection.h"
@@ -31,6 +32,9 @@
 inline constexpr duration GatewayRefusalRetryAfter =
     std::chrono::milliseconds(50);
 
+/// Bytes of answers that are held back unless settings state a limit.
+inline constexpr std::size_t DefaultAnswerMemory = 32ULL * 1024 * 1024;
+
 /// Counters of a gateway since its start.
 struct gateway_counters {
   std::uint64_t Requests = 0;
@@ -72,6 +76,7 @@
   gateway_counters Counters;
   request_histograms RequestTimes;
   first_token_time FirstToken;
+  answer_memory Memory{DefaultAnswerMemory};
 };
 
 /// Forwards one request, from its arrival to the end of its answer. The gateway
@@ -97,6 +102,8 @@
 
 private:
   struct attempt {
+    explicit attempt(answer_memory &Memory) : Held(Memory) {}
+
     backend_handle Backend;
     std::string BackendId;
     server_key Key = 0; ///< Key of the backend server on the work board.
@@ -104,6 +111,8 @@
     answer_facts Facts;
     http_head Head;
     std::string Body;
+    answer_memory::share Held;
+    std::size_t BodyBytes = 0; ///< Received.
     time_point SentAt{};
     time_point AnsweredAt{}; ///< When the head of its answer arrived.
     time_point LastDataAt{}; ///< When the last part of its answer arrived.
@@ -116,7 +125,8 @@
     bool PaceRecorded = false;
     bool AnswerRecorded = false; ///< Its server outlasted the answer's begin.
     bool LongWork = false;
-    bool StreamsBody = false; ///< Its body is forwarded as it arrives.
+    bool StreamsBody = false; ///< Its body is forwarded event by event.
+    bool PassesBody = false;  ///< Its body is forwarded as it arrives.
   };
 
   auto admit() -> bool;
@@ -185,11 +195,19 @@
   auto handleBody(std::string_view Data) -> void;
   auto handleEnd(const result<void> &Result) -> void;
   auto handleAnswer() -> void;
+  /// Goes on after an answer that states that nothing was executed.
+  auto handleRejection(bool Clean) -> void;
   /// Goes on with a stream after an answer that is no stream.
   auto continueAfterError() -> void;
   auto handleFailure(const failure &Failure) -> void;
   auto beginStream() -> void;
+  auto handleStreamData(std::string_view Data) -> void;
   auto forwardEvents() -> void;
+  auto passBody() -> void;
+  auto pauseIfBehind() -> void;
+  auto endExcessive(std::string_view Detail) -> void;
+  [[nodiscard]] auto hasTooManyEvents() const -> bool;
+  [[nodiscard]] auto statesExcessiveLength() const -> bool;
   auto recordEventTimes() -> void;
   auto releaseAttempt(bool Clean) -> void;
   [[nodiscard]] auto tryAcquireRetry() -> bool;
@@ -242,6 +260,7 @@
   time_point LastEventAt{};          ///< When the last event was forwarded.
   bool MayHaveRun = false;
   bool StreamStarted = false; ///< The head of a stream was sent to the caller.
+  bool AnswerPassed = false;  ///< Nothing else can follow what was sent.
   bool Paused = false; ///< Reading is paused until the caller catches up.
   bool Done = false;
 };
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -22,6 +22,7 @@
 
 #include <optional>
 #include <random>
+#include <unistd.h>
 #include <unordered_set>
 
 namespace acacianotch {
@@ -77,6 +78,23 @@
   return Settings.ShutdownDeadline;
 }
 
+/// \return the limit of the memory for answers that are held back. A VM with
+/// little memory runs control beside the gateway.
+auto answerMemory(const settings &Settings) -> std::size_t {
+  constexpr std::size_t Mebibyte = 1024ULL * 1024;
+  constexpr std::size_t Share = 5;
+  constexpr std::size_t Least = 4 * Mebibyte;
+  if (Settings.Gateway.AnswerMemoryMb != 0)
+    return Settings.Gateway.AnswerMemoryMb * Mebibyte;
+  const auto Pages = ::sysconf(_SC_PHYS_PAGES);
+  const auto PageSize = ::sysconf(_SC_PAGESIZE);
+  if (Pages <= 0 || PageSize <= 0)
+    return DefaultAnswerMemory;
+  return std::max(static_cast<std::size_t>(Pages) *
+                      static_cast<std::size_t>(PageSize) / Share,
+                  Least);
+}
+
 /// State of a gateway process.
 class gateway_process {
 public:
@@ -107,6 +125,7 @@
             std::min(MaxDrainPeriod, ShutdownLimit / DrainPeriodDivisor)),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })),
         EndTimer(TheLoop.oneShot([this] { endTasks(); })) {
+    Context.Memory.setLimit(answerMemory(Settings));
     Link.FollowMembers = true;
     Link.onChange([this] { applyView(); });
     Link.OnBackends = [this](duration Age,
@@ -189,7 +208,10 @@
         {"retries", Counters.Retries},
         {"resumed", Counters.Resumed},
         {"escalations", Counters.Escalations},
-        {"inquiries", ReportClient.calls()}};
+        {"inquiries", ReportClient.calls()},
+        {"held_answer_bytes", Context.Memory.used()},
+        {"held_answer_bytes_largest", Context.Memory.largest()},
+        {"held_answer_bytes_limit", Context.Memory.limit()}};
     if (What == "dump")
       Answer["backends"] = dumpBackends(Directory);
     return Answer;
@@ -237,6 +259,8 @@
             static_cast<std::uint64_t>(View.currentRevision())));
     Metrics.gauge(metric::ejected_backends)
         .Set(static_cast<double>(Directory.suspendedCount()));
+    Metrics.gauge(metric::held_answer_bytes)
+        .Set(static_cast<double>(Context.Memory.used()));
     const auto Counts = Directory.intakeCounts({});
     const auto SetIntake = [&](intake_state State, std::size_t Count) {
       Metrics
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -212,6 +212,12 @@
                 need::none, "",
                 "share of a service's requests that a bad version may get "
                 "before its rollout is stopped"},
+    setting_row{"gateway.answer_memory_mb",
+                in<&all::Gateway, &gateway::AnswerMemoryMb>(), "0", 0, 65536,
+                need::none, "MiB",
+                "memory for answers that are held back until they are "
+                "complete; beyond it they are passed on as they arrive; 0 for "
+                "a fifth of the VM's memory"},
     setting_row{"gateway.retry_budget_share",
                 in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -110,6 +110,7 @@
   double SessionSeconds = 0;
   double ExposureShare = 0; ///< Of a service's requests, on a bad version.
   double GraceSeconds = 0;
+  std::uint64_t AnswerMemoryMb = 0; ///< 0 for a share of the VM's memory.
 };
 
 /// Settings under `log`.
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -26,6 +26,10 @@
   std::string Repeat; ///< Sent after the text, again and again without end.
 };
 
+/// Longer texts are sent as the peer reads them, which excludes a close or
+/// reset after them.
+inline constexpr std::size_t MaxTextAtOnce = 64UL * 1024;
+
 /// One connection of a scripted peer.
 struct peer_connection {
   bufferevent_handle Socket;
@@ -153,8 +157,12 @@
          At = Answer.Text.find("$ID"))
       Answer.Text.replace(At, 3, Id);
     const auto Fd = bufferevent_getfd(Connection.Socket.get());
-    REQUIRE(::send(Fd, Answer.Text.data(), Answer.Text.size(), 0) ==
-            static_cast<ssize_t>(Answer.Text.size()));
+    if (Answer.Text.size() > MaxTextAtOnce)
+      bufferevent_write(Connection.Socket.get(), Answer.Text.data(),
+                        Answer.Text.size());
+    else
+      REQUIRE(::send(Fd, Answer.Text.data(), Answer.Text.size(), 0) ==
+              static_cast<ssize_t>(Answer.Text.size()));
     Connection.Repeat = std::move(Answer.Repeat);
     onWritten(Connection.Socket.get(), &Connection);
     if (Answer.Reset) {
