--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -242,6 +242,15 @@
   CloseAfterWrite = true;
 }
 
+// Callers go by the new limits on connections that they keep, also by the time
+// for which these may be idle.
+auto caller_connection::setLimits(const caller_limits &Values) -> void {
+  Limits = Values;
+  Reader.setMaxHeadBytes(Limits.HeaderBytes);
+  if (State == state::reading && !Reader.inMessage())
+    startTimer();
+}
+
 auto caller_connection::startTimer() -> void {
   const auto InHead = Reader.inMessage() && !Reader.inBody();
   Timer->start(InHead ? Limits.HeaderReadTimeout
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -84,7 +84,7 @@
   auto closeIfIdle() -> void;
 
   /// Sets the limits of later requests.
-  auto setLimits(const caller_limits &Values) -> void { Limits = Values; }
+  auto setLimits(const caller_limits &Values) -> void;
 
 private:
   enum class state : std::uint8_t { reading, answering, lingering, closed };
--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -259,6 +259,10 @@
 
 auto http_reader::expectNoBody(bool NoBody) -> void { State->NoBody = NoBody; }
 
+auto http_reader::setMaxHeadBytes(std::size_t Limit) -> void {
+  State->MaxHeadBytes = Limit;
+}
+
 auto http_reader::inMessage() const -> bool { return State->Begun; }
 
 auto http_reader::inBody() const -> bool { return State->HeadDone; }
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -75,6 +75,9 @@
   /// do.
   auto expectNoBody(bool NoBody) -> void;
 
+  /// Sets the limit for the heads of the current and the next messages.
+  auto setMaxHeadBytes(std::size_t Limit) -> void;
+
   /// \return whether the current message has begun and not ended.
   [[nodiscard]] auto inMessage() const -> bool;
 
--- a/test/caller_server_test.cpp
+++ b/test/caller_server_test.cpp
@@ -62,3 +62,45 @@
   CHECK(runUntil(*Loop, [&] { return readAll(Client->fd(), Received); }));
   CHECK(Received.size() > LargeBody);
 }
+
+// Guards against connections that keep former limits for ever: proper heads are
+// refused on them, or they are closed while callers still use them.
+TEST_CASE("connections that are open when limits change get the new ones") {
+  auto Loop = testLoop();
+  auto Server = caller_server::create(
+      *Loop, loopback(0),
+      [](const std::shared_ptr<caller_connection> &Caller,
+         caller_request && /*Request*/) { Caller->reply(200, {}, "served"); });
+  REQUIRE(Server.ok());
+  caller_limits Limits;
+  Limits.HeaderBytes = 1000;
+  Limits.ConnectionIdleTimeout = std::chrono::milliseconds(300);
+  (*Server)->setLimits(Limits);
+  const auto Client = connectTo(loopback((*Server)->port()));
+  REQUIRE(Client.ok());
+  REQUIRE(runUntil(*Loop, [&] { return (*Server)->connectionCount() == 1; }));
+  Limits.HeaderBytes = 4000;
+  Limits.ConnectionIdleTimeout = std::chrono::hours(1);
+  (*Server)->setLimits(Limits);
+  const auto Start = steady_clock::now();
+  std::string Received;
+  auto Closed = false;
+  REQUIRE(runUntil(*Loop, [&] {
+    Closed = readAll(Client->fd(), Received);
+    return Closed ||
+           steady_clock::now() - Start > 2 * std::chrono::milliseconds(300);
+  }));
+  CHECK_FALSE(Closed);
+  const std::string Text = "GET /x HTTP/1.1\r\nHost: h\r\n"
+                           "X-Acacianotch-Request-Id: a1\r\nX-Long: " +
+                           std::string(3000, 'x') + "\r\n\r\n";
+  auto Sent = std::size_t{0};
+  CHECK(runUntil(*Loop, [&] {
+    if (Sent == 0 &&
+        ::send(Client->fd(), Text.data(), Text.size(), MSG_NOSIGNAL) > 0)
+      Sent = Text.size();
+    (void)readAll(Client->fd(), Received);
+    return !Received.empty();
+  }));
+  CHECK(Received.starts_with("HTTP/1.1 200"));
+}
