--- a/src/gateway/forward_stall.cpp
+++ b/src/gateway/forward_stall.cpp
@@ -34,8 +34,10 @@
     return;
   if (Route->Kind == route_kind::streaming)
     handleStalledStream(std::nullopt);
-  else
+  else if (mayMove())
     abandonStalledAttempt();
+  else
+    StallTimer->start(StallCheckInterval);
 }
 
 // Tokens may be delayed for long by the prompts of other requests, so a stall
@@ -52,7 +54,11 @@
   switch (decideStallAction({}, StalledFor, Objective, Attempt->ReportRequests,
                             State)) {
   case stall_action::abandon:
-    return abandonStalledAttempt();
+    // A server that does not have the request any more is not worth waiting
+    // for.
+    if (State == stalled_state::lost || mayMove())
+      return abandonStalledAttempt();
+    break;
   case stall_action::query_server:
     return requestReport();
   case stall_action::wait:
@@ -62,6 +68,10 @@
   StallTimer->start(StallCheckInterval);
 }
 
+// A stream that is cut for want of another server would be whole if its present
+// one went on.
+auto forward_task::mayMove() -> bool { return chooseBackend().ok(); }
+
 auto forward_task::requestReport() -> void {
   const auto *Backend = Context.Directory.find(Attempt->Backend);
   if (Backend == nullptr)
@@ -109,7 +119,7 @@
 
 auto forward_task::abandonStalledAttempt() -> void {
   if (!Context.ExtraAttemptBudget.tryAcquire())
-    return;
+    return StallTimer->start(StallCheckInterval);
   ++Context.Counters.Retries;
   Context.Directory.recordFailure(Attempt->Backend);
   abandonAttempt({errc::deadline_exceeded,
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -185,6 +185,8 @@
   auto requestReport() -> void;
   auto handleReport(const result<backend_report> &Report) -> void;
   auto abandonStalledAttempt() -> void;
+  /// \return whether another server may take the request now.
+  [[nodiscard]] auto mayMove() -> bool;
   [[nodiscard]] auto countsAgainstVersion(const failure &Failure) const -> bool;
   auto logFailedAttempt(const failure &Failure) const -> void;
   /// Logs an answer that the caller does not get.
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -64,10 +64,10 @@
   int ReportRequests = 0;    ///< Received.
   int Closed = 0;            ///< Connections that the gateway has closed.
 
+  /// Sends \p Text on the connection of the last request.
   auto sendLate(const std::string &Text) -> void {
-    REQUIRE_FALSE(Connections.empty());
-    bufferevent_write(Connections.back()->Socket.get(), Text.data(),
-                      Text.size());
+    REQUIRE(LastRequest != nullptr);
+    bufferevent_write(LastRequest->Socket.get(), Text.data(), Text.size());
   }
 
 private:
@@ -148,6 +148,7 @@
     if (Request.starts_with("GET /api/report "))
       return sendReport(Connection);
     Requests.push_back(Request);
+    LastRequest = &Connection;
     if (Answers->empty())
       return;
     auto Answer = std::move(Answers->front());
@@ -175,6 +176,7 @@
   }
 
   event_loop &Loop;
+  backend_connection *LastRequest = nullptr;
   evconnlistener *Listener = nullptr;
   std::vector<std::unique_ptr<backend_connection>> Connections;
 };
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -467,6 +467,54 @@
   checkStallRetry(Fixture, R"({"queued":0,"active":0,"runs":[]})");
 }
 
+// Guards against a slow but sound stream that is cut because no server is left
+// to move it to.
+TEST_CASE("a stalled stream stays at the last server that can run it") {
+  auto Route = makeRoute(route_kind::streaming);
+  Route.TargetLatency = std::chrono::milliseconds(400);
+  forward_fixture Fixture(Route);
+  const std::string Report = R"({"queued":1,"active":1,"runs":[]})";
+  Fixture.First.Report = Report;
+  Fixture.Second.Report = Report;
+  Fixture.setAnswers({{""}, {""}});
+  Fixture.Caller.request("POST", "s1", "prompt");
+  REQUIRE(
+      Fixture.Gateway.runUntil([&] { return Fixture.requestCount() == 1; }));
+  auto &Last = Fixture.First.Requests.empty() ? Fixture.First : Fixture.Second;
+  REQUIRE(
+      Fixture.Gateway.runUntil([&] { return Fixture.requestCount() == 2; }));
+  // Longer than the time after which it would move again.
+  const auto Since = steady_clock::now();
+  REQUIRE(Fixture.Gateway.runUntil(
+      [&] { return steady_clock::now() - Since > 5 * Route.TargetLatency; }));
+  CHECK(Fixture.Caller.Received.empty());
+  auto Answer = streamHead() + chunk(eventWithId(1)) + "0\r\n\r\n";
+  Answer.replace(Answer.find("$ID"), 3, "s1");
+  Last.sendLate(Answer);
+  CHECK(Fixture.waitForText("\r\n0\r\n\r\n"));
+  CHECK(contains(Fixture.Caller.Received, eventWithId(1)));
+}
+
+// The same for work that is not streamed.
+TEST_CASE("idempotent work stays at the last server that can run it") {
+  auto Route = makeRoute(route_kind::idempotent);
+  Route.TargetLatency = std::chrono::milliseconds(100);
+  forward_fixture Fixture(Route);
+  Fixture.Gateway.listBackends({&Fixture.First});
+  Fixture.setAnswers({{""}});
+  Fixture.Caller.request("GET", "j2");
+  REQUIRE(
+      Fixture.Gateway.runUntil([&] { return Fixture.requestCount() == 1; }));
+  const auto Since = steady_clock::now();
+  REQUIRE(Fixture.Gateway.runUntil(
+      [&] { return steady_clock::now() - Since > 5 * Route.TargetLatency; }));
+  CHECK(Fixture.Caller.Received.empty());
+  auto Answer = completeAnswer("late").Text;
+  Answer.replace(Answer.find("$ID"), 3, "j2");
+  Fixture.First.sendLate(Answer);
+  CHECK(Fixture.waitForText("late"));
+}
+
 // Guards against a rollout that is aborted because of server crashes: each
 // crash breaks many requests at once.
 TEST_CASE("broken connections do not count against a version") {
