--- a/src/catalogue/routing_cmd.cpp
+++ b/src/catalogue/routing_cmd.cpp
@@ -11,6 +11,8 @@
 /// Bounds what a rollout adds to the catalogue of each node, 16 KB; sessions
 /// beyond it keep their version only at the gateways that know them.
 constexpr std::size_t MaxHeldSessions = 2048;
+/// Versions whose servers may still be listed after their rollouts.
+constexpr std::size_t MaxWithdrawn = 16;
 
 auto rolloutConflict(const service_rollout &Current, std::string Detail)
     -> command_result {
@@ -50,6 +52,19 @@
   Place->add(More);
 }
 
+/// Carries over which version serves and which ones were rolled back.
+auto inheritVersions(service_rollout &Rollout, const service_rollout &Former)
+    -> void {
+  const auto Done = Former.State == rollout_state::done;
+  Rollout.From = Done ? Former.To : Former.From;
+  Rollout.Withdrawn = Former.Withdrawn;
+  if (!Done)
+    Rollout.Withdrawn.push_back(Former.To);
+  std::erase(Rollout.Withdrawn, Rollout.To);
+  if (Rollout.Withdrawn.size() > MaxWithdrawn)
+    Rollout.Withdrawn.erase(Rollout.Withdrawn.begin());
+}
+
 auto addSession(std::vector<std::uint64_t> &Sorted, std::uint64_t Session)
     -> void {
   const auto Place = std::lower_bound(Sorted.begin(), Sorted.end(), Session);
@@ -92,6 +107,8 @@
   Rollout.StartedMs = Context.NowMs;
   Rollout.DurationMs = Body.DurationMs;
   Rollout.Collecting = true;
+  if (Place != Data.ServiceRollouts.end())
+    inheritVersions(Rollout, Place->second);
   Data.ServiceRollouts[Body.Service] = Rollout;
   Data.ServiceEvidence[Body.Service] = {Body.To, {}, {}, {}, 0};
   touch(Context, Body.Service);
--- a/src/catalogue/routing_type.h
+++ b/src/catalogue/routing_type.h
@@ -3,6 +3,7 @@
 
 #include "catalogue/rollout_type.h"
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <string_view>
@@ -96,6 +97,20 @@
   std::vector<std::uint64_t> Held;
   std::uint64_t ShiftedMs = 0; ///< Log time of the shift; 0 before.
   candidate_load Load;         ///< From the opening until the shift.
+  std::string From; ///< Version that serves; empty if no rollout set it.
+  /// Versions that were rolled back, the newest last. Their servers may still
+  /// run.
+  std::vector<std::string> Withdrawn;
+
+  /// \return whether \p Version is a predecessor. \p FromRuns: servers of From
+  /// are known; otherwise its name is no use.
+  [[nodiscard]] auto precededBy(const std::string &Version, bool FromRuns) const
+      -> bool {
+    if (Version == To || std::find(Withdrawn.begin(), Withdrawn.end(),
+                                   Version) != Withdrawn.end())
+      return false;
+    return From.empty() || !FromRuns || Version == From;
+  }
 
   auto operator==(const service_rollout &) const -> bool = default;
 };
@@ -154,6 +169,8 @@
       field("collecting", &body::Collecting, {}, "sessions are reported"),
       field("held", &body::Held, {}, "sessions that stay until the shift"),
       field("load", &body::Load, {}, "of the new version until the shift"),
+      field("from", &body::From, {0, 256}, "version that serves"),
+      field("withdrawn", &body::Withdrawn, {}, "versions rolled back"),
   };
 };
 
--- a/src/control/rollout_manager.cpp
+++ b/src/control/rollout_manager.cpp
@@ -56,8 +56,8 @@
 
 auto rollout_manager::planLoad(const service_rollout &Rollout) const
     -> candidate_load {
-  const auto Servers = Service.nodeSubscriptions().backends().countOthers(
-      Rollout.Service, Rollout.To);
+  const auto Servers =
+      Service.nodeSubscriptions().backends().countPredecessors(Rollout);
   const auto Load = planCandidateLoad(ExposureShare, Servers);
   logInfo(log_category::version, "planned the load of a new version",
           {{"service", Rollout.Service},
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -143,11 +143,24 @@
   // none.
   if (Rollout.State == rollout_state::done)
     return IsCandidate ? armKey(Record.Service, version_arm::serving) : "";
-  return armKey(Record.Service,
-                IsCandidate ? version_arm::candidate : version_arm::serving);
+  if (IsCandidate)
+    return armKey(Record.Service, version_arm::candidate);
+  return Rollout.precededBy(Record.Version,
+                            runsVersion(Record.Service, Rollout.From))
+             ? armKey(Record.Service, version_arm::serving)
+             : "";
+}
+
+auto backend_directory::runsVersion(const std::string &Service,
+                                    const std::string &Version) const -> bool {
+  return !Version.empty() && ListedVersions.contains({Service, Version});
 }
 
 auto backend_directory::rebuildPools() -> void {
+  ListedVersions.clear();
+  for (const auto &[Id, Backend] : Backends)
+    if (!Backend->Record.Leaving)
+      ListedVersions.insert({Backend->Record.Service, Backend->Record.Version});
   std::map<std::string, std::vector<backend_handle>> Lists;
   for (const auto &[Key, Pool] : Pools)
     Lists[Key];
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -44,8 +44,11 @@
 auto forward_task::chooseArm() -> void {
   const auto Listed =
       Context.Directory.pool(Service, version_arm::candidate) != nullptr;
-  Arm = Context.Rollouts.chooseArm(Context.Directory.runningRollout(Service),
-                                   Request.Session, Request.Id, Listed);
+  const auto *Rollout = Context.Directory.runningRollout(Service);
+  if (Rollout != nullptr)
+    NewVersion = Rollout->To;
+  Arm =
+      Context.Rollouts.chooseArm(Rollout, Request.Session, Request.Id, Listed);
 }
 
 auto forward_task::measuredAttempt() const -> measured_attempt {
--- a/src/gateway/forward_end.cpp
+++ b/src/gateway/forward_end.cpp
@@ -159,7 +159,7 @@
     return;
   releaseAttempt(false);
   Deadline->stop();
-  Context.Rollouts.recordSessionRequest(Request.Session, Arm);
+  Context.Rollouts.recordSessionRequest(Request.Session, Arm, NewVersion);
   if (auto *Histogram =
           Route == nullptr ? nullptr : Context.RequestTimes.of(Route->Kind))
     Histogram->Observe(
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -243,6 +243,7 @@
   const gateway_account *Account = nullptr;
   std::string Service;
   version_arm Arm = version_arm::serving;
+  std::string NewVersion; ///< Of the rollout that Arm belongs to, if any.
   std::string Model;
   double CorrectAnswerValue = 0; ///< See answer_value.
   std::size_t CascadeStage = 0;  ///< Index of the model in the route's cascade.
--- a/src/gateway/rollout_recorder.cpp
+++ b/src/gateway/rollout_recorder.cpp
@@ -186,7 +186,8 @@
   Batch.CandidateListed = true;
 }
 
-// An active session keeps its version until the rollout shifts all work.
+// An active session keeps its version until the rollout shifts all work. What
+// was the new version of another rollout serves now, or was rolled back.
 auto rollout_recorder::chooseArm(const service_rollout *Rollout,
                                  const std::string &Session,
                                  const std::string &RequestId,
@@ -205,21 +206,23 @@
     if (!CandidateListed)
       Arm = version_arm::serving;
     else if (SessionActive && !Rollout->Shifted)
-      Arm = Known->second.Arm;
+      Arm = Known->second.To == Rollout->To ? Known->second.Arm
+                                            : version_arm::serving;
     else if (Rollout->Shifted ||
              (!Rollout->Collecting && !beganBefore(*Rollout, Session) &&
               selectsCanary(Rollout->To, Key, Rollout->Load.Share)))
       Arm = version_arm::candidate;
   }
   if (!Session.empty())
-    Sessions[Session] = {Arm, Now};
+    Sessions[Session] = {Arm, Now, Rollout == nullptr ? "" : Rollout->To};
   return Arm;
 }
 
 auto rollout_recorder::recordSessionRequest(const std::string &Session,
-                                            version_arm Arm) -> void {
+                                            version_arm Arm,
+                                            const std::string &To) -> void {
   if (!Session.empty())
-    Sessions[Session] = {Arm, steady_clock::now()};
+    Sessions[Session] = {Arm, steady_clock::now(), To};
 }
 
 auto rollout_recorder::tick() -> void {
--- a/src/gateway/rollout_recorder.h
+++ b/src/gateway/rollout_recorder.h
@@ -67,10 +67,11 @@
                                const std::string &RequestId,
                                bool CandidateListed = true) -> version_arm;
 
-  /// Records that a request of a session has ended on \p Arm. The session time
-  /// is counted from the end of its last request.
-  auto recordSessionRequest(const std::string &Session, version_arm Arm)
-      -> void;
+  /// Records that a request of a session has ended on \p Arm of the rollout to
+  /// \p To, which is empty without one. The session time is counted from the
+  /// end of its last request.
+  auto recordSessionRequest(const std::string &Session, version_arm Arm,
+                            const std::string &To) -> void;
 
   /// \return the number of failed attempts of a service that are not reported
   /// yet.
@@ -95,6 +96,7 @@
   struct session_state {
     version_arm Arm = version_arm::serving;
     time_point LastAt{};
+    std::string To; ///< New version of the rollout that Arm belongs to.
   };
 
   struct waiting_attempt {
--- a/src/node/backend_list.cpp
+++ b/src/node/backend_list.cpp
@@ -1,6 +1,7 @@
 /// \file Replication of the platform's list of backend servers to nodes.
 #include "node/backend_list.h"
 
+#include "catalogue/routing_type.h"
 #include "core/log_func.h"
 #include "net/kj_func.h"
 
@@ -130,15 +131,18 @@
   }
 }
 
-auto backend_list::countOthers(const std::string &Service,
-                               const std::string &Version) const
+auto backend_list::countPredecessors(const service_rollout &Rollout) const
     -> std::size_t {
-  return static_cast<std::size_t>(
-      std::count_if(Rows.begin(), Rows.end(), [&](const auto &Row) {
-        const auto &Record = Row.second.Record;
-        return Record.Service == Service && Record.Version != Version &&
-               !Record.Leaving;
-      }));
+  std::size_t OfFrom = 0;
+  std::size_t All = 0;
+  for (const auto &[Id, Row] : Rows) {
+    const auto &Record = Row.Record;
+    if (Record.Service != Rollout.Service || Record.Leaving)
+      continue;
+    OfFrom += Record.Version == Rollout.From ? 1 : 0;
+    All += Rollout.precededBy(Record.Version, false) ? 1 : 0;
+  }
+  return OfFrom > 0 ? OfFrom : All;
 }
 
 auto backend_list::changesAfter(std::uint64_t &Since, std::size_t Limit) const
--- a/src/node/backend_list.h
+++ b/src/node/backend_list.h
@@ -12,6 +12,8 @@
 
 namespace acacianotch {
 
+struct service_rollout;
+
 /// Changes to a list that are sent in one update.
 struct backend_changes {
   bool Whole = false;    ///< Replaces all rows received before.
@@ -35,10 +37,9 @@
   [[nodiscard]] auto changesAfter(std::uint64_t &Since, std::size_t Limit) const
       -> backend_changes;
 
-  /// \return the number of servers of \p Service that stay and run another
-  /// version than \p Version.
-  [[nodiscard]] auto countOthers(const std::string &Service,
-                                 const std::string &Version) const
+  /// \return the number of servers that stay and run a predecessor of the
+  /// version that \p Rollout brings in.
+  [[nodiscard]] auto countPredecessors(const service_rollout &Rollout) const
       -> std::size_t;
 
   /// \return the sequence number of the last change; 0 before the first list.
--- a/test/backend_list_test.cpp
+++ b/test/backend_list_test.cpp
@@ -1,4 +1,5 @@
 /// \file Tests of the replication of the list of backend servers.
+#include "catalogue/routing_type.h"
 #include "node/backend_list.h"
 
 #include <capnp/message.h>
@@ -130,5 +131,17 @@
   Other.Id = "i-3";
   Other.Service = "other";
   CHECK(List.replaceRows({Stays, New, Other, record("i-4")}, {}));
-  CHECK(List.countOthers("s", "v2") == 1);
+  service_rollout Rollout;
+  Rollout.Service = "s";
+  Rollout.To = "v2";
+  CHECK(List.countPredecessors(Rollout) == 1);
+  // Servers of a version that was rolled back may still run.
+  Rollout.To = "v3";
+  Rollout.Withdrawn = {"v2"};
+  CHECK(List.countPredecessors(Rollout) == 1);
+  Rollout.Withdrawn.clear();
+  Rollout.From = "v2";
+  CHECK(List.countPredecessors(Rollout) == 1);
+  Rollout.From = "gone";
+  CHECK(List.countPredecessors(Rollout) == 2);
 }
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -6,13 +6,8 @@
 
 namespace {
 
-/// Applies a rollout of the service to v2.
-auto applyRollout(forward_fixture &Fixture, bool Shifted) -> void {
-  service_rollout Rollout;
-  Rollout.Service = "s";
-  Rollout.To = "v2";
-  Rollout.Shifted = Shifted;
-  Rollout.Load = {0.1, 2};
+auto applyRollout(forward_fixture &Fixture, const service_rollout &Rollout)
+    -> void {
   catalogue_view View;
   node_update Update;
   Update.Epoch = epoch{1};
@@ -24,6 +19,16 @@
   Fixture.Gateway.Directory.applyRollouts(View);
 }
 
+/// Applies a rollout of the service to v2.
+auto applyRollout(forward_fixture &Fixture, bool Shifted) -> void {
+  service_rollout Rollout;
+  Rollout.Service = "s";
+  Rollout.To = "v2";
+  Rollout.Shifted = Shifted;
+  Rollout.Load = {0.1, 2};
+  applyRollout(Fixture, Rollout);
+}
+
 /// Starts a rollout: the first server has the serving version, the second one
 /// the candidate.
 auto setUpRollout(forward_fixture &Fixture) -> void {
@@ -554,6 +559,35 @@
   CHECK(std::max(First, Second) == 9);
 }
 
+// Guards against requests on servers of a version that was rolled back, as soon
+// as the next rollout starts.
+TEST_CASE("a version that was rolled back stays out of the next rollout") {
+  forward_fixture Fixture(makeRoute(route_kind::idempotent));
+  backend_record Serving;
+  Serving.Id = "serving";
+  Serving.Service = "s";
+  Serving.Version = "v1";
+  Serving.Slots = 8;
+  Serving.Address = {"127.0.0.1", Fixture.First.Port};
+  auto Withdrawn = Serving;
+  Withdrawn.Id = "withdrawn";
+  Withdrawn.Version = "v2";
+  Withdrawn.Address = {"127.0.0.1", Fixture.Second.Port};
+  Fixture.Gateway.Directory.applyList({Serving, Withdrawn});
+  service_rollout Rollout;
+  Rollout.Service = "s";
+  Rollout.To = "v3";
+  Rollout.Withdrawn = {"v2"};
+  applyRollout(Fixture, Rollout);
+  for (int Number = 0; Number < 10; ++Number) {
+    Fixture.Caller.Received.clear();
+    Fixture.setAnswers({completeAnswer("served")});
+    Fixture.Caller.request("GET", "p" + std::to_string(Number));
+    REQUIRE(Fixture.waitForText("served"));
+  }
+  CHECK(Fixture.Second.Requests.empty());
+}
+
 // Guards against a version that is bad under load only and is tried without.
 TEST_CASE("a candidate has the planned number of servers until the shift") {
   forward_fixture Fixture(makeRoute(route_kind::idempotent));
--- a/test/rollout_recorder_test.cpp
+++ b/test/rollout_recorder_test.cpp
@@ -51,11 +51,27 @@
   CHECK(Fixture.Recorder.chooseArm(&Rollout, Session, "2") ==
         version_arm::serving);
   std::this_thread::sleep_for(2 * SessionTime);
-  Fixture.Recorder.recordSessionRequest(Session, version_arm::serving);
+  Fixture.Recorder.recordSessionRequest(Session, version_arm::serving, "");
   CHECK(Fixture.Recorder.chooseArm(&Rollout, Session, "3") ==
         version_arm::serving);
 }
 
+// Guards against a session that moves to a new version because it was on that
+// of an earlier rollout, which serves now or was rolled back.
+TEST_CASE("the version of an earlier rollout does not choose the next one") {
+  fixture Fixture;
+  const auto Session = candidateSession();
+  const auto Former = runningRollout();
+  CHECK(Fixture.Recorder.chooseArm(&Former, Session, "1") ==
+        version_arm::candidate);
+  Fixture.Recorder.recordSessionRequest(Session, version_arm::candidate,
+                                        Former.To);
+  auto Next = Former;
+  Next.To = "v3";
+  CHECK(Fixture.Recorder.chooseArm(&Next, Session, "2") ==
+        version_arm::serving);
+}
+
 // Guards against a rollout without any session on the candidate.
 TEST_CASE("some new sessions use the candidate, and all do after the shift") {
   fixture Fixture;
--- a/test/routing_document_test.cpp
+++ b/test/routing_document_test.cpp
@@ -132,3 +132,45 @@
   CHECK_FALSE(Rollout.Collecting);
   CHECK(Rollout.Held == std::vector<std::uint64_t>{3, 5, 9});
 }
+
+// Guards against a version that was rolled back and serves again when the next
+// rollout starts, while its servers still run.
+TEST_CASE("a rollout keeps which version serves and which were rolled back") {
+  state_fixture Fixture;
+  const auto Run = [&](const std::string &To, rollout_state End) {
+    REQUIRE(Fixture.applyCommand(start_service_rollout{"chat", To, 1000}).ok());
+    REQUIRE(
+        Fixture.applyCommand(end_service_rollout{"chat", To, End, ""}).ok());
+  };
+  Run("v2", rollout_state::aborted);
+  Run("v3", rollout_state::done);
+  Run("v4", rollout_state::aborted);
+  REQUIRE(Fixture.applyCommand(start_service_rollout{"chat", "v5", 1000}).ok());
+  const auto &Rollout = Fixture.data().ServiceRollouts.at("chat");
+  CHECK(Rollout.From == "v3");
+  CHECK(Rollout.Withdrawn == std::vector<std::string>{"v2", "v4"});
+  CHECK(Rollout.precededBy("v3", true));
+  for (const auto *Version : {"v1", "v2", "v4", "v5"})
+    CHECK_FALSE(Rollout.precededBy(Version, true));
+  CHECK(Rollout.precededBy("v1", false));
+}
+
+// Guards against a version that cannot be rolled out again, and against a list
+// that grows with each rollout.
+TEST_CASE("a version that is rolled out again is not withdrawn") {
+  state_fixture Fixture;
+  for (int Number = 0; Number < 40; ++Number) {
+    const auto To = "v" + std::to_string(Number);
+    REQUIRE(Fixture.applyCommand(start_service_rollout{"chat", To, 1000}).ok());
+    REQUIRE(Fixture
+                .applyCommand(
+                    end_service_rollout{"chat", To, rollout_state::aborted, ""})
+                .ok());
+  }
+  REQUIRE(
+      Fixture.applyCommand(start_service_rollout{"chat", "v38", 1000}).ok());
+  const auto &Rollout = Fixture.data().ServiceRollouts.at("chat");
+  CHECK(Rollout.Withdrawn.size() <= 16);
+  CHECK_FALSE(
+      std::count(Rollout.Withdrawn.begin(), Rollout.Withdrawn.end(), "v38"));
+}
