--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -32,8 +32,9 @@
 inline constexpr duration GatewayRefusalRetryAfter =
     std::chrono::milliseconds(50);
 
-/// Bytes of answers that are held back unless settings state a limit.
-inline constexpr std::size_t DefaultAnswerMemory = 32ULL * 1024 * 1024;
+/// Largest number of bytes of answers that are held back unless settings state
+/// one.
+inline constexpr std::size_t DefaultAnswerMemory = 24ULL * 1024 * 1024;
 
 /// Counters of a gateway since its start.
 struct gateway_counters {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -20,6 +20,7 @@
 #include "platform/instance_poller.h"
 #include "platform/request_codec.h"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 #include <unistd.h>
@@ -90,9 +91,9 @@
   const auto PageSize = ::sysconf(_SC_PAGESIZE);
   if (Pages <= 0 || PageSize <= 0)
     return DefaultAnswerMemory;
-  return std::max(static_cast<std::size_t>(Pages) *
-                      static_cast<std::size_t>(PageSize) / Share,
-                  Least);
+  const auto Total =
+      static_cast<std::size_t>(Pages) * static_cast<std::size_t>(PageSize);
+  return std::clamp(Total / Share, Least, DefaultAnswerMemory);
 }
 
 /// State of a gateway process.
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -217,7 +217,7 @@
                 need::none, "MiB",
                 "memory for answers that are held back until they are "
                 "complete; beyond it they are passed on as they arrive; 0 for "
-                "a fifth of the VM's memory"},
+                "a fifth of the VM's memory, 24 at most"},
     setting_row{"gateway.retry_budget_share",
                 in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
