Fix: [Gateway] an error that is not held back uses no attempt too many

An error that is passed on for want of memory was replaced by another attempt even when the route's attempts were used up; an answer to HEAD was taken for a large one by the length that it states; the fingerprint was computed for prompts that nobody watches.

--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -47,6 +47,11 @@
   [[nodiscard]] auto findBlocked(const std::vector<prompt_part> &Prompt,
                                  part_id Request) -> std::optional<part_id>;
 
+  /// \return whether answers to requests with a prompt are of interest.
+  [[nodiscard]] auto watchesAny() const -> bool {
+    return !Watched.empty() || !Blocked.empty();
+  }
+
   /// \return whether findBlocked() can find anything.
   [[nodiscard]] auto blocksAny() const -> bool { return !Blocked.empty(); }
 
--- a/src/gateway/forward_body.cpp
+++ b/src/gateway/forward_body.cpp
@@ -43,9 +43,10 @@
                       platform::callerHeaders(Attempt->Head));
 }
 
-// -1 stands for an unknown length.
+// -1 stands for an unknown length. The answer to HEAD states that of another
+// one's body.
 auto forward_task::statesExcessiveLength() const -> bool {
-  return !Attempt->Facts.NotRun &&
+  return !Attempt->Facts.NotRun && Request.Method != "HEAD" &&
          Attempt->Head.Length > static_cast<std::int64_t>(MaxBodyBytes);
 }
 
@@ -79,7 +80,8 @@
 auto forward_task::passBody() -> void {
   if (StreamStarted)
     return endExcessive("an error in a stream is too large");
-  if (Attempt->Facts.Status >= ServerError && tryAcquireRetry()) {
+  const auto MayRepeat = AttemptsSent + 1 < Route->MaxAttempts;
+  if (Attempt->Facts.Status >= ServerError && MayRepeat && tryAcquireRetry()) {
     logDroppedAnswer();
     recordOutcome(true);
     revertToServing();
--- a/src/gateway/forward_crash.cpp
+++ b/src/gateway/forward_crash.cpp
@@ -63,7 +63,10 @@
 }
 
 auto forward_task::recordAnswered() -> void {
-  if (!std::exchange(Attempt->AnswerRecorded, true))
+  if (std::exchange(Attempt->AnswerRecorded, true))
+    return;
+  // Saves the fingerprint, which costs time with the size of the request.
+  if (Request.Prompt.empty() || Context.Crashes.watchesAny())
     Context.Crashes.recordAnswered(Request.Prompt, fingerprint());
 }
 
--- a/test/gateway_excess_test.cpp
+++ b/test/gateway_excess_test.cpp
@@ -183,3 +183,33 @@
   REQUIRE(Fixture.waitForText("HTTP/1.1 502"));
   CHECK(Fixture.Gateway.Directory.suspendedCount() == 1);
 }
+
+// Guards against more attempts than the route allows, and against an error that
+// takes the place of another server's answer.
+TEST_CASE("an error that is not held back is replaced within the attempts") {
+  auto Route = makeRoute(route_kind::idempotent);
+  Route.MaxAttempts = 2;
+  for (const auto Errors : {1U, 2U}) {
+    forward_fixture Fixture(Route);
+    Fixture.Gateway.Context.Memory.setLimit(0);
+    const scripted_answer Error{head("500 Error", "Content-Length: 5\r\n") +
+                                "error"};
+    std::deque<scripted_answer> Answers(Errors, Error);
+    Answers.push_back(completeAnswer("served"));
+    Fixture.setAnswers(Answers);
+    Fixture.Caller.request("GET", "e1");
+    const auto Last = Errors == 1 ? "served" : "error";
+    REQUIRE(Fixture.waitForText(Last));
+    CHECK(Fixture.requestCount() == 2);
+    CHECK(contains(Fixture.Caller.Received,
+                   Errors == 1 ? "HTTP/1.1 200" : "HTTP/1.1 500"));
+  }
+}
+
+// Guards against answers to HEAD that are taken for large ones.
+TEST_CASE("an answer without a body may state a large length") {
+  forward_fixture Fixture(makeRoute(route_kind::idempotent));
+  Fixture.setAnswers({{head("200 OK", "Content-Length: 900000000000\r\n")}});
+  Fixture.Caller.request("HEAD", "h1");
+  CHECK(Fixture.waitForText("HTTP/1.1 200"));
+}
