Fix: [Gateway] a replaced server is not tried with model after model

A server whose address another one had taken was tried again with each model that this gateway had not sent it before, and after each suspension. Now a model that other servers of the service have run is no reason to reject a request, and each further rejection confirms the replacement until the server accepts a request; then the rejected model is the reason.

--- a/src/controller/model_evidence.cpp
+++ b/src/controller/model_evidence.cpp
@@ -2,6 +2,7 @@
 #include "controller/model_evidence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace acacianotch {
 
@@ -18,18 +19,34 @@
 } // namespace
 
 auto model_evidence::recordAccepted(const std::string &Model) -> void {
+  if (std::exchange(SeemsReplaced, false) && RejectedModel != Model &&
+      Refuted.size() < MaxModels)
+    Refuted.insert(RejectedModel);
   Missing.erase(Model);
+  Refuted.erase(Model);
   if (Accepted.size() < MaxModels)
     Accepted.insert(Model);
 }
 
-// A model that the server has run is no reason to reject a request, unless it
-// was unloaded; the next rejection then shows that.
+// A model that this server or another one of the service has run is no reason
+// to reject a request. If the server still accepts others, the model was
+// unloaded here, or never loaded.
 auto model_evidence::recordMisdirected(const std::string &Model,
-                                       bool MayLackModel, time_point Now)
-    -> misdirection {
-  if (Accepted.erase(Model) != 0 || !MayLackModel)
+                                       bool MayLackModel, bool RunElsewhere,
+                                       time_point Now) -> misdirection {
+  const auto WasAccepted = Accepted.erase(Model) != 0;
+  const auto KnownModel = WasAccepted || RunElsewhere || SeemsReplaced;
+  if (!MayLackModel || (KnownModel && !Refuted.contains(Model))) {
+    if (!std::exchange(SeemsReplaced, true))
+      RejectedModel = Model;
     return misdirection::replaced;
+  }
+  recordMissing(Model, Now);
+  return misdirection::model_missing;
+}
+
+auto model_evidence::recordMissing(const std::string &Model, time_point Now)
+    -> void {
   if (!Missing.contains(Model) && Missing.size() >= MaxModels)
     Missing.erase(std::min_element(Missing.begin(), Missing.end(),
                                    [](const auto &Left, const auto &Right) {
@@ -39,12 +56,11 @@
   auto &Row = Missing[Model];
   // Requests that were sent at the same time are one observation.
   if (Now < Row.Until)
-    return misdirection::model_missing;
+    return;
   Row.Interval = Row.Interval == duration::zero()
                      ? FirstInterval
                      : std::min(2 * Row.Interval, MaxInterval);
   Row.Until = Now + Row.Interval;
-  return misdirection::model_missing;
 }
 
 auto model_evidence::missingUntil(const std::string &Model) const
--- a/src/controller/model_evidence.h
+++ b/src/controller/model_evidence.h
@@ -26,10 +26,11 @@
   auto recordAccepted(const std::string &Model) -> void;
 
   /// Records a rejection as misdirected. \p MayLackModel: the request names a
-  /// model, or the service runs models. \return what it shows.
+  /// model, or the service runs models. \p RunElsewhere: other servers of the
+  /// service have run it. \return what it shows.
   [[nodiscard]] auto recordMisdirected(const std::string &Model,
-                                       bool MayLackModel, time_point Now)
-      -> misdirection;
+                                       bool MayLackModel, bool RunElsewhere,
+                                       time_point Now) -> misdirection;
 
   /// \return whether the server has accepted a request for \p Model and has not
   /// rejected one since.
@@ -46,7 +47,7 @@
 
   /// \return the number of models about which something is known.
   [[nodiscard]] auto size() const -> std::size_t {
-    return Accepted.size() + Missing.size();
+    return Accepted.size() + Missing.size() + Refuted.size();
   }
 
 private:
@@ -55,7 +56,14 @@
     duration Interval{};
   };
 
+  auto recordMissing(const std::string &Model, time_point Now) -> void;
+
   std::set<std::string> Accepted;
+  /// Models for which a rejection was wrongly taken for that of a replaced
+  /// server.
+  std::set<std::string> Refuted;
+  bool SeemsReplaced = false; ///< No request was accepted since.
+  std::string RejectedModel;  ///< Why it seems to be replaced.
   std::map<std::string, missing_model> Missing;
 };
 
--- a/src/gateway/backend_models.cpp
+++ b/src/gateway/backend_models.cpp
@@ -23,8 +23,9 @@
   if (Backend == nullptr)
     return misdirection::replaced;
   const auto Now = steady_clock::now();
+  const auto RunElsewhere = hasRunModel(Backend->Record.Service, Model);
   const auto Reason =
-      Backend->Models.recordMisdirected(Model, MayLackModel, Now);
+      Backend->Models.recordMisdirected(Model, MayLackModel, RunElsewhere, Now);
   logInfo(log_category::placement,
           Reason == misdirection::replaced
               ? "another backend server seems to have replaced this one"
