Codechange: [Gateway] one look-up of the service, one rule for predecessors, less state

Behaviour is unchanged, but for a server without a version, which counted as a predecessor's when no rollout had set one: such servers count like the others now.

unit tests of the files concerned pass.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -299,8 +299,9 @@
     std::vector<server_work> Rows;
     for (unsigned Index = 0; Index < Count; ++Index)
       Rows.push_back({Params.getServers()[Index], Params.getWork()[Index]});
+    const auto Now = steady_clock::now();
     const auto OtherRows = Service.workExchange().exchange(
-        toString(Params.getNode()), std::move(Rows), steady_clock::now());
+        toString(Params.getNode()), std::move(Rows), Now);
     auto Servers = Results.initServers(static_cast<unsigned>(OtherRows.size()));
     auto Work = Results.initWork(static_cast<unsigned>(OtherRows.size()));
     for (unsigned Index = 0; Index < OtherRows.size(); ++Index) {
@@ -308,8 +309,8 @@
       Work.set(Index, OtherRows[Index].Work);
     }
     const auto Verdicts = Service.crashAttribution().exchange(
-        readCrashReport(Params.getCrashes(), steady_clock::now()),
-        static_cast<std::uint64_t>(*Epoch), steady_clock::now());
+        readCrashReport(Params.getCrashes(), Now),
+        static_cast<std::uint64_t>(*Epoch), Now);
     writeCrashVerdicts(Results.initVerdicts(), Verdicts);
     return kj::READY_NOW;
   }
--- a/src/controller/crash_attribution.cpp
+++ b/src/controller/crash_attribution.cpp
@@ -64,20 +64,17 @@
   moment_count Begun;       ///< Moments with an answer that had begun.
   std::size_t Position = 0; ///< Largest one in a prompt.
   bool Shared = false;
-  bool Whole = false;          ///< It is a whole request.
-  bool Plain = false;          ///< It is a whole request without a prompt.
-  std::set<part_id> LastParts; ///< Of the prompts with it.
-  std::set<part_id> Requests;  ///< With it, told apart by their fingerprints.
+  bool Plain = false; ///< It is a whole request without a prompt.
+  std::size_t MomentsNeeded = MomentsToBlock; ///< Without an answer begun.
+  std::set<part_id> LastParts;                ///< Of the prompts with it.
+  std::set<part_id> Requests; ///< With it, told apart by their fingerprints.
 
   /// A request that crashes servers whenever it is repeated brings the parts of
   /// its prompt along, so that one prompt is no evidence against a shared part,
   /// and one request none against the last part.
   [[nodiscard]] auto sufficient() const -> bool {
-    const auto Needed = Plain   ? PlainMomentsToBlock
-                        : Whole ? RequestMomentsToBlock
-                                : MomentsToBlock;
-    const auto Enough =
-        Begun.count() >= BegunMomentsToBlock || Moments.count() >= Needed;
+    const auto Enough = Begun.count() >= BegunMomentsToBlock ||
+                        Moments.count() >= MomentsNeeded;
     const auto OneRequest = Requests.size() == 1 && !Requests.contains(0);
     return Enough && !OneRequest && (!Shared || LastParts.size() >= 2);
   }
@@ -127,7 +124,7 @@
   if (Attempt.Parts.empty() && Attempt.Request == 0)
     return;
   const broken_request Request{Attempt.Parts, Attempt.Request};
-  const auto At = Attempt.At == time_point{} ? Now : std::min(Attempt.At, Now);
+  const auto At = std::min(Attempt.At, Now);
   const auto Known =
       std::find_if(Crashes.rbegin(), Crashes.rend(), [&](const crash &Crash) {
         const auto Apart = At < Crash.At ? Crash.At - At : At - Crash.At;
@@ -248,8 +245,9 @@
       if (Request.Request == 0)
         continue;
       if (auto *Suspect = Count(Request.Request, Begun)) {
-        Suspect->Whole = true;
         Suspect->Plain = Parts.empty();
+        Suspect->MomentsNeeded =
+            Parts.empty() ? PlainMomentsToBlock : RequestMomentsToBlock;
       }
     }
   }
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -131,8 +131,20 @@
   rebuildPools();
 }
 
-auto backend_directory::poolKey(const backend_record &Record) const
-    -> std::string {
+auto backend_directory::servicesRunningFrom() const -> std::set<std::string> {
+  std::set<std::string> Services;
+  for (const auto &[Id, Backend] : Backends) {
+    const auto &Record = Backend->Record;
+    const auto Found = Rollouts.find(Record.Service);
+    if (!Record.Leaving && Found != Rollouts.end() &&
+        Record.Version == Found->second.From)
+      Services.insert(Record.Service);
+  }
+  return Services;
+}
+
+auto backend_directory::poolKey(const backend_record &Record,
+                                bool FromRuns) const -> std::string {
   const auto Found = Rollouts.find(Record.Service);
   if (Found == Rollouts.end())
     return armKey(Record.Service, version_arm::serving);
@@ -145,27 +157,20 @@
     return IsCandidate ? armKey(Record.Service, version_arm::serving) : "";
   if (IsCandidate)
     return armKey(Record.Service, version_arm::candidate);
-  return Rollout.precededBy(Record.Version,
-                            runsVersion(Record.Service, Rollout.From))
+  return Rollout.precededBy(Record.Version, FromRuns)
              ? armKey(Record.Service, version_arm::serving)
              : "";
 }
 
-auto backend_directory::runsVersion(const std::string &Service,
-                                    const std::string &Version) const -> bool {
-  return !Version.empty() && ListedVersions.contains({Service, Version});
-}
-
 auto backend_directory::rebuildPools() -> void {
-  ListedVersions.clear();
-  for (const auto &[Id, Backend] : Backends)
-    if (!Backend->Record.Leaving)
-      ListedVersions.insert({Backend->Record.Service, Backend->Record.Version});
+  const auto RunFrom = servicesRunningFrom();
   std::map<std::string, std::vector<backend_handle>> Lists;
   for (const auto &[Key, Pool] : Pools)
     Lists[Key];
   for (const auto &[Id, Backend] : Backends)
-    if (const auto Key = poolKey(Backend->Record); !Key.empty())
+    if (const auto Key =
+            poolKey(Backend->Record, RunFrom.contains(Backend->Record.Service));
+        !Key.empty())
       Lists[Key].push_back(Backend->Handle);
   for (const auto &[Service, Rollout] : Rollouts)
     if (Rollout.State == rollout_state::running && !Rollout.Shifted &&
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -16,7 +16,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <utility>
 #include <vector>
 
 namespace acacianotch {
@@ -206,9 +205,11 @@
                        std::size_t Limit) const -> void;
   [[nodiscard]] static auto armKey(const std::string &Service, version_arm Arm)
       -> std::string;
-  [[nodiscard]] auto runsVersion(const std::string &Service,
-                                 const std::string &Version) const -> bool;
-  [[nodiscard]] auto poolKey(const backend_record &Record) const -> std::string;
+  /// \return the services with servers that stay and run the version which
+  /// serves by their rollouts.
+  [[nodiscard]] auto servicesRunningFrom() const -> std::set<std::string>;
+  [[nodiscard]] auto poolKey(const backend_record &Record, bool FromRuns) const
+      -> std::string;
 
   event_loop &Loop;
   node_id Node;
@@ -221,8 +222,6 @@
   std::map<backend_handle, known_backend *> ByHandle;
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
-  /// Services with the versions of servers that stay.
-  std::set<std::pair<std::string, std::string>> ListedVersions;
   bool HasList = false;
   time_point ModelsMissingUntil{}; ///< Nothing is missing after this time.
 };
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -97,15 +97,20 @@
   return Pool->Placement.pick(Place);
 }
 
+auto forward_task::serviceFacts() const -> const gateway_service * {
+  const auto Found = Table->Services.find(Service);
+  return Found == Table->Services.end() ? nullptr : &Found->second;
+}
+
 /// \return the work of a model for each token, relative to the largest model of
 /// the service, as estimated from the prices of the models.
 auto forward_task::modelWeight(const std::string &Name) const -> double {
-  const auto Found = Table->Services.find(Service);
-  if (Found == Table->Services.end())
+  const auto *Facts = serviceFacts();
+  if (Facts == nullptr)
     return 1;
   double Own = 0;
   double Largest = 0;
-  for (const auto &Price : Found->second.Models) {
+  for (const auto &Price : Facts->Models) {
     Largest = std::max(Largest, Price.Cost);
     if (Price.Model == Name)
       Own = Price.Cost;
--- a/src/gateway/forward_model.cpp
+++ b/src/gateway/forward_model.cpp
@@ -46,9 +46,9 @@
 }
 
 auto forward_task::exceedsServerMemory() const -> bool {
-  const auto Found = Table->Services.find(Service);
-  return Found != Table->Services.end() && Found->second.KvCacheTokens > 0 &&
-         Request.PromptTokens > Found->second.KvCacheTokens;
+  const auto *Facts = serviceFacts();
+  return Facts != nullptr && Facts->KvCacheTokens > 0 &&
+         Request.PromptTokens > Facts->KvCacheTokens;
 }
 
 // A stream that has begun goes on with its model.
@@ -72,9 +72,8 @@
 
 auto forward_task::recordMisdirected() -> void {
   ++Misdirected;
-  const auto Found = Table->Services.find(Service);
-  const auto RunsModels =
-      Found != Table->Services.end() && !Found->second.Models.empty();
+  const auto *Facts = serviceFacts();
+  const auto RunsModels = Facts != nullptr && !Facts->Models.empty();
   const auto Reason = Context.Directory.recordMisdirected(
       Attempt->Backend, Model, RunsModels || !Model.empty());
   // It may run another model of the cascade.
@@ -88,24 +87,22 @@
   if (Misdirected == 0 || Request.AnyModel || Model.empty() ||
       Context.Directory.hasRunModel(Service, Model))
     return false;
-  const auto Found = Table->Services.find(Service);
-  if (Found == Table->Services.end() || Found->second.Models.empty())
-    return Misdirected >= 2;
-  const auto &Prices = Found->second.Models;
-  const auto Listed =
-      std::any_of(Prices.begin(), Prices.end(),
-                  [&](const auto &Price) { return Price.Model == Model; });
-  return !Listed || Misdirected >= 2;
+  const auto *Facts = serviceFacts();
+  const auto Unlisted =
+      Facts != nullptr && !Facts->Models.empty() &&
+      std::none_of(Facts->Models.begin(), Facts->Models.end(),
+                   [&](const auto &Price) { return Price.Model == Model; });
+  return Unlisted || Misdirected >= 2;
 }
 
 auto forward_task::cascadeModels() const -> std::vector<cascade_model> {
   std::vector<cascade_model> Models;
-  const auto Found = Table->Services.find(Service);
-  if (Found == Table->Services.end())
+  const auto *Facts = serviceFacts();
+  if (Facts == nullptr)
     return Models;
   const auto OutstandingWork = meanOutstandingWork();
   for (const auto &Name : Route->Models)
-    for (const auto &Price : Found->second.Models)
+    for (const auto &Price : Facts->Models)
       if (Price.Model == Name)
         Models.push_back(
             {Name, runCost(Price, OutstandingWork), onTimeProbability(Name)});
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -162,6 +162,8 @@
                      const std::vector<backend_handle> &Excluded)
       -> std::optional<backend_handle>;
   [[nodiscard]] auto promptWork() const -> prompt_work;
+  /// \return the facts of the chosen service; null if none are known.
+  [[nodiscard]] auto serviceFacts() const -> const gateway_service *;
   [[nodiscard]] auto modelWeight(const std::string &Name) const -> double;
   [[nodiscard]] auto runCost(const model_price &Price,
                              double OutstandingWork) const -> double;
--- a/src/node/backend_list.cpp
+++ b/src/node/backend_list.cpp
@@ -133,16 +133,19 @@
 
 auto backend_list::countPredecessors(const service_rollout &Rollout) const
     -> std::size_t {
-  std::size_t OfFrom = 0;
-  std::size_t All = 0;
-  for (const auto &[Id, Row] : Rows) {
-    const auto &Record = Row.Record;
-    if (Record.Service != Rollout.Service || Record.Leaving)
-      continue;
-    OfFrom += Record.Version == Rollout.From ? 1 : 0;
-    All += Rollout.precededBy(Record.Version, false) ? 1 : 0;
-  }
-  return OfFrom > 0 ? OfFrom : All;
+  const auto Stays = [&](const backend_record &Record) {
+    return Record.Service == Rollout.Service && !Record.Leaving;
+  };
+  const auto FromRuns =
+      std::any_of(Rows.begin(), Rows.end(), [&](const auto &Row) {
+        const auto &Record = Row.second.Record;
+        return Stays(Record) && Record.Version == Rollout.From;
+      });
+  return static_cast<std::size_t>(
+      std::count_if(Rows.begin(), Rows.end(), [&](const auto &Row) {
+        const auto &Record = Row.second.Record;
+        return Stays(Record) && Rollout.precededBy(Record.Version, FromRuns);
+      }));
 }
 
 auto backend_list::changesAfter(std::uint64_t &Since, std::size_t Limit) const
--- a/test/crash_attribution_test.cpp
+++ b/test/crash_attribution_test.cpp
@@ -26,7 +26,11 @@
   std::uint64_t Server = 0;
   std::vector<part_id> Blocked; ///< As of crashUntilBlocked().
 
-  auto send(const crash_report &Report) -> crash_verdicts {
+  /// Observations without a time are of the present.
+  auto send(crash_report Report) -> crash_verdicts {
+    for (auto &Attempt : Report.Broken)
+      if (Attempt.At == time_point{})
+        Attempt.At = Now;
     return Attribution.exchange(Report, Epoch, Now);
   }
   /// One more server crashes under \p Prompts. \return the blocked parts.
@@ -102,8 +106,7 @@
   CHECK(Blocked == std::vector<part_id>{2000});
 }
 
-// Guards against a plain request that crashes every server it reaches, as often
-// as it comes.
+// Guards against a plain request that crashes servers whenever it comes.
 TEST_CASE(
     "a plain request is blocked when it crashed servers at three moments") {
   constexpr part_id Booking = 88;
@@ -142,8 +145,7 @@
   CHECK(Blocked == std::vector{Crashing});
 }
 
-// Guards against parts that are blocked because one request with them is
-// repeated.
+// Guards against parts that are blocked because one request is repeated.
 TEST_CASE("repeats of one request with a prompt block only the request") {
   leader Leader;
   std::vector<part_id> Blocked;
@@ -158,8 +160,7 @@
   CHECK(Blocked == std::vector{Crashing});
 }
 
-// Guards against a prompt that reaches servers in more than three repeats after
-// its first three attempts crashed one server each.
+// Guards against a prompt that crashes servers in more than three repeats.
 TEST_CASE(
     "three repeats of a request that only waited are enough to block it") {
   leader Leader;
@@ -181,8 +182,7 @@
   CHECK(Blocked == std::vector{Crashing});
 }
 
-// Guards against evidence that shrinks to one moment because no leader was
-// there to take it.
+// Guards against evidence that is lost while there is no leader.
 TEST_CASE("crashes that are reported late count at their own times") {
   leader Leader;
   Leader.pass(std::chrono::seconds(30));
