Codechange: [Test] one listing of two versions, one line for each guarded failure

setUpRollout and the test of a rolled-back version listed the same two servers. The comments of this change's tests are one line each. Added: sound servers answer while another one sends without end (unit.gateway_excess_test).

--- a/test/caller_server_test.cpp
+++ b/test/caller_server_test.cpp
@@ -63,8 +63,7 @@
   CHECK(Received.size() > LargeBody);
 }
 
-// Guards against connections that keep former limits for ever: proper heads are
-// refused on them, or they are closed while callers still use them.
+// Guards against open connections that keep former limits for ever.
 TEST_CASE("connections that are open when limits change get the new ones") {
   auto Loop = testLoop();
   auto Server = caller_server::create(
--- a/test/crash_watch_test.cpp
+++ b/test/crash_watch_test.cpp
@@ -128,8 +128,7 @@
   CHECK(Fixture.Gateway.Crashes.report().Answered == std::vector<part_id>{0xa});
 }
 
-// Guards against a plain request that is not recognised when it comes again,
-// and against sound ones that are taken for it.
+// Guards against a repeat that is not recognised, or a wrong one that is.
 TEST_CASE("repeats of a plain request have one fingerprint, others have not") {
   part_id Crashing = 0;
   {
@@ -146,8 +145,7 @@
   CHECK(Other.crashPlain("c5", "body") == Crashing);
 }
 
-// Guards against plain requests that crash servers although they are known to,
-// and against other requests of the route that are held back with them.
+// Guards against a known crashing request that is sent, or others held back.
 TEST_CASE("a blocked plain request reaches no server, others of its path do") {
   watch_fixture Fixture;
   Fixture.usePlainRoute();
@@ -169,8 +167,7 @@
   CHECK(Fixture.receive("HTTP/1.1 200"));
 }
 
-// Guards against sound requests that are suspected because they ran at servers
-// that others crashed.
+// Guards against suspecting sound requests at servers that others crashed.
 TEST_CASE("a plain request that was answered lately is no suspect") {
   crash_watch Watch;
   Watch.recordAnswered({}, 7);
--- a/test/gateway_excess_test.cpp
+++ b/test/gateway_excess_test.cpp
@@ -94,8 +94,7 @@
 
 } // namespace
 
-// Guards against a gateway that runs out of memory, and ends the requests of
-// all callers, because one server sends bodies without end.
+// Guards against a gateway whose memory one server uses up.
 TEST_CASE("bodies without end use no more than the memory for answers") {
   constexpr std::size_t Limit = 2 * Mebibyte;
   constexpr std::size_t Callers = 12;
@@ -145,8 +144,7 @@
   }
 }
 
-// Guards against a cut answer that looks complete, or that is joined to the one
-// of a second run, because its head is out.
+// Guards against a cut answer that looks complete or is joined to another.
 TEST_CASE("a large answer that breaks off is not completed by another one") {
   forward_fixture Fixture(makeRoute(route_kind::idempotent));
   Fixture.Gateway.Context.Memory.setLimit(0);
@@ -160,8 +158,7 @@
   CHECK_FALSE(contains(Fixture.Caller.Received, "\r\n0\r\n\r\n"));
 }
 
-// Guards against an event that grows without end, and against a stream of sound
-// events without end that one server sends in place of an answer.
+// Guards against a stream of sound events that has no end.
 TEST_CASE("events without end are cut and not continued elsewhere") {
   const auto Tokens = std::string("X-Acacianotch-Token-Counts: 10,20\r\n");
   forward_fixture Fixture(makeRoute(route_kind::streaming));
@@ -175,6 +172,24 @@
   CHECK_FALSE(contains(Fixture.Caller.Received, "\r\n0\r\n\r\n"));
 }
 
+// Guards against a faulty server that takes the others' callers with it.
+TEST_CASE("sound servers answer while another one sends without end") {
+  crowd Crowd(makeRoute(route_kind::non_idempotent), 12);
+  auto &Fixture = Crowd.Fixture;
+  Fixture.Gateway.Context.Memory.setLimit(2 * Mebibyte);
+  Fixture.Second.Answers = std::make_shared<std::deque<scripted_answer>>(
+      Crowd.Callers.size(), completeAnswer("served"));
+  REQUIRE(
+      Crowd.requestAll(endless("200 OK", ChunkedLine, chunkOf(16 * Kibibyte))));
+  CHECK_FALSE(Fixture.First.Requests.empty());
+  CHECK_FALSE(Fixture.Second.Requests.empty());
+  const auto Served = std::count_if(
+      Crowd.Callers.begin(), Crowd.Callers.end(), [](const auto &Caller) {
+        return wholeBody(Caller->Received) == "served";
+      });
+  CHECK(Served == static_cast<std::ptrdiff_t>(Fixture.Second.Requests.size()));
+}
+
 // Guards against a server that gets the next request as fast as it fails one.
 TEST_CASE("a server that sends an answer without end gets less work") {
   forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
@@ -184,8 +199,7 @@
   CHECK(Fixture.Gateway.Directory.suspendedCount() == 1);
 }
 
-// Guards against more attempts than the route allows, and against an error that
-// takes the place of another server's answer.
+// Guards against more attempts than the route allows, and a lost answer.
 TEST_CASE("an error that is not held back is replaced within the attempts") {
   auto Route = makeRoute(route_kind::idempotent);
   Route.MaxAttempts = 2;
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -29,9 +29,8 @@
   applyRollout(Fixture, Rollout);
 }
 
-/// Starts a rollout: the first server has the serving version, the second one
-/// the candidate.
-auto setUpRollout(forward_fixture &Fixture) -> void {
+/// Lists the first server with version v1 and the second one with v2.
+auto listTwoVersions(forward_fixture &Fixture) -> void {
   backend_record Old;
   Old.Id = "old";
   Old.Service = "s";
@@ -43,6 +42,12 @@
   New.Version = "v2";
   New.Address = {"127.0.0.1", Fixture.Second.Port};
   Fixture.Gateway.Directory.applyList({Old, New});
+}
+
+/// Starts a rollout: the first server has the serving version, the second one
+/// the candidate.
+auto setUpRollout(forward_fixture &Fixture) -> void {
+  listTwoVersions(Fixture);
   applyRollout(Fixture, false);
 }
 
@@ -472,8 +477,7 @@
   checkStallRetry(Fixture, R"({"queued":0,"active":0,"runs":[]})");
 }
 
-// Guards against a slow but sound stream that is cut because no server is left
-// to move it to.
+// Guards against cutting a sound stream because no other server is left.
 TEST_CASE("a stalled stream stays at the last server that can run it") {
   auto Route = makeRoute(route_kind::streaming);
   Route.TargetLatency = std::chrono::milliseconds(400);
@@ -559,21 +563,10 @@
   CHECK(std::max(First, Second) == 9);
 }
 
-// Guards against requests on servers of a version that was rolled back, as soon
-// as the next rollout starts.
+// Guards against requests on servers of a version that was rolled back.
 TEST_CASE("a version that was rolled back stays out of the next rollout") {
   forward_fixture Fixture(makeRoute(route_kind::idempotent));
-  backend_record Serving;
-  Serving.Id = "serving";
-  Serving.Service = "s";
-  Serving.Version = "v1";
-  Serving.Slots = 8;
-  Serving.Address = {"127.0.0.1", Fixture.First.Port};
-  auto Withdrawn = Serving;
-  Withdrawn.Id = "withdrawn";
-  Withdrawn.Version = "v2";
-  Withdrawn.Address = {"127.0.0.1", Fixture.Second.Port};
-  Fixture.Gateway.Directory.applyList({Serving, Withdrawn});
+  listTwoVersions(Fixture);
   service_rollout Rollout;
   Rollout.Service = "s";
   Rollout.To = "v3";
--- a/test/gateway_misdirected_test.cpp
+++ b/test/gateway_misdirected_test.cpp
@@ -37,8 +37,7 @@
 
 } // namespace
 
-// Guards against requests with an unknown model that reach servers, and against
-// servers that are taken away from all callers because of them.
+// Guards against an unknown model that takes servers away from all callers.
 TEST_CASE("a model outside the route's list is rejected without an attempt") {
   forward_fixture Fixture(modelRoute({"small", "large"}));
   for (int Number = 0; Number < 6; ++Number) {
@@ -53,8 +52,7 @@
   CHECK(requestStream(Fixture, "named", "large"));
 }
 
-// Guards against one caller's unknown model that ends a route without a list of
-// models for all others.
+// Guards against one caller's unknown model that ends a route for all others.
 TEST_CASE("an unknown model takes no server away from other requests") {
   forward_fixture Fixture(makeRoute(route_kind::streaming));
   Fixture.setAnswers({stream(), stream()});
@@ -73,8 +71,7 @@
   CHECK(Fixture.Gateway.Directory.suspendedCount() == 0);
 }
 
-// Guards against a route that serves nothing because its list names a model
-// that the servers do not run, also after the list is corrected.
+// Guards against a listed model without servers that ends its route.
 TEST_CASE("a listed model that no server runs leaves the others in use") {
   forward_fixture Fixture(modelRoute({"missing", "small"}));
   Fixture.setAnswers({{Misdirected}, {Misdirected}, stream()});
@@ -110,8 +107,7 @@
   }));
 }
 
-// Guards against a pool that is empty because all of its servers sent one odd
-// answer each.
+// Guards against a pool that is empty after one odd answer of each server.
 TEST_CASE("servers that seem to be replaced are half of a pool at most") {
   forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
   Fixture.setAnswers({{Misdirected}, {Misdirected}, {Misdirected}});
@@ -124,8 +120,7 @@
   CHECK(Fixture.waitForText("served"));
 }
 
-// Guards against a server that is suspended for all because one caller's
-// request reaches it without an id, which it must reject without one.
+// Guards against a server suspended for all by one caller's request without id.
 TEST_CASE("a caller cannot have its request id left out") {
   forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
   Fixture.setAnswers({completeAnswer("one")});
@@ -140,8 +135,7 @@
   CHECK_FALSE(contains(Received, "X-Other: 1"));
 }
 
-// Guards against a request that no server can take and for which full servers
-// ask all callers for a pause.
+// Guards against an unservable request that has servers ask for a pause.
 TEST_CASE("a prompt above the memory of the servers reaches none of them") {
   forward_fixture Fixture(makeRoute(route_kind::streaming));
   auto Table = *Fixture.Gateway.Table;
--- a/test/model_evidence_test.cpp
+++ b/test/model_evidence_test.cpp
@@ -26,8 +26,7 @@
   CHECK(Evidence.mayRun("small", at({})));
 }
 
-// Guards against a replaced server that is tried with model after model until
-// the list shows it.
+// Guards against a replaced server that is tried with model after model.
 TEST_CASE("a rejected request for a model that ran shows a replaced server") {
   model_evidence Plain;
   CHECK(Plain.recordMisdirected("", false, false, at({})) ==
@@ -45,8 +44,7 @@
         misdirection::replaced);
 }
 
-// Guards against a server that is suspended again and again for one model that
-// it does not run while it runs others.
+// Guards against a server suspended again and again for one missing model.
 TEST_CASE("a server that runs other models only lacks the rejected one") {
   model_evidence Evidence;
   CHECK(Evidence.recordMisdirected("large", true, true, at({})) ==
@@ -61,8 +59,7 @@
         misdirection::replaced);
 }
 
-// Guards against a model that stays out of use after servers have loaded it,
-// and against one that is tried all the time.
+// Guards against a missing model that is tried always, or never again.
 TEST_CASE("a missing model is tried again after growing times") {
   model_evidence Evidence;
   auto Now = at({});
--- a/test/rollout_recorder_test.cpp
+++ b/test/rollout_recorder_test.cpp
@@ -56,8 +56,7 @@
         version_arm::serving);
 }
 
-// Guards against a session that moves to a new version because it was on that
-// of an earlier rollout, which serves now or was rolled back.
+// Guards against a session that moves by the version of a former rollout.
 TEST_CASE("the version of an earlier rollout does not choose the next one") {
   fixture Fixture;
   const auto Session = candidateSession();
--- a/test/routing_document_test.cpp
+++ b/test/routing_document_test.cpp
@@ -133,8 +133,7 @@
   CHECK(Rollout.Held == std::vector<std::uint64_t>{3, 5, 9});
 }
 
-// Guards against a version that was rolled back and serves again when the next
-// rollout starts, while its servers still run.
+// Guards against a rolled-back version that serves in the next rollout.
 TEST_CASE("a rollout keeps which version serves and which were rolled back") {
   state_fixture Fixture;
   const auto Run = [&](const std::string &To, rollout_state End) {
@@ -155,8 +154,7 @@
   CHECK(Rollout.precededBy("v1", false));
 }
 
-// Guards against a version that cannot be rolled out again, and against a list
-// that grows with each rollout.
+// Guards against a version barred for ever, and a list that only grows.
 TEST_CASE("a version that is rolled out again is not withdrawn") {
   state_fixture Fixture;
   for (int Number = 0; Number < 40; ++Number) {
