Fix: [Test] the test of a left-out request id fails without its fix

The test named the id with a space before the comma, which the code before did not take for the id either, so that it passed there. It tries both spellings now and fails on. The test of withdrawn versions also checks them when no server of the serving version is listed.

--- a/test/gateway_misdirected_test.cpp
+++ b/test/gateway_misdirected_test.cpp
@@ -122,17 +122,20 @@
 
 // Guards against a server suspended for all by one caller's request without id.
 TEST_CASE("a caller cannot have its request id left out") {
-  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
-  Fixture.setAnswers({completeAnswer("one")});
-  Fixture.Caller.request("POST", "a1", "body",
-                         "Connection: X-Acacianotch-Request-Id , "
-                         "X-Other\r\nX-Other: 1\r\n");
-  REQUIRE(Fixture.waitForText("one"));
-  const auto &Received = Fixture.First.Requests.empty()
-                             ? Fixture.Second.Requests[0]
-                             : Fixture.First.Requests[0];
-  CHECK(contains(Received, "X-Acacianotch-Request-Id: a1\r\n"));
-  CHECK_FALSE(contains(Received, "X-Other: 1"));
+  for (const auto *Separator : {",", " , "}) {
+    INFO("separator '", Separator, "'");
+    forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+    Fixture.setAnswers({completeAnswer("one")});
+    Fixture.Caller.request("POST", "a1", "body",
+                           std::string("Connection: X-Acacianotch-Request-Id") +
+                               Separator + "X-Other\r\nX-Other: 1\r\n");
+    REQUIRE(Fixture.waitForText("one"));
+    const auto &Received = Fixture.First.Requests.empty()
+                               ? Fixture.Second.Requests[0]
+                               : Fixture.First.Requests[0];
+    CHECK(contains(Received, "X-Acacianotch-Request-Id: a1\r\n"));
+    CHECK_FALSE(contains(Received, "X-Other: 1"));
+  }
 }
 
 // Guards against an unservable request that has servers ask for a pause.
--- a/test/routing_document_test.cpp
+++ b/test/routing_document_test.cpp
@@ -152,6 +152,7 @@
   for (const auto *Version : {"v1", "v2", "v4", "v5"})
     CHECK_FALSE(Rollout.precededBy(Version, true));
   CHECK(Rollout.precededBy("v1", false));
+  CHECK_FALSE(Rollout.precededBy("v2", false));
 }
 
 // Guards against a version barred for ever, and a list that only grows.
