Add: [Node] log lines that tell a suspended VM and what a replica restored

Nothing told whether a VM was suspended: the loop monitor reads the clock that stands still meanwhile. Nothing told with which group, id, term and records a replica started, only with which it reopened its data folder. No decision changes.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -113,6 +113,12 @@
   auto Node = raft_node::create(Raft, std::move(*Durable));
   if (!Node)
     return Node.error();
+  logInfo(log_category::storage, "restored a replica from its data folder",
+          {{"group", Identity->Group},
+           {"replica", Identity->Replica},
+           {"term", Node->term()},
+           {"snapshot", BaseSnapshot.Index},
+           {"last_record", Node->lastIndex()}});
   return recovered_replica{std::move(Log->Log), std::move(*Node),
                            Identity->Group, std::move(BaseSnapshot)};
 }
@@ -303,9 +309,7 @@
   ReopenError.clear();
   ReopenTimer->stop();
   logInfo(log_category::storage, "reopened the data folder",
-          {{"replica", static_cast<std::uint64_t>(Node.id())},
-           {"term", Node.term()},
-           {"last_record", Node.lastIndex()}});
+          {{"replica", static_cast<std::uint64_t>(Node.id())}});
   scheduleDrive();
   return {};
 }
--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <concepts>
+#include <ctime>
 
 namespace acacianotch {
 
@@ -25,6 +26,19 @@
   }
 };
 
+/// \return the time for which the VM has been suspended since it was booted.
+[[nodiscard]] inline auto suspendedTime() -> duration {
+  const auto Read = [](clockid_t Clock) {
+    timespec Time{};
+    ::clock_gettime(Clock, &Time);
+    return std::chrono::seconds(Time.tv_sec) +
+           std::chrono::nanoseconds(Time.tv_nsec);
+  };
+  // CLOCK_MONOTONIC stands still while the VM is suspended.
+  const auto Running = Read(CLOCK_MONOTONIC);
+  return std::chrono::duration_cast<duration>(Read(CLOCK_BOOTTIME) - Running);
+}
+
 /// A clock that moves only when told to, for tests and benchmarks.
 class virtual_clock {
 public:
--- a/src/node/loop_monitor.cpp
+++ b/src/node/loop_monitor.cpp
@@ -16,7 +16,8 @@
 } // namespace
 
 loop_monitor::loop_monitor(event_loop &Loop)
-    : Timer(Loop.repeating([this] { check(); })), LastRun(steady_clock::now()) {
+    : Timer(Loop.repeating([this] { check(); })), LastRun(steady_clock::now()),
+      LastSuspended(suspendedTime()) {
   Timer->start(CheckInterval);
 }
 
@@ -26,6 +27,11 @@
   if (Delay >= ReportedDelay)
     logWarning(log_category::net, "the event loop was held up",
                {{"ms", Delay / std::chrono::milliseconds(1)}});
+  const auto Total = suspendedTime();
+  const auto Suspended = Total - std::exchange(LastSuspended, Total);
+  if (Suspended >= ReportedDelay)
+    logWarning(log_category::net, "the VM was suspended",
+               {{"ms", Suspended / std::chrono::milliseconds(1)}});
 }
 
 } // namespace acacianotch
