--- a/test/process/support/child_process.cpp
+++ b/test/process/support/child_process.cpp
@@ -6,6 +6,8 @@
 #include <unistd.h>
 
 #include <csignal>
+#include <cstdlib>
+#include <fstream>
 #include <thread>
 
 namespace acacianotch {
@@ -16,14 +18,50 @@
 constexpr int ExecFailedExitCode = 127;
 constexpr int LogMode = 0600;
 
+auto pointersTo(const std::vector<std::string> &Texts) -> std::vector<char *> {
+  std::vector<char *> Pointers;
+  Pointers.reserve(Texts.size() + 1);
+  for (const auto &Text : Texts)
+    Pointers.push_back(const_cast<char *>(Text.c_str()));
+  Pointers.push_back(nullptr);
+  return Pointers;
+}
+
+/// \return the environment of a process that reads its clocks through
+/// test/preload/suspendable_clock.cpp if \p ClockFile is not empty.
+auto environmentFor(const std::string &ClockFile) -> std::vector<std::string> {
+  std::vector<std::string> Environment;
+  for (auto **Variable = environ; *Variable != nullptr; ++Variable)
+    Environment.emplace_back(*Variable);
+  if (ClockFile.empty())
+    return Environment;
+  const auto *Options = std::getenv("ASAN_OPTIONS");
+  // The sanitizer refuses to start if its library is not the first one.
+  Environment.insert(
+      Environment.begin(),
+      {"LD_PRELOAD=" PROGRAM_FOLDER "/libsuspendable_clock.so",
+       "ACACIANOTCH_TEST_SUSPENDED_NS_FILE=" + ClockFile,
+       "ASAN_OPTIONS=" + std::string(Options == nullptr ? "" : Options) +
+           ":verify_asan_link_order=0"});
+  return Environment;
+}
+
+auto writeSuspendedTime(const std::string &ClockFile,
+                        std::chrono::nanoseconds Time) -> void {
+  const std::int64_t Count = Time.count();
+  std::ofstream(ClockFile, std::ios::binary)
+      .write(reinterpret_cast<const char *>(&Count), sizeof(Count));
+}
+
 [[noreturn]] auto runChild(std::vector<char *> &Arguments,
+                           std::vector<char *> &Environment,
                            const std::string &LogFile) -> void {
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   const auto Log =
       open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, LogMode);
   dup2(Log, STDOUT_FILENO);
   dup2(Log, STDERR_FILENO);
-  execv(Arguments.front(), Arguments.data());
+  execve(Arguments.front(), Arguments.data(), Environment.data());
   _exit(ExecFailedExitCode);
 }
 
@@ -41,15 +79,17 @@
 }
 
 child_process::child_process(const std::vector<std::string> &CommandLine,
-                             const std::string &LogFile) {
-  std::vector<char *> Arguments;
-  Arguments.reserve(CommandLine.size() + 1);
-  for (const auto &Argument : CommandLine)
-    Arguments.push_back(const_cast<char *>(Argument.c_str()));
-  Arguments.push_back(nullptr);
+                             const std::string &LogFile,
+                             const std::string &TheClockFile)
+    : ClockFile(TheClockFile) {
+  if (!ClockFile.empty())
+    writeSuspendedTime(ClockFile, SuspendedFor);
+  auto Arguments = pointersTo(CommandLine);
+  const auto Variables = environmentFor(ClockFile);
+  auto Environment = pointersTo(Variables);
   Pid = fork();
   if (Pid == 0)
-    runChild(Arguments, LogFile);
+    runChild(Arguments, Environment, LogFile);
 }
 
 child_process::~child_process() { kill(); }
@@ -59,6 +99,21 @@
     ::kill(Pid, Signal);
 }
 
+auto child_process::suspendVm() -> void {
+  if (!running())
+    return;
+  ::kill(Pid, SIGSTOP);
+  siginfo_t Stopped{};
+  waitid(P_PID, static_cast<id_t>(Pid), &Stopped, WSTOPPED | WEXITED | WNOWAIT);
+  SuspendedAt = std::chrono::steady_clock::now();
+}
+
+auto child_process::resumeVm() -> void {
+  SuspendedFor += std::chrono::steady_clock::now() - SuspendedAt;
+  writeSuspendedTime(ClockFile, SuspendedFor);
+  signal(SIGCONT);
+}
+
 auto child_process::kill() -> void {
   signal(SIGKILL);
   wait();
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -22,9 +22,10 @@
 /// program exits first.
 class child_process {
 public:
-  /// Starts \p CommandLine with its output appended to \p LogFile.
+  /// Starts \p CommandLine with its output appended to \p LogFile. With a
+  /// \p ClockFile, which is created, its VM can be suspended.
   child_process(const std::vector<std::string> &CommandLine,
-                const std::string &LogFile);
+                const std::string &LogFile, const std::string &ClockFile = "");
   ~child_process();
   child_process(const child_process &) = delete;
   auto operator=(const child_process &) -> child_process & = delete;
@@ -32,6 +33,11 @@
   /// Sends \p Signal unless the process has exited.
   auto signal(int Signal) -> void;
 
+  /// Stops the process as if its VM were suspended: when it resumes, its
+  /// monotonic clock has not counted the time.
+  auto suspendVm() -> void;
+  auto resumeVm() -> void;
+
   /// Sends SIGKILL and waits for the process to exit.
   auto kill() -> void;
 
@@ -46,6 +52,9 @@
 
   int Pid = -1;
   std::optional<int> Status;
+  std::string ClockFile;
+  std::chrono::nanoseconds SuspendedFor{0};
+  std::chrono::steady_clock::time_point SuspendedAt{};
 };
 
 } // namespace acacianotch
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -204,7 +204,8 @@
   return std::make_unique<child_process>(
       std::vector<std::string>{PROGRAM_FOLDER "/acacianotchd", "--settings",
                                File},
-      log(Name));
+      log(Name),
+      Options.Suspendable ? (Folder / (Name + ".suspended_ns")).string() : "");
 }
 
 auto platform_deployment::log(const std::string &Name) const -> std::string {
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -46,6 +46,7 @@
   bool CallerRelays = false;
   double GraceSeconds = 0;    ///< See gateway.grace_s.
   int SnapshotEvery = 10'000; ///< See control.snapshot_every.
+  bool Suspendable = false;   ///< VMs of daemons can be suspended.
 };
 
 /// Control replicas that form a group, gateways and the stand-in for the users'
