Fix: [Core] leases and deadlines count the time for which the VM is suspended

Cause: all times were taken from std::chrono::steady_clock, CLOCK_MONOTONIC, which stands still while a VM is suspended. A leader that was suspended for seconds and replaced meanwhile held its lease for up to 200 ms after it had resumed, and answered the reads that waited at its port.

Change: steady_clock reads CLOCK_BOOTTIME. time_point has this clock as its own, so that the times of the two clocks do not compile together. The loop monitor takes a suspension off the delay that it reports.

The second case, entry and agent, was not built on the old code: with a preloaded clock that lets CLOCK_BOOTTIME stand still too, it fails (the request runs on the withdrawn version), and so does the first one. A lease is a promise to the others, whose clocks go on, so it has to be counted on a clock that goes on as well; elections rely on time at the voter only in the safe direction.

--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -9,8 +9,10 @@
 
 using duration = std::chrono::microseconds;
 
+struct steady_clock;
+
 /// Monotonic time in microseconds; comparable only within one process.
-using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
+using time_point = std::chrono::time_point<steady_clock, duration>;
 
 /// Source of monotonic time.
 template <typename type>
@@ -18,25 +20,28 @@
   { Clock.now() } -> std::same_as<time_point>;
 };
 
-/// The operating system's monotonic clock.
+/// \return the time of one of the operating system's clocks.
+[[nodiscard]] inline auto readClock(clockid_t Clock) -> duration {
+  timespec Time{};
+  ::clock_gettime(Clock, &Time);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec));
+}
+
+/// The operating system's monotonic clock that goes on while the VM is
+/// suspended, as the clocks of its peers do. std::chrono::steady_clock stands
+/// still meanwhile, so that leases and deadlines would outlive their time.
 struct steady_clock {
   [[nodiscard]] static auto now() -> time_point {
-    return std::chrono::time_point_cast<duration>(
-        std::chrono::steady_clock::now());
+    return time_point(readClock(CLOCK_BOOTTIME));
   }
 };
 
 /// \return the time for which the VM has been suspended since it was booted.
 [[nodiscard]] inline auto suspendedTime() -> duration {
-  const auto Read = [](clockid_t Clock) {
-    timespec Time{};
-    ::clock_gettime(Clock, &Time);
-    return std::chrono::seconds(Time.tv_sec) +
-           std::chrono::nanoseconds(Time.tv_nsec);
-  };
-  // CLOCK_MONOTONIC stands still while the VM is suspended.
-  const auto Running = Read(CLOCK_MONOTONIC);
-  return std::chrono::duration_cast<duration>(Read(CLOCK_BOOTTIME) - Running);
+  const auto Running = readClock(CLOCK_MONOTONIC);
+  return readClock(CLOCK_BOOTTIME) - Running;
 }
 
 /// A clock that moves only when told to, for tests and benchmarks.
--- a/src/node/loop_monitor.cpp
+++ b/src/node/loop_monitor.cpp
@@ -23,15 +23,16 @@
 
 auto loop_monitor::check() -> void {
   const auto Now = steady_clock::now();
-  const auto Delay = Now - std::exchange(LastRun, Now) - CheckInterval;
-  if (Delay >= ReportedDelay)
-    logWarning(log_category::net, "the event loop was held up",
-               {{"ms", Delay / std::chrono::milliseconds(1)}});
   const auto Total = suspendedTime();
   const auto Suspended = Total - std::exchange(LastSuspended, Total);
+  const auto Delay =
+      Now - std::exchange(LastRun, Now) - CheckInterval - Suspended;
   if (Suspended >= ReportedDelay)
     logWarning(log_category::net, "the VM was suspended",
                {{"ms", Suspended / std::chrono::milliseconds(1)}});
+  if (Delay >= ReportedDelay)
+    logWarning(log_category::net, "the event loop was held up",
+               {{"ms", Delay / std::chrono::milliseconds(1)}});
 }
 
 } // namespace acacianotch
--- a/test/process/support/deployment.cpp
+++ b/test/process/support/deployment.cpp
@@ -137,7 +137,10 @@
   Instance.Process = std::make_unique<child_process>(
       std::vector<std::string>{Program, "--settings",
                                Folder / (Instance.Name + ".toml")},
-      Folder / (Instance.Name + ".log"));
+      Folder / (Instance.Name + ".log"),
+      Options.Suspendable
+          ? (Folder / (Instance.Name + ".suspended_ns")).string()
+          : "");
 }
 
 auto deployment::start(standin_instance &Instance) -> void {
--- a/test/process/support/deployment.h
+++ b/test/process/support/deployment.h
@@ -25,6 +25,7 @@
   /// Puts a relay in front of each control replica. In blackhole mode it drops
   /// the messages to the replica; those that the replica sends still arrive.
   bool ControlRelays = false;
+  bool Suspendable = false; ///< VMs of daemons can be suspended.
 };
 
 /// One daemon and its ports.
--- a/test/process/suspended_vm_test.cpp
+++ b/test/process/suspended_vm_test.cpp
@@ -1,9 +1,12 @@
 /// \file Processes whose VM is suspended and resumed.
+#include "process/support/deployment.h"
 #include "process/support/platform_deployment.h"
 
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 using namespace acacianotch;
@@ -15,6 +18,8 @@
 /// Documented time from an acknowledgement until no read returns an older
 /// configuration.
 constexpr auto VisibilityDelay = std::chrono::milliseconds(2000);
+/// Documented limit until a withdrawal takes effect.
+constexpr auto WithdrawalDelay = std::chrono::seconds(4);
 constexpr std::size_t Rounds = 3;
 constexpr std::size_t ReadsPerRound = 4;
 
@@ -63,6 +68,13 @@
   }));
 }
 
+auto logOf(const platform_deployment &System, const control_instance &Replica)
+    -> std::string {
+  std::ostringstream Text;
+  Text << std::ifstream(System.folder() / (Replica.Name + ".log")).rdbuf();
+  return Text.str();
+}
+
 } // namespace
 
 // Guards against a leader lease that outlives the suspension of its VM.
@@ -94,5 +106,36 @@
       if (Answer.Status == HttpOk)
         CHECK(Answer.Body == configuration(Version));
     }
+    CHECK(waitUntil([&] {
+      return logOf(System, Leader).find("the VM was suspended") !=
+             std::string::npos;
+    }));
+  }
+}
+
+// Guards against a catalogue lease that outlives the suspension of a node's VM.
+TEST_CASE(
+    "nodes whose VMs were suspended start no work on a withdrawn version") {
+  deployment System({.Entries = 1,
+                     .Engines = 1,
+                     .Services = 0,
+                     .NodeRelays = true,
+                     .Suspendable = true});
+  auto &Entry = System.Entries[0];
+  auto &Agent = System.Agents[0];
+  REQUIRE(startChat(Entry, chatBody("before", "small@1"))->finish().Status ==
+          HttpOk);
+  for (auto *Node : {&Entry, &Agent}) {
+    Node->Relay->setBlackhole(true);
+    Node->Process->suspendVm();
   }
+  REQUIRE(System.runCtl({"withdraw", "small@1"}).Exit == 0);
+  std::this_thread::sleep_for(WithdrawalDelay);
+  const auto Chat = startChat(Entry, chatBody("after", "small@1"));
+  Agent.Process->resumeVm();
+  Entry.Process->resumeVm();
+  const auto Refused = Chat->finish();
+  INFO(Refused.Body);
+  CHECK(Refused.error("code") == "stale_catalogue");
+  CHECK(System.runsOf("after") == 0);
 }
