--- a/test/process/support/child_process.cpp
+++ b/test/process/support/child_process.cpp
@@ -95,12 +95,14 @@
 child_process::~child_process() { kill(); }
 
 auto child_process::signal(int Signal) -> void {
+  if (Signal == SIGCONT)
+    countSuspendedTime();
   if (running())
     ::kill(Pid, Signal);
 }
 
 auto child_process::suspendVm() -> void {
-  if (!running())
+  if (!running() || SuspendedAt)
     return;
   ::kill(Pid, SIGSTOP);
   siginfo_t Stopped{};
@@ -109,9 +111,16 @@
 }
 
 auto child_process::resumeVm() -> void {
-  SuspendedFor += std::chrono::steady_clock::now() - SuspendedAt;
+  if (SuspendedAt)
+    signal(SIGCONT);
+}
+
+auto child_process::countSuspendedTime() -> void {
+  if (!SuspendedAt)
+    return;
+  SuspendedFor += std::chrono::steady_clock::now() - *SuspendedAt;
+  SuspendedAt.reset();
   writeSuspendedTime(ClockFile, SuspendedFor);
-  signal(SIGCONT);
 }
 
 auto child_process::kill() -> void {
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -33,9 +33,11 @@
   /// Sends \p Signal unless the process has exited.
   auto signal(int Signal) -> void;
 
-  /// Stops the process as if its VM were suspended: when it resumes, its
-  /// monotonic clock has not counted the time.
+  /// Stops the process as if its VM were suspended: when it resumes, also by
+  /// SIGCONT, its monotonic clock has not counted the time.
   auto suspendVm() -> void;
+
+  /// Resumes the process if its VM is suspended.
   auto resumeVm() -> void;
 
   /// Sends SIGKILL and waits for the process to exit.
@@ -49,12 +51,13 @@
 
 private:
   auto poll() -> void;
+  auto countSuspendedTime() -> void;
 
   int Pid = -1;
   std::optional<int> Status;
   std::string ClockFile;
   std::chrono::nanoseconds SuspendedFor{0};
-  std::chrono::steady_clock::time_point SuspendedAt{};
+  std::optional<std::chrono::steady_clock::time_point> SuspendedAt;
 };
 
 } // namespace acacianotch
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -80,12 +80,12 @@
   auto &Replica = System.Replicas[randomBelow(System.Replicas.size())];
   if (!Replica.Process->running())
     return "";
-  switch (randomBelow(7)) {
+  switch (randomBelow(8)) {
   case 0:
     killAllControl();
     return "control_kill_all";
   case 1:
-    freeze(*Replica.Process);
+    freeze(Replica.Process);
     return "control_freeze";
   case 2:
     appendTornRecord(Replica);
@@ -102,6 +102,9 @@
       System.start(Replica, false);
     });
     return "control_term";
+  case 6:
+    suspendVm(Replica.Process);
+    return "control_suspend";
   default:
     killControl(Replica);
     return "control_kill";
@@ -168,22 +171,32 @@
                          [Disk] { Disk->release(); });
 }
 
-auto fault_injector::freeze(child_process &Process) -> void {
-  Process.signal(SIGSTOP);
-  scheduleRevert([&Process] { Process.signal(SIGCONT); });
+// The process may be replaced by a new one before the fault is reverted.
+auto fault_injector::freeze(std::unique_ptr<child_process> &Process) -> void {
+  Process->signal(SIGSTOP);
+  scheduleRevert([&Process] { Process->signal(SIGCONT); });
+}
+
+auto fault_injector::suspendVm(std::unique_ptr<child_process> &Process)
+    -> void {
+  Process->suspendVm();
+  scheduleRevert([&Process] { Process->resumeVm(); });
 }
 
 auto fault_injector::injectGatewayFault() -> std::string {
   auto &Gateway = System.Gateways[randomBelow(System.Gateways.size())];
   if (!Gateway.Process->running())
     return "";
-  switch (randomBelow(4)) {
+  switch (randomBelow(5)) {
   case 0:
-    freeze(*Gateway.Process);
+    freeze(Gateway.Process);
     return "gateway_freeze";
   case 1:
     Gateway.Process->signal(SIGHUP);
     return "gateway_hup";
+  case 3:
+    suspendVm(Gateway.Process);
+    return "gateway_suspend";
   case 2:
     Gateway.Process->signal(SIGTERM);
     break;
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -41,7 +41,8 @@
   auto appendTornRecord(control_instance &Replica) -> void;
   auto wipeDataFolder(control_instance &Replica) -> bool;
   auto blockDisk(const control_instance &Replica) -> void;
-  auto freeze(child_process &Process) -> void;
+  auto freeze(std::unique_ptr<child_process> &Process) -> void;
+  auto suspendVm(std::unique_ptr<child_process> &Process) -> void;
   auto revertDue(fault_clock::time_point Now) -> void;
 
   /// Schedules \p Revert after a random time.
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -52,8 +52,8 @@
   soak_run(const soak_options &TheOptions, std::uint64_t TheSeed)
       : Options(TheOptions), Seed(TheSeed), Random(TheSeed),
         System({3, Options.Gateways, Options.Servers, true,
-                std::chrono::duration<double>(GraceTime).count(),
-                SnapshotEvery}),
+                std::chrono::duration<double>(GraceTime).count(), SnapshotEvery,
+                true}),
         Operator(System, Ledger, TheSeed + 1), Faults(System, TheSeed + 2) {}
 
   auto run() -> json {
