Add: [Soak] reads of the document on connections that stay open

Twelve readers check without delay that a read returns no version older than those acknowledged before it was sent.

--- a/test/soak/operator.cpp
+++ b/test/soak/operator.cpp
@@ -1,5 +1,7 @@
 #include "soak/operator.h"
 
+#include "soak/kept_caller.h"
+
 namespace acacianotch::soak {
 
 namespace {
@@ -10,6 +12,13 @@
 /// Time after an acknowledgement from which no read may return an older
 /// version, as documented for users.
 constexpr auto VisibilityDelay = std::chrono::milliseconds(2000);
+/// Each reader waits while its replica is stopped; the others may send a read
+/// meanwhile.
+constexpr std::uint64_t ReadersPerReplica = 4;
+constexpr std::uint64_t MaxReadPauseMs = 1500;
+/// Longer than a fault, so that the connection outlives it.
+constexpr auto ReadLimit = std::chrono::seconds(5);
+constexpr auto KeptRead = "GET /api/config HTTP/1.1\r\nHost: localhost\r\n\r\n";
 constexpr int HttpOk = 200;
 constexpr int HttpClientError = 400;
 constexpr int HttpServerError = 500;
@@ -50,12 +59,20 @@
 
 auto routing_operator::start() -> void {
   Thread = std::thread([this] { run(); });
+  for (const auto &Replica : System.Replicas)
+    for (std::uint64_t Index = 0; Index < ReadersPerReplica; ++Index)
+      Readers.emplace_back([this, Port = Replica.Operator, Seed = Random()] {
+        readRepeatedly(Port, Seed);
+      });
 }
 
 auto routing_operator::stop() -> void {
   Stop = true;
   if (Thread.joinable())
     Thread.join();
+  for (auto &Reader : Readers)
+    Reader.join();
+  Readers.clear();
 }
 
 auto routing_operator::run() -> void {
@@ -102,6 +119,25 @@
   checkRead(sendRequest("GET", ""), Before);
 }
 
+// Replicas answer reads under a lease, so that each version that was
+// acknowledged before a read is sent is visible to it without delay.
+auto routing_operator::readRepeatedly(std::uint16_t Port, std::uint64_t Seed)
+    -> void {
+  keep_alive_client Client;
+  std::mt19937_64 Pauses(Seed);
+  while (!Stop) {
+    const auto Before = AckedNumber.load();
+    const auto Outcome = Client.call(Port, KeptRead, ReadLimit);
+    http_answer Answer;
+    Answer.Status = Outcome.Status;
+    Answer.Body = Outcome.Body;
+    Answer.Complete = Outcome.Complete;
+    checkRead(Answer, Before);
+    std::this_thread::sleep_for(
+        std::chrono::milliseconds(Pauses() % MaxReadPauseMs));
+  }
+}
+
 auto routing_operator::checkRead(const http_answer &Answer,
                                  std::uint64_t AckedBefore) -> void {
   if (Answer.Status != HttpOk || !Answer.Complete)
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace acacianotch::soak {
 
@@ -19,7 +20,8 @@
 [[nodiscard]] auto routingDocument(std::uint64_t Number) -> std::string;
 
 /// Publishes routing documents in sequence and reads them back from any
-/// replica. Some documents are sent twice, and some are stale.
+/// replica, also on connections that stay open. Some documents are sent twice,
+/// and some are stale.
 class routing_operator {
 public:
   routing_operator(const platform_deployment &System, ledger &Ledger,
@@ -28,10 +30,10 @@
   routing_operator(const routing_operator &) = delete;
   auto operator=(const routing_operator &) -> routing_operator & = delete;
 
-  /// Starts the thread that publishes.
+  /// Starts the threads that publish and read.
   auto start() -> void;
 
-  /// Stops after the current call and joins the thread.
+  /// Stops after the current calls and joins the threads.
   auto stop() -> void;
 
   /// \return the highest acknowledged document version.
@@ -49,6 +51,7 @@
   auto run() -> void;
   auto publish() -> void;
   auto readBack() -> void;
+  auto readRepeatedly(std::uint16_t Port, std::uint64_t Seed) -> void;
   auto sendRequest(const std::string &Method, const std::string &Body)
       -> http_answer;
 
@@ -62,6 +65,7 @@
   std::map<soak_time, std::uint64_t> AckTimes;
   std::atomic<bool> Stop = false;
   std::thread Thread;
+  std::vector<std::thread> Readers;
 };
 
 } // namespace acacianotch::soak
