Codechange: [Test] one empty configuration, faults in order, the state of a process that hangs

A stopping process that still runs is reported with its state and the kernel function it waits in, since the open finding of the soak ended after 'stopped' was logged.

--- a/test/process/replica_repair_test.cpp
+++ b/test/process/replica_repair_test.cpp
@@ -14,16 +14,11 @@
 
 constexpr int HttpOk = 200;
 
-auto configuration(int Version) -> std::string {
-  return json{{"version", Version},
-              {"routes", json::array()},
-              {"services", json::array()}}
-      .dump();
-}
-
 /// Publishes a configuration and checks that it is acknowledged.
 auto publish(platform_deployment &System, int Version) -> void {
-  CHECK(System.sendOperatorRequest("PUT", "/api/config", configuration(Version))
+  CHECK(System
+            .sendOperatorRequest("PUT", "/api/config",
+                                 emptyConfiguration(Version))
             .Status == HttpOk);
 }
 
@@ -64,7 +59,7 @@
   System.Replicas[0].Process->kill();
   publish(System, Version);
   CHECK(System.sendOperatorRequest("GET", "/api/config").Body ==
-        configuration(Version));
+        emptyConfiguration(Version));
 }
 
 // Guards against a replica that was removed while silent and stays out.
@@ -85,5 +80,5 @@
   NoLongerNeeded.Process->kill();
   publish(System, 2);
   CHECK(System.sendOperatorRequest("GET", "/api/config").Body ==
-        configuration(2));
+        emptyConfiguration(2));
 }
--- a/test/process/support/child_process.cpp
+++ b/test/process/support/child_process.cpp
@@ -140,6 +140,19 @@
   return !Status.has_value();
 }
 
+auto child_process::kernelState() const -> std::string {
+  const auto Folder = "/proc/" + std::to_string(Pid);
+  std::string Line;
+  std::string State;
+  std::ifstream Status(Folder + "/status");
+  while (std::getline(Status, Line))
+    if (Line.starts_with("State:"))
+      State = Line;
+  std::string Function;
+  std::ifstream(Folder + "/wchan") >> Function;
+  return State + " in " + Function;
+}
+
 auto child_process::poll() -> void {
   int RawStatus = 0;
   if (Status || Pid < 0 || waitpid(Pid, &RawStatus, WNOHANG) != Pid)
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -49,6 +49,10 @@
 
   [[nodiscard]] auto running() -> bool;
 
+  /// \return the scheduler's state of the process and the kernel function that
+  /// it waits in, as /proc has them.
+  [[nodiscard]] auto kernelState() const -> std::string;
+
 private:
   auto poll() -> void;
   auto countSuspendedTime() -> void;
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -17,6 +17,13 @@
 
 } // namespace
 
+auto emptyConfiguration(int Version) -> std::string {
+  return nlohmann::json{{"version", Version},
+                        {"routes", nlohmann::json::array()},
+                        {"services", nlohmann::json::array()}}
+      .dump();
+}
+
 auto quotedLoopback(std::uint16_t Port) -> std::string {
   return '"' + loopbackText(Port) + '"';
 }
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -129,6 +129,9 @@
   bool KeepData = false;
 };
 
+/// \return a configuration without routes and services.
+[[nodiscard]] auto emptyConfiguration(int Version) -> std::string;
+
 /// \return the address of a loopback port as a quoted string.
 [[nodiscard]] auto quotedLoopback(std::uint16_t Port) -> std::string;
 
--- a/test/process/suspended_vm_test.cpp
+++ b/test/process/suspended_vm_test.cpp
@@ -10,7 +10,6 @@
 #include <thread>
 
 using namespace acacianotch;
-using nlohmann::json;
 
 namespace {
 
@@ -23,13 +22,6 @@
 constexpr std::size_t Rounds = 3;
 constexpr std::size_t ReadsPerRound = 4;
 
-auto configuration(int Version) -> std::string {
-  return json{{"version", Version},
-              {"routes", json::array()},
-              {"services", json::array()}}
-      .dump();
-}
-
 auto readRequest() -> std::string {
   return httpRequest("GET", "/api/config", {}, "");
 }
@@ -59,9 +51,10 @@
     return std::any_of(System.Replicas.begin(), System.Replicas.end(),
                        [&](const control_instance &Replica) {
                          return Replica.Name != Excluded.Name &&
-                                http_call(Replica.Operator,
-                                          httpRequest("PUT", "/api/config", {},
-                                                      configuration(Version)))
+                                http_call(
+                                    Replica.Operator,
+                                    httpRequest("PUT", "/api/config", {},
+                                                emptyConfiguration(Version)))
                                         .finish()
                                         .Status == HttpOk;
                        });
@@ -82,7 +75,7 @@
   platform_options Options;
   Options.Suspendable = true;
   platform_deployment System(Options);
-  CHECK(System.sendOperatorRequest("PUT", "/api/config", configuration(1))
+  CHECK(System.sendOperatorRequest("PUT", "/api/config", emptyConfiguration(1))
             .Status == HttpOk);
   int Version = 1;
   for (std::size_t Round = 0; Round < Rounds; ++Round) {
@@ -104,7 +97,7 @@
     for (auto &Read : Reads) {
       const auto Answer = Read->finish();
       if (Answer.Status == HttpOk)
-        CHECK(Answer.Body == configuration(Version));
+        CHECK(Answer.Body == emptyConfiguration(Version));
     }
     CHECK(waitUntil([&] {
       return logOf(System, Leader).find("the VM was suspended") !=
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -194,12 +194,12 @@
   case 1:
     Gateway.Process->signal(SIGHUP);
     return "gateway_hup";
-  case 3:
-    suspendVm(Gateway.Process);
-    return "gateway_suspend";
   case 2:
     Gateway.Process->signal(SIGTERM);
     break;
+  case 3:
+    suspendVm(Gateway.Process);
+    return "gateway_suspend";
   default:
     Gateway.Process->kill();
     break;
--- a/test/soak/operator.cpp
+++ b/test/soak/operator.cpp
@@ -128,11 +128,7 @@
   while (!Stop) {
     const auto Before = AckedNumber.load();
     const auto Outcome = Client.call(Port, KeptRead, ReadLimit);
-    http_answer Answer;
-    Answer.Status = Outcome.Status;
-    Answer.Body = Outcome.Body;
-    Answer.Complete = Outcome.Complete;
-    checkRead(Answer, Before);
+    checkRead({Outcome.Status, {}, Outcome.Body, Outcome.Complete}, Before);
     std::this_thread::sleep_for(
         std::chrono::milliseconds(Pauses() % MaxReadPauseMs));
   }
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -140,8 +140,9 @@
     if (ExitCode != 0)
       Ledger.recordViolation(
           "a stopping process ends by itself",
-          Gateway.Name + (ExitCode ? " ended with " + std::to_string(*ExitCode)
-                                   : " still runs"));
+          Gateway.Name +
+              (ExitCode ? " ended with " + std::to_string(*ExitCode)
+                        : " still runs, " + Gateway.Process->kernelState()));
     System.start(Gateway);
     if (!waitUntil([&] { return serves(Gateway, "/safe/probe"); },
                    RecoveryTime))
