Feature: [Catalogue] evacuation of an availability zone

Two commands, evacuate_zone and end_evacuation, change the replicated state, which gateways, entries and agents follow already. Gateways put the servers of an evacuated zone in no pool; agents reject new work as for a leaving server. Repeated orders change nothing and are acknowledged.

--- a/src/agent/eligibility.cpp
+++ b/src/agent/eligibility.cpp
@@ -64,7 +64,7 @@
   if (Entry == nullptr)
     return failure::of(errc::no_backend, State.Backend + " is not listed");
   const auto &Backend = std::get<backend_body>(Entry->Body);
-  if (State.Leaving || Backend.Leaving)
+  if (State.Leaving || Backend.Leaving || View.evacuated(Backend.Zone))
     return failure::of(errc::backend_leaving);
   if (auto Suspicion = checkSuspicion(View, Request); !Suspicion)
     return Suspicion;
--- a/src/catalogue/catalogue_state.cpp
+++ b/src/catalogue/catalogue_state.cpp
@@ -67,6 +67,12 @@
       return std::nullopt;
     return Place->second;
   }
+  if (Key.starts_with(EvacuationPrefix)) {
+    const auto Place = Data.Evacuations.find(Name);
+    if (Place == Data.Evacuations.end())
+      return std::nullopt;
+    return Place->second;
+  }
   if (Key == rolloutKey(Name)) {
     const auto Place = Data.Rollouts.find(Name);
     if (Place == Data.Rollouts.end())
@@ -89,6 +95,8 @@
     All.push_back({rolloutKey(Model), Rollout});
   for (const auto &[Service, Rollout] : Data.ServiceRollouts)
     All.push_back({std::string(ServiceRolloutPrefix) + Service, Rollout});
+  for (const auto &[Zone, Evacuation] : Data.Evacuations)
+    All.push_back({std::string(EvacuationPrefix) + Zone, Evacuation});
   if (Data.Routing)
     All.push_back({std::string(RoutingKey), *Data.Routing});
   for (const auto &[Fingerprint, Record] : Data.Crashes)
--- a/src/catalogue/catalogue_view.cpp
+++ b/src/catalogue/catalogue_view.cpp
@@ -92,6 +92,7 @@
   Entries = {};
   Rollouts.clear();
   ServiceRollouts.clear();
+  Evacuations.clear();
   Routing.reset();
   Suspicions.clear();
   Accounts.clear();
@@ -115,6 +116,11 @@
     ServiceRollouts.insert_or_assign(std::move(Service), std::move(*Rollout));
     return;
   }
+  if (auto *Evacuation = std::get_if<zone_evacuation>(&*Change.Value)) {
+    auto Zone = Evacuation->Zone;
+    Evacuations.insert_or_assign(std::move(Zone), std::move(*Evacuation));
+    return;
+  }
   if (auto *Document = std::get_if<routing_document>(&*Change.Value)) {
     Routing = std::move(*Document);
     return;
--- a/src/catalogue/catalogue_view.h
+++ b/src/catalogue/catalogue_view.h
@@ -118,6 +118,18 @@
     return ServiceRollouts;
   }
 
+  /// \return the last evacuation of each availability zone.
+  [[nodiscard]] auto evacuations() const
+      -> const std::map<std::string, zone_evacuation, std::less<>> & {
+    return Evacuations;
+  }
+
+  /// \return whether the backend servers of \p Zone get no new work.
+  [[nodiscard]] auto evacuated(std::string_view Zone) const -> bool {
+    const auto Found = Evacuations.find(Zone);
+    return Found != Evacuations.end() && Found->second.Active;
+  }
+
   /// \return suspect or quarantined, or invalid if neither.
   [[nodiscard]] auto suspicionOf(fingerprint Fingerprint) const -> suspicion;
   [[nodiscard]] auto quarantined(fingerprint Fingerprint) const -> bool {
@@ -154,6 +166,7 @@
   std::array<entry_map, EntryKinds> Entries;
   std::map<std::string, rollout, std::less<>> Rollouts;
   std::map<std::string, service_rollout, std::less<>> ServiceRollouts;
+  std::map<std::string, zone_evacuation, std::less<>> Evacuations;
   std::optional<routing_document> Routing;
   std::unordered_map<std::uint64_t, suspicion> Suspicions;
   std::map<std::string, const model_entry *, std::less<>> Accounts;
--- a/src/catalogue/command_codec.cpp
+++ b/src/catalogue/command_codec.cpp
@@ -75,7 +75,9 @@
       std::holds_alternative<end_service_rollout>(Command.Body) ||
       std::holds_alternative<report_service_evidence>(Command.Body) ||
       std::holds_alternative<shift_service_rollout>(Command.Body) ||
-      std::holds_alternative<open_service_rollout>(Command.Body);
+      std::holds_alternative<open_service_rollout>(Command.Body) ||
+      std::holds_alternative<evacuate_zone>(Command.Body) ||
+      std::holds_alternative<end_evacuation>(Command.Body);
   return !HasOwnKey;
 }
 
--- a/src/catalogue/command_fields.h
+++ b/src/catalogue/command_fields.h
@@ -242,4 +242,16 @@
   };
 };
 
+template <> struct field_table<evacuate_zone> {
+  static constexpr auto Fields = std::tuple{
+      required("zone", &evacuate_zone::Zone, {1, 128}, "availability zone"),
+  };
+};
+
+template <> struct field_table<end_evacuation> {
+  static constexpr auto Fields = std::tuple{
+      required("zone", &end_evacuation::Zone, {1, 128}, "availability zone"),
+  };
+};
+
 } // namespace acacianotch
--- a/src/catalogue/command_func.h
+++ b/src/catalogue/command_func.h
@@ -78,6 +78,10 @@
              const shift_service_rollout &Body) -> command_result;
 auto execute(catalogue_data &Data, command_context &Context,
              const open_service_rollout &Body) -> command_result;
+auto execute(catalogue_data &Data, command_context &Context,
+             const evacuate_zone &Body) -> command_result;
+auto execute(catalogue_data &Data, command_context &Context,
+             const end_evacuation &Body) -> command_result;
 
 /// Stops the rollouts that a withdrawn version takes part in: a rollout to it
 /// is aborted, a rollout from it is paused.
--- a/src/catalogue/command_type.h
+++ b/src/catalogue/command_type.h
@@ -227,12 +227,24 @@
   std::string To;
 };
 
-using command_body = std::variant<
-    put_entry, remove_entry, withdraw_version, start_rollout, set_rollout_state,
-    advance_rollout, drain_backend, claim_request, settle_request, record_usage,
-    lease_budget, report_crash, lift_quarantine, report_version_evidence,
-    publish_routing, start_service_rollout, end_service_rollout,
-    report_service_evidence, shift_service_rollout, open_service_rollout>;
+/// Sends no new work to the backend servers of an availability zone.
+struct evacuate_zone {
+  std::string Zone;
+};
+
+/// Lets the backend servers of an evacuated zone take new work again.
+struct end_evacuation {
+  std::string Zone;
+};
+
+using command_body =
+    std::variant<put_entry, remove_entry, withdraw_version, start_rollout,
+                 set_rollout_state, advance_rollout, drain_backend,
+                 claim_request, settle_request, record_usage, lease_budget,
+                 report_crash, lift_quarantine, report_version_evidence,
+                 publish_routing, start_service_rollout, end_service_rollout,
+                 report_service_evidence, shift_service_rollout,
+                 open_service_rollout, evacuate_zone, end_evacuation>;
 
 /// Names of the command bodies in the order of the variant.
 inline constexpr std::array<std::string_view, std::variant_size_v<command_body>>
@@ -255,7 +267,9 @@
                  "end_service_rollout",
                  "report_service_evidence",
                  "shift_service_rollout",
-                 "open_service_rollout"};
+                 "open_service_rollout",
+                 "evacuate_zone",
+                 "end_evacuation"};
 
 /// One command of the log.
 struct command {
--- a/src/catalogue/state_fields.h
+++ b/src/catalogue/state_fields.h
@@ -113,6 +113,7 @@
       field("routing", &body::Routing, {}, "routing document"),
       field("service_rollouts", &body::ServiceRollouts, {}, "per service"),
       field("service_evidence", &body::ServiceEvidence, {}, "per service"),
+      field("evacuations", &body::Evacuations, {}, "per availability zone"),
   };
 };
 
--- a/src/catalogue/state_type.h
+++ b/src/catalogue/state_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "catalogue/command_type.h"
+#include "catalogue/evacuation_type.h"
 #include "catalogue/request_window.h"
 
 #include <compare>
@@ -134,6 +135,7 @@
   std::optional<routing_document> Routing;
   std::map<std::string, service_rollout> ServiceRollouts;  ///< By service.
   std::map<std::string, service_evidence> ServiceEvidence; ///< By service.
+  std::map<std::string, zone_evacuation> Evacuations;      ///< By zone.
 
   /// Digest of each bearer key to its account. Derived from the entries and not
   /// stored, so that a put need not search all accounts for a duplicate.
--- a/src/catalogue/update_codec.cpp
+++ b/src/catalogue/update_codec.cpp
@@ -64,6 +64,8 @@
     return readPlain<routing_document>(Value);
   if (Key.starts_with(ServiceRolloutPrefix))
     return readPlain<service_rollout>(Value);
+  if (Key.starts_with(EvacuationPrefix))
+    return readPlain<zone_evacuation>(Value);
   if (Key.starts_with(RolloutPrefix))
     return readRollout(Key, Value);
   if (Key.starts_with(QuarantinePrefix))
--- a/src/catalogue/update_type.h
+++ b/src/catalogue/update_type.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "catalogue/entry_type.h"
+#include "catalogue/evacuation_type.h"
 #include "catalogue/quarantine_type.h"
 #include "catalogue/rollout_type.h"
 #include "catalogue/routing_type.h"
@@ -13,9 +14,11 @@
 namespace acacianotch {
 
 /// What nodes hold: entries, the last rollout of each model and service, the
-/// routing document, and fingerprints that are suspect or quarantined.
-using shared_value = std::variant<model_entry, rollout, suspicion,
-                                  routing_document, service_rollout>;
+/// last evacuation of each availability zone, the routing document, and
+/// fingerprints that are suspect or quarantined.
+using shared_value =
+    std::variant<model_entry, rollout, suspicion, routing_document,
+                 service_rollout, zone_evacuation>;
 
 /// A shared value that changed, or that was removed.
 struct shared_change {
--- a/src/catalogue/view_lookup.cpp
+++ b/src/catalogue/view_lookup.cpp
@@ -164,6 +164,8 @@
     All.push_back({rolloutKey(Model), Rollout});
   for (const auto &[Service, Rollout] : ServiceRollouts)
     All.push_back({std::string(ServiceRolloutPrefix) + Service, Rollout});
+  for (const auto &[Zone, Evacuation] : Evacuations)
+    All.push_back({std::string(EvacuationPrefix) + Zone, Evacuation});
   if (Routing)
     All.push_back({std::string(RoutingKey), *Routing});
   for (const auto &[Number, State] : Suspicions)
--- a/src/control/control_query.cpp
+++ b/src/control/control_query.cpp
@@ -90,6 +90,14 @@
   return Rows;
 }
 
+auto evacuatedZones(const catalogue_data &Data) -> json {
+  json Rows = json::array();
+  for (const auto &[Zone, Evacuation] : Data.Evacuations)
+    if (Evacuation.Active)
+      Rows.push_back({{"zone", Zone}, {"since_ms", Evacuation.ChangedMs}});
+  return Rows;
+}
+
 auto statusOf(control_service &Service) -> json {
   const auto &Node = Service.replica().node();
   const auto &State = Service.state();
@@ -102,6 +110,7 @@
           {"term", Node.term()},
           {"commit_index", Node.commitIndex()},
           {"revision", static_cast<std::uint64_t>(Revision)},
+          {"evacuated_zones", evacuatedZones(State.data())},
           {"members", memberRows(Node.members())},
           {"nodes", nodeRows(Service.nodeSubscriptions(), Revision)}};
 }
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -72,6 +72,9 @@
   Metrics.gauge(metric::epoch).Set(static_cast<double>(Node.term()));
   Metrics.gauge(metric::catalogue_revision)
       .Set(static_cast<double>(Service.state().currentRevision()));
+  Metrics.gauge(metric::evacuated_zones)
+      .Set(static_cast<double>(
+          countEvacuated(Service.state().data().Evacuations)));
 }
 
 /// Counts commands and the time that proposals wait in \p Metrics, which
@@ -152,6 +155,7 @@
   if (!Opened)
     return Opened.error();
   auto &Service = **Opened;
+  Service.Zones = Settings.Control.Zones;
   std::optional<membership_manager> MembershipManager;
   std::optional<group_rejoiner> Rejoiner;
   if (SelfForming) {
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -7,6 +7,20 @@
 
 namespace acacianotch {
 
+namespace {
+
+/// Logs a command that changes which availability zones take new work.
+auto logEvacuation(const command &Command, log_index Index) -> void {
+  if (const auto *Start = std::get_if<evacuate_zone>(&Command.Body))
+    logInfo(log_category::control, "applied the evacuation of a zone",
+            {{"zone", Start->Zone}, {"index", Index}});
+  if (const auto *End = std::get_if<end_evacuation>(&Command.Body))
+    logInfo(log_category::control, "applied the end of an evacuation",
+            {{"zone", End->Zone}, {"index", Index}});
+}
+
+} // namespace
+
 control_service::control_service(event_loop &TheLoop) : Loop(TheLoop) {
   Crashes.OnBlocked = [](const crash_attribution::cause &Cause) {
     logWarning(log_category::placement,
@@ -119,7 +133,9 @@
     return refuse(errc::not_leader);
   }
   Command.TimeMs = nextTimeMs();
-  auto Checked = State.test(Command);
+  auto Checked = checkZone(Command);
+  if (Checked.ok())
+    Checked = State.test(Command);
   if (!Checked.ok()) {
     ++Counters.Refused;
     // A refusal reveals the state, so it needs a held lease as well.
@@ -137,6 +153,18 @@
   return kj::mv(Pair.promise);
 }
 
+// The settings of one process decide here, not in the state machine, where all
+// replicas must get the same result.
+auto control_service::checkZone(const command &Command) const
+    -> command_result {
+  const auto *Evacuation = std::get_if<evacuate_zone>(&Command.Body);
+  if (Evacuation == nullptr || Zones.empty() ||
+      std::find(Zones.begin(), Zones.end(), Evacuation->Zone) != Zones.end())
+    return {};
+  return command_result::of(errc::unknown_entry,
+                            "no availability zone " + Evacuation->Zone);
+}
+
 auto control_service::apply(const log_record &Record) -> void {
   if (Record.Kind != record_kind::command) {
     State.skip(Record.Index);
@@ -156,8 +184,10 @@
   completeProposal(Record, State.apply(*Command, Record.Index));
   if (OnApplied)
     OnApplied(commandName(*Command));
-  if (State.currentRevision() != Before)
-    Loop.defer([this] { Nodes->push(); });
+  if (State.currentRevision() == Before)
+    return;
+  logEvacuation(*Command, Record.Index);
+  Loop.defer([this] { Nodes->push(); });
 }
 
 // The lease is checked after the command was applied: a leader that was paused
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -15,6 +15,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace acacianotch {
 
@@ -67,6 +68,9 @@
                             std::uint64_t Replica)>
       OnJoin;
 
+  /// Names of the availability zones that may be evacuated; empty for any.
+  std::vector<std::string> Zones;
+
   /// Runs for each applied command, with its name.
   std::function<void(std::string_view Name)> OnApplied;
   /// Runs when the result of a command that this replica proposed is known,
@@ -107,6 +111,8 @@
   auto nextTimeMs() -> std::uint64_t;
   auto startLogClock() -> void;
   [[nodiscard]] auto refuse(errc Code) const -> command_result;
+  /// \return the result that rejects the evacuation of an unknown zone.
+  [[nodiscard]] auto checkZone(const command &Command) const -> command_result;
 
   event_loop &Loop;
   catalogue_state State;
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -69,9 +69,12 @@
                "1 while this replica is the leader and holds its lease"},
     metric_row{metric::nodes, kind::gauge, "acacianotch_nodes", "role",
                "control", "nodes subscribed to this replica"},
+    metric_row{metric::evacuated_zones, kind::gauge,
+               "acacianotch_evacuated_zones", "", "control, gateway",
+               "availability zones whose backend servers get no new work"},
 };
 
-static_assert(Rows.size() == static_cast<std::size_t>(metric::nodes));
+static_assert(Rows.size() == static_cast<std::size_t>(metric::evacuated_zones));
 
 /// Bounds in seconds. 0.62 s and 2 s are targets in docs/design.md.
 const prometheus::Histogram::BucketBoundaries Bounds{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -39,6 +39,7 @@
   commit_seconds,
   leader,
   nodes,
+  evacuated_zones,
 };
 
 enum class metric_kind : std::uint8_t { invalid, counter, gauge, histogram };
--- a/src/ctl/change.cpp
+++ b/src/ctl/change.cpp
@@ -134,6 +134,9 @@
   case ctl_action::drain:
     return {"drain_backend",
             json{{"name", Options.Target}, {"leaving", !Options.Undo}}};
+  case ctl_action::evacuate:
+    return {Options.Undo ? "end_evacuation" : "evacuate_zone",
+            json{{"zone", Options.Target}}};
   case ctl_action::lift_quarantine:
     return {"lift_quarantine", liftQuarantineBody(Options)};
   default:
--- a/src/ctl/options.cpp
+++ b/src/ctl/options.cpp
@@ -142,6 +142,12 @@
                       ctl_action::drain);
     addTarget(Drain, "BACKEND", "catalogue name of the backend server");
     Drain.add_flag("--undo", Options.Undo, "let it take new work again");
+    auto &Evacuate = addSubcommand(
+        App, "evacuate",
+        "send no new work to the backend servers of an availability zone",
+        ctl_action::evacuate);
+    addTarget(Evacuate, "ZONE", "availability zone");
+    Evacuate.add_flag("--end", Options.Undo, "end its evacuation");
     auto &Lift =
         addSubcommand(App, "lift-quarantine", "let a quarantined request run",
                       ctl_action::lift_quarantine);
--- a/src/ctl/options.h
+++ b/src/ctl/options.h
@@ -42,6 +42,7 @@
   rollout_abort,
   rollout_status,
   drain,
+  evacuate,
   lift_quarantine,
   status,
   dump,
--- a/src/entry/pool_set.cpp
+++ b/src/entry/pool_set.cpp
@@ -71,7 +71,8 @@
     }
     const backend_id Id(Name);
     const auto Handle =
-        Backends.put({Id, zone_id(Body.Zone), Body.Slots, Body.Leaving});
+        Backends.put({Id, zone_id(Body.Zone), Body.Slots,
+                      Body.Leaving || View.evacuated(Body.Zone)});
     Present.emplace(Id, Handle);
     Addresses.emplace(Handle, *Address);
     for (const auto &Version : Body.Versions)
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -126,11 +126,41 @@
   Board.remove(backend_id(Backend.Record.Id));
 }
 
-auto backend_directory::applyRollouts(const catalogue_view &View) -> void {
+auto backend_directory::applyCatalogue(const catalogue_view &View) -> void {
   Rollouts = {View.serviceRollouts().begin(), View.serviceRollouts().end()};
+  applyEvacuations(View);
   rebuildPools();
 }
 
+auto backend_directory::applyEvacuations(const catalogue_view &View) -> void {
+  for (const auto &[Zone, Evacuation] : View.evacuations()) {
+    const auto Changed = Evacuation.Active ? EvacuatedZones.insert(Zone).second
+                                           : EvacuatedZones.erase(Zone) > 0;
+    if (Changed)
+      logInfo(
+          log_category::placement,
+          Evacuation.Active ? "a zone is evacuated"
+                            : "the evacuation of a zone has ended",
+          {{"zone", Zone},
+           {"since_ms", Evacuation.ChangedMs},
+           {"revision", static_cast<std::uint64_t>(View.currentRevision())}});
+  }
+}
+
+auto backend_directory::evacuatedWholly(const std::string &Service) const
+    -> bool {
+  auto Listed = false;
+  for (const auto &[Id, Backend] : Backends) {
+    const auto &Record = Backend->Record;
+    if (Record.Service != Service || Record.Leaving)
+      continue;
+    if (!EvacuatedZones.contains(Record.Zone))
+      return false;
+    Listed = true;
+  }
+  return Listed;
+}
+
 auto backend_directory::servicesRunningFrom() const -> std::set<std::string> {
   std::set<std::string> Services;
   for (const auto &[Id, Backend] : Backends) {
@@ -145,6 +175,8 @@
 
 auto backend_directory::poolKey(const backend_record &Record,
                                 bool FromRuns) const -> std::string {
+  if (EvacuatedZones.contains(Record.Zone))
+    return "";
   const auto Found = Rollouts.find(Record.Service);
   if (Found == Rollouts.end())
     return armKey(Record.Service, version_arm::serving);
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -77,9 +77,24 @@
   /// Applies a new list; backend servers missing from it are removed.
   auto applyList(std::vector<backend_record> Listed) -> void;
 
-  /// Applies the rollouts in \p View. Before the shift a candidate's pool has
-  /// the planned number of servers.
-  auto applyRollouts(const catalogue_view &View) -> void;
+  /// Applies the rollouts and evacuations in \p View. Before the shift a
+  /// candidate's pool has the planned number of servers. Backend servers in an
+  /// evacuated zone are in no pool.
+  auto applyCatalogue(const catalogue_view &View) -> void;
+
+  /// \return whether backend servers of \p Service are listed, and all of
+  /// those that do not leave are in evacuated zones.
+  [[nodiscard]] auto evacuatedWholly(const std::string &Service) const -> bool;
+
+  /// \return whether the backend servers of \p Zone get no new work.
+  [[nodiscard]] auto evacuated(const std::string &Zone) const -> bool {
+    return EvacuatedZones.contains(Zone);
+  }
+
+  /// \return the number of evacuated availability zones.
+  [[nodiscard]] auto evacuatedCount() const -> std::size_t {
+    return EvacuatedZones.size();
+  }
 
   /// \return whether a list has been applied.
   [[nodiscard]] auto hasList() const -> bool { return HasList; }
@@ -192,6 +207,7 @@
   }
 
 private:
+  auto applyEvacuations(const catalogue_view &View) -> void;
   auto remove(known_backend &Backend) -> void;
   auto markLeaving(known_backend &Backend) -> void;
   auto suspendDisplaced(known_backend &Backend) -> void;
@@ -222,6 +238,7 @@
   std::map<backend_handle, known_backend *> ByHandle;
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
+  std::set<std::string> EvacuatedZones;
   bool HasList = false;
   time_point ModelsMissingUntil{}; ///< Nothing is missing after this time.
 };
--- a/src/gateway/backend_dump.cpp
+++ b/src/gateway/backend_dump.cpp
@@ -18,6 +18,8 @@
          {"service", Backend->Record.Service},
          {"address", Backend->Record.Address.text()},
          {"version", Backend->Record.Version},
+         {"zone", Backend->Record.Zone},
+         {"evacuated", Directory.evacuated(Backend->Record.Zone)},
          {"leaving", Backend->Record.Leaving},
          {"suspended", Backend->Suspended},
          {"displaced", Backend->Displaced},
--- a/src/gateway/forward_end.cpp
+++ b/src/gateway/forward_end.cpp
@@ -14,6 +14,10 @@
 /// running request ends on a fully loaded server.
 constexpr duration OverloadRetryAfter = std::chrono::milliseconds(200);
 
+/// Retry-After when the zones of all backend servers of a service are
+/// evacuated. The end of an evacuation is not known beforehand.
+constexpr duration EvacuatedRetryAfter = std::chrono::seconds(1);
+
 constexpr int MisdirectedRequest = 421;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -77,6 +81,9 @@
 
 // The servers know best when they take work again.
 auto forward_task::refuseUnplaced() -> void {
+  if (Context.Directory.evacuatedWholly(Service))
+    return refuseNotRun("the zones of all backend servers are evacuated",
+                        EvacuatedRetryAfter);
   const auto Pause = Context.Directory.pauseLeft(Service);
   const auto Counts = Context.Directory.intakeCounts(Service);
   logInfo(
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -262,6 +262,8 @@
         .Set(static_cast<double>(Directory.suspendedCount()));
     Metrics.gauge(metric::held_answer_bytes)
         .Set(static_cast<double>(Context.Memory.used()));
+    Metrics.gauge(metric::evacuated_zones)
+        .Set(static_cast<double>(Directory.evacuatedCount()));
     const auto Counts = Directory.intakeCounts({});
     const auto SetIntake = [&](intake_state State, std::size_t Count) {
       Metrics
@@ -316,7 +318,7 @@
   }
 
   auto applyView() -> void {
-    Directory.applyRollouts(View);
+    Directory.applyCatalogue(View);
     Rollouts.applyView(View);
     decodeRouting();
   }
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -14,6 +14,7 @@
 
 constexpr std::string_view ConfigurationPath = "/api/config";
 constexpr std::string_view RolloutsPath = "/api/rollouts";
+constexpr std::string_view EvacuationsPrefix = "/api/evacuations/";
 
 constexpr int StatusOk = 200;
 constexpr int TemporaryRedirect = 307;
@@ -68,6 +69,10 @@
     Request.Subject = Path.substr(RolloutPrefix.size());
     return getRollout(Request);
   }
+  if (Path.starts_with(EvacuationsPrefix)) {
+    Request.Subject = Path.substr(EvacuationsPrefix.size());
+    return changeEvacuation(Request, Method);
+  }
   replyError(Request, NotFound, "unknown path");
 }
 
@@ -184,6 +189,20 @@
             State);
 }
 
+auto operator_api::changeEvacuation(const operator_request &Request,
+                                    std::string_view Method) -> void {
+  constexpr std::size_t MaxZoneName = 128;
+  const auto &Zone = Request.Subject;
+  if (Zone.empty() || Zone.size() > MaxZoneName ||
+      Zone.find('/') != std::string::npos)
+    return replyError(Request, NotFound, "no such availability zone");
+  if (Method == "POST")
+    return execute(Request, evacuate_zone{Zone});
+  if (Method == "DELETE")
+    return execute(Request, end_evacuation{Zone});
+  replyError(Request, MethodNotAllowed, "POST or DELETE is expected");
+}
+
 auto operator_api::execute(const operator_request &Request, command_body Body)
     -> void {
   command Command;
@@ -210,6 +229,8 @@
     return replyRedirect(Request);
   case errc::bad_request:
     return replyError(Request, BadRequest, Result.Detail);
+  case errc::unknown_entry:
+    return replyError(Request, NotFound, Result.Detail);
   case errc::revision_conflict:
     return replyError(Request, Conflict, Result.Detail);
   default:
--- a/src/platform/operator_api.h
+++ b/src/platform/operator_api.h
@@ -9,8 +9,8 @@
 
 namespace acacianotch::platform {
 
-/// Serves the configuration and rollouts over HTTP. A replica that is not the
-/// leader redirects to the leader.
+/// Serves the configuration, rollouts and evacuations over HTTP. A replica that
+/// is not the leader redirects to the leader.
 class operator_api {
 public:
   /// \return the interface; `address_in_use` if the address is taken.
@@ -25,7 +25,8 @@
   struct operator_request {
     exchange Exchange;
     time_point ReceivedAt;
-    /// Number of the configuration, or service and target of the rollout.
+    /// Number of the configuration, service and target of the rollout, or the
+    /// availability zone.
     std::string Subject;
   };
 
@@ -37,6 +38,8 @@
   auto getConfiguration(const operator_request &Request) -> void;
   auto startRollout(operator_request Request) -> void;
   auto getRollout(const operator_request &Request) -> void;
+  auto changeEvacuation(const operator_request &Request,
+                        std::string_view Method) -> void;
   auto execute(const operator_request &Request, command_body Body) -> void;
   auto replyResult(const operator_request &Request,
                    const command_result &Result) -> void;
--- a/src/table/setting_value.cpp
+++ b/src/table/setting_value.cpp
@@ -66,6 +66,22 @@
   return *Parsed;
 }
 
+/// \return a list of distinct texts, which may be empty.
+auto readTexts(const setting_row &Row, const toml::node &Node)
+    -> std::optional<std::vector<std::string>> {
+  const auto *Array = Node.as_array();
+  if (Array == nullptr)
+    return std::nullopt;
+  std::vector<std::string> Items;
+  for (const auto &Element : *Array) {
+    auto Item = readLength(Row, Element);
+    if (!Item || std::find(Items.begin(), Items.end(), *Item) != Items.end())
+      return std::nullopt;
+    Items.push_back(std::move(*Item));
+  }
+  return Items;
+}
+
 auto sameItem(const address &Left, const address &Right) -> bool {
   return Left == Right;
 }
@@ -125,6 +141,8 @@
     return readList<address>(Row, Node);
   else if constexpr (std::is_same_v<member, std::vector<replica_address>>)
     return readList<replica_address>(Row, Node);
+  else if constexpr (std::is_same_v<member, std::vector<std::string>>)
+    return readTexts(Row, Node);
   else if constexpr (std::is_same_v<member, process_role>)
     return readName(ProcessRoleNames, Node);
   else if constexpr (std::is_same_v<member, log_level>)
@@ -154,6 +172,8 @@
   else if constexpr (std::is_same_v<member, std::vector<address>> ||
                      std::is_same_v<member, std::vector<replica_address>>)
     return listJson(Value);
+  else if constexpr (std::is_same_v<member, std::vector<std::string>>)
+    return Value.empty() ? json() : json(Value);
   else if constexpr (std::is_same_v<member, process_role>)
     return std::string(ProcessRoleNames.name(Value));
   else if constexpr (std::is_same_v<member, log_level>)
--- a/src/table/settings.h
+++ b/src/table/settings.h
@@ -26,6 +26,7 @@
                  seconds &(*)(settings &), address &(*)(settings &),
                  std::vector<address> &(*)(settings &),
                  std::vector<replica_address> &(*)(settings &),
+                 std::vector<std::string> &(*)(settings &),
                  process_role &(*)(settings &), log_level &(*)(settings &)>;
 
 /// Roles that must set a row; combined by `|`.
--- a/src/table/settings_print.cpp
+++ b/src/table/settings_print.cpp
@@ -50,6 +50,8 @@
   else if constexpr (std::is_same_v<member, std::vector<replica_address>>)
     return "a list of ID=IP:PORT with distinct ids and addresses" +
            portText(Row);
+  else if constexpr (std::is_same_v<member, std::vector<std::string>>)
+    return "a list of distinct texts of " + rangeText(Row) + " characters";
   else if constexpr (std::is_same_v<member, process_role>)
     return namesText(ProcessRoleNames);
   else if constexpr (std::is_same_v<member, log_level>)
@@ -73,6 +75,8 @@
     return "list of addresses";
   else if constexpr (std::is_same_v<member, std::vector<replica_address>>)
     return "list of replicas";
+  else if constexpr (std::is_same_v<member, std::vector<std::string>>)
+    return "list of texts";
   else if constexpr (std::is_same_v<member, process_role>)
     return "role";
   else if constexpr (std::is_same_v<member, log_level>)
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -110,6 +110,10 @@
                 need::none, "",
                 "HTTP address of the platform's operator interface; not served "
                 "if not set"},
+    setting_row{"control.zones", in<&all::Control, &ctl::Zones>(), "", 1,
+                MaxName, need::none, "",
+                "availability zones of the deployment; evacuation of another "
+                "one is rejected; every name is accepted if not set"},
 
     setting_row{"rpc.listen", in<&all::Rpc, &rpc::Listen>(), "", 0, MaxPort,
                 RpcRoles, "", "RPC address of this agent or control VM"},
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -56,7 +56,8 @@
   std::vector<address> Seeds; ///< A group that forms itself starts from these.
   bool Bootstrap = false;     ///< The seeds may form a new group.
   std::uint64_t ToleratedLosses = 0; ///< Replicas lost at once.
-  address OperatorListen; ///< Invalid without the operators' interface.
+  address OperatorListen;         ///< Invalid without the operators' interface.
+  std::vector<std::string> Zones; ///< That may be evacuated; empty for any.
 };
 
 /// Settings under `rpc`.
--- a/test/catalogue_random.h
+++ b/test/catalogue_random.h
@@ -70,7 +70,7 @@
   }
 
   auto body(const cluster &Cluster) -> command_body {
-    switch (below(20)) {
+    switch (below(22)) {
     case 0:
     case 1:
     case 2: {
@@ -130,6 +130,10 @@
           {below(40), below(40)}};
     case 18:
       return open_service_rollout{name("s", 3), name("v", 3)};
+    case 19:
+      return evacuate_zone{name("z", 3)};
+    case 20:
+      return end_evacuation{name("z", 3)};
     default:
       return report_crash{name("c", 40),
                           "b",
--- a/test/ctl_test.cpp
+++ b/test/ctl_test.cpp
@@ -192,6 +192,10 @@
              {{"version", "small@1"}, {"reason", "wrong answers"}}});
   CHECK(Sent({"drain", "engine-1", "--undo"}) ==
         json{"drain_backend", {{"name", "engine-1"}, {"leaving", false}}});
+  CHECK(Sent({"evacuate", "zone-a"}) ==
+        json{"evacuate_zone", {{"zone", "zone-a"}}});
+  CHECK(Sent({"evacuate", "zone-a", "--end"}) ==
+        json{"end_evacuation", {{"zone", "zone-a"}}});
   CHECK(Sent({"rollout", "start", "small", "1", "2", "--stage", "0.01:500:60",
               "--stage", "1"}) == json{"start_rollout",
                                        {{"model", "small"},
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -16,7 +16,7 @@
   Update.Payload =
       encodeChanges({{std::string(ServiceRolloutPrefix) + "s", Rollout}});
   REQUIRE(View.apply(Update, {}).ok());
-  Fixture.Gateway.Directory.applyRollouts(View);
+  Fixture.Gateway.Directory.applyCatalogue(View);
 }
 
 /// Applies a rollout of the service to v2.
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -106,6 +106,7 @@
                       << "\nseeds = [" << Seeds
                       << "]\nbootstrap = " << (Bootstrap ? "true" : "false")
                       << "\nsnapshot_every = " << Options.SnapshotEvery
+                      << "\nzones = " << nlohmann::json(Options.Zones).dump()
                       << "\noperator_listen = "
                       << quotedLoopback(Replica.Operator)
                       << "\n[gateway]\nbackends = " << quotedLoopback(Platform)
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -44,9 +44,10 @@
   /// only backend server.
   std::size_t Servers = 0;
   bool CallerRelays = false;
-  double GraceSeconds = 0;    ///< See gateway.grace_s.
-  int SnapshotEvery = 10'000; ///< See control.snapshot_every.
-  bool Suspendable = false;   ///< VMs of daemons can be suspended.
+  double GraceSeconds = 0;        ///< See gateway.grace_s.
+  int SnapshotEvery = 10'000;     ///< See control.snapshot_every.
+  bool Suspendable = false;       ///< VMs of daemons can be suspended.
+  std::vector<std::string> Zones; ///< See control.zones.
 };
 
 /// Control replicas that form a group, gateways and the stand-in for the users'
--- a/test/standin/standin_platform.cpp
+++ b/test/standin/standin_platform.cpp
@@ -1,7 +1,8 @@
 /// \file Stand-in for the users' platform: its list of backend servers and the
 /// servers themselves, in one process.
 ///
-/// GET /instances lists the servers as members of `--service`. Without
+/// GET /instances lists the servers as members of `--service`, by turns in the
+/// zones `a` and `b`. Without
 /// `--server`, this process is the only server. Any other request to a server
 /// is answered with its request id, a seal and the path as the body. If the
 /// request expects another instance, it is rejected with status 421 and does
@@ -207,16 +208,18 @@
 
   [[nodiscard]] auto instanceList() const -> json {
     json Rows = json::array();
-    for (const auto &Server : Servers)
+    for (std::size_t Index = 0; Index < Servers.size(); ++Index) {
+      const auto &Server = Servers[Index];
       Rows.push_back({{"id", Server.Id},
                       {"service", Service},
                       {"address", Server.ListedAddress},
-                      {"zone", "a"},
+                      {"zone", Index % 2 == 0 ? "a" : "b"},
                       {"version", "v1"},
                       {"slots", 8},
                       {"state", Server.Draining ? "draining" : "ready"},
                       {"born", Server.StartTimeMs},
                       {"cold-remaining-ms", 0}});
+    }
     Rows.push_back("an entry of another writer");
     return {{"instances", std::move(Rows)}, {"next", nullptr}};
   }
