Feature: [Placement] all gateways together keep to what cold servers take

Each gateway saw an idle server and sent to it, and nobody added up.

The leader of control divides the limit among the gateways by their traffic, over the exchange of work that exists already. A share is valid for 600 ms from the moment at which the gateway asked, and counts for one more second, so the sum stays under the limit while gateways start, stop and freeze and while leaders change. The list of backend servers tells whether a server is cold; suspensions and the end of an evacuation count as starts. Services without cold-per-s in the routing document are unaffected.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -223,6 +223,7 @@
 auto control_service::roleChanged() -> void {
   if (Host->node().role() == raft_role::leader) {
     startLogClock();
+    Cold.restart(steady_clock::now());
     Nodes->push();
     return;
   }
@@ -338,6 +339,16 @@
       Servers.set(Index, OtherRows[Index].Server);
       Work.set(Index, OtherRows[Index].Work);
     }
+    std::vector<cold_server> Known;
+    for (const auto Row : Params.getCold())
+      Known.push_back({Row.getServer(), Row.getRequests()});
+    const auto Shares = Service.coldShares().exchange(
+        toString(Params.getNode()), Params.getRate(), Known, Now);
+    auto Cold = Results.initCold(static_cast<unsigned>(Shares.size()));
+    for (unsigned Index = 0; Index < Shares.size(); ++Index) {
+      Cold[Index].setServer(Shares[Index].Server);
+      Cold[Index].setRequests(Shares[Index].Requests);
+    }
     const auto Verdicts = Service.crashAttribution().exchange(
         readCrashReport(Params.getCrashes(), Now),
         static_cast<std::uint64_t>(*Epoch), Now);
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -6,6 +6,7 @@
 #include "control/replica_host.h"
 #include "control/subscriptions.h"
 #include "control/work_exchange.h"
+#include "controller/cold_shares.h"
 #include "controller/crash_attribution.h"
 
 #include <acacianotch.capnp.h>
@@ -84,6 +85,7 @@
   [[nodiscard]] auto replica() -> replica_host & { return *Host; }
   [[nodiscard]] auto nodeSubscriptions() -> subscriptions & { return *Nodes; }
   [[nodiscard]] auto workExchange() -> work_exchange & { return Work; }
+  [[nodiscard]] auto coldShares() -> cold_shares & { return Cold; }
   [[nodiscard]] auto crashAttribution() -> crash_attribution & {
     return Crashes;
   }
@@ -118,6 +120,7 @@
   catalogue_state State;
   work_exchange Work;
   crash_attribution Crashes;
+  cold_shares Cold;
   std::unique_ptr<replica_host> Host;
   std::unique_ptr<subscriptions> Nodes;
   std::map<log_index, proposal> Proposals;
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -72,9 +72,16 @@
     metric_row{metric::evacuated_zones, kind::gauge,
                "acacianotch_evacuated_zones", "", "control, gateway",
                "availability zones whose backend servers get no new work"},
+    metric_row{metric::cold_backends, kind::gauge, "acacianotch_cold_backends",
+               "", "gateway",
+               "backend servers that take few requests since their start"},
+    metric_row{metric::cold_exclusions, kind::counter,
+               "acacianotch_cold_exclusions_total", "", "gateway",
+               "cold backend servers left out of a placement because this "
+               "gateway's share was used"},
 };
 
-static_assert(Rows.size() == static_cast<std::size_t>(metric::evacuated_zones));
+static_assert(Rows.size() == static_cast<std::size_t>(metric::cold_exclusions));
 
 /// Bounds in seconds. 0.62 s and 2 s are targets in docs/design.md.
 const prometheus::Histogram::BucketBoundaries Bounds{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -40,6 +40,8 @@
   leader,
   nodes,
   evacuated_zones,
+  cold_backends,
+  cold_exclusions,
 };
 
 enum class metric_kind : std::uint8_t { invalid, counter, gauge, histogram };
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -98,6 +98,7 @@
                                  Facts.Slots, Facts.Leaving});
     Backend->Key = serverKey(Facts.Id);
     ByHandle[Backend->Handle] = Backend.get();
+    applyColdRule(*Backend);
     updateIntake(*Backend);
   }
   for (auto Iterator = Backends.begin(); Iterator != Backends.end();) {
@@ -123,6 +124,7 @@
   for (const auto &Channel : Backend.IdleChannels)
     Channel->cancel();
   ByHandle.erase(Backend.Handle);
+  Cold.remove(Backend.Key);
   Board.remove(backend_id(Backend.Record.Id));
 }
 
@@ -136,17 +138,28 @@
   for (const auto &[Zone, Evacuation] : View.evacuations()) {
     const auto Changed = Evacuation.Active ? EvacuatedZones.insert(Zone).second
                                            : EvacuatedZones.erase(Zone) > 0;
-    if (Changed)
-      logInfo(
-          log_category::placement,
-          Evacuation.Active ? "a zone is evacuated"
-                            : "the evacuation of a zone has ended",
-          {{"zone", Zone},
-           {"since_ms", Evacuation.ChangedMs},
-           {"revision", static_cast<std::uint64_t>(View.currentRevision())}});
+    if (!Changed)
+      continue;
+    if (!Evacuation.Active)
+      markZoneCold(Zone);
+    logInfo(log_category::placement,
+            Evacuation.Active ? "a zone is evacuated"
+                              : "the evacuation of a zone has ended",
+            {{"zone", Zone},
+             {"since_ms", Evacuation.ChangedMs},
+             {"revision", static_cast<std::uint64_t>(View.currentRevision())}});
   }
 }
 
+// Idle servers may have been started anew during the evacuation, and the list
+// shows it late.
+auto backend_directory::markZoneCold(const std::string &Zone) -> void {
+  const auto Now = steady_clock::now();
+  for (const auto &[Id, Backend] : Backends)
+    if (Backend->Record.Zone == Zone)
+      recordPossibleStart(*Backend, Now);
+}
+
 auto backend_directory::evacuatedWholly(const std::string &Service) const
     -> bool {
   auto Listed = false;
@@ -313,6 +326,7 @@
   ++Backend->Suspensions;
   Backend->Failures = 0;
   Backend->SuspendedUntil = steady_clock::now() + Suspension;
+  recordPossibleStart(*Backend, Backend->SuspendedUntil);
   for (const auto &Channel : Backend->IdleChannels)
     Channel->cancel();
   Backend->IdleChannels.clear();
@@ -399,6 +413,7 @@
       return Unusable;
     });
     updateIntake(*Backend);
+    logCold(*Backend, Now);
     if (!Backend->Suspended || Now < Backend->SuspendedUntil)
       continue;
     endSuspension(*Backend);
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -4,12 +4,14 @@
 #include "board/backend_board.h"
 #include "board/work_board.h"
 #include "catalogue/catalogue_view.h"
+#include "controller/cold_limiter.h"
 #include "controller/model_evidence.h"
 #include "controller/placement.h"
 #include "controller/server_intake.h"
 #include "core/random_type.h"
 #include "gateway/backend_channel.h"
 #include "routing/backend_type.h"
+#include "routing/routing_type.h"
 
 #include <map>
 #include <memory>
@@ -47,6 +49,7 @@
   bool Suspended = false;
   bool IntakeClosed = false; ///< Ejected on its own statement.
   bool Displaced = false;    ///< Suspended because it seems to be replaced.
+  bool Cold = false;         ///< As last logged.
   model_evidence Models;
   time_point LastByteAt{};       ///< When the last answer data arrived.
   std::uint32_t Failures = 0;    ///< Consecutive.
@@ -198,6 +201,27 @@
   /// \return the number of suspended backend servers.
   [[nodiscard]] auto suspendedCount() const -> std::size_t;
 
+  /// Sets what cold servers of each service take. \p Overage and \p Slack:
+  /// see the settings gateway.cold_overage and gateway.cold_slack.
+  auto setColdLimits(const routing_table &Table, double Overage, double Slack)
+      -> void;
+
+  /// Records that a backend server may have started anew.
+  auto recordPossibleStart(const known_backend &Backend, time_point From)
+      -> void;
+
+  /// \return the members of a pool that are cold and get no request now.
+  [[nodiscard]] auto membersAtColdLimit(const backend_pool &Pool) const
+      -> std::vector<backend_handle>;
+
+  /// \return the number of listed backend servers that are cold.
+  [[nodiscard]] auto coldCount() const -> std::size_t;
+
+  [[nodiscard]] auto coldLimiter() -> cold_limiter & { return Cold; }
+  [[nodiscard]] auto coldLimiter() const -> const cold_limiter & {
+    return Cold;
+  }
+
   [[nodiscard]] auto board() -> backend_board & { return Board; }
   [[nodiscard]] auto board() const -> const backend_board & { return Board; }
   [[nodiscard]] auto random() -> seeded_random & { return Random; }
@@ -207,7 +231,16 @@
   }
 
 private:
+  /// What a cold server of one service takes.
+  struct cold_rule {
+    std::uint32_t Limit = 0; ///< Requests a second over all gateways; 0: any.
+    duration Start{};        ///< For which it is cold after its start.
+  };
+
   auto applyEvacuations(const catalogue_view &View) -> void;
+  auto markZoneCold(const std::string &Zone) -> void;
+  auto applyColdRule(const known_backend &Backend) -> void;
+  auto logCold(known_backend &Backend, time_point Now) -> void;
   auto remove(known_backend &Backend) -> void;
   auto markLeaving(known_backend &Backend) -> void;
   auto suspendDisplaced(known_backend &Backend) -> void;
@@ -239,6 +272,8 @@
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
   std::set<std::string> EvacuatedZones;
+  cold_limiter Cold;
+  std::map<std::string, cold_rule> ColdRules; ///< By service; limited ones.
   bool HasList = false;
   time_point ModelsMissingUntil{}; ///< Nothing is missing after this time.
 };
--- a/src/gateway/backend_dump.cpp
+++ b/src/gateway/backend_dump.cpp
@@ -20,6 +20,8 @@
          {"version", Backend->Record.Version},
          {"zone", Backend->Record.Zone},
          {"evacuated", Directory.evacuated(Backend->Record.Zone)},
+         {"cold", Directory.coldLimiter().cold(Backend->Key, Now)},
+         {"cold_share", Directory.coldLimiter().shareOf(Backend->Key, Now)},
          {"leaving", Backend->Record.Leaving},
          {"suspended", Backend->Suspended},
          {"displaced", Backend->Displaced},
--- a/src/gateway/backend_statements.cpp
+++ b/src/gateway/backend_statements.cpp
@@ -25,6 +25,8 @@
   const auto Now = steady_clock::now();
   if (Facts.Leaving)
     recordLeaving(Handle);
+  if (Facts.ColdFor)
+    Cold.markCold(Backend->Key, Now + *Facts.ColdFor);
   if (!Facts.RetryAfter) {
     if (!Facts.NotRun)
       Intake.recordAccepted(Backend->instance(), Now);
@@ -63,7 +65,9 @@
   auto *Backend = find(Handle);
   if (Backend == nullptr)
     return;
-  Intake.recordSent(Backend->instance(), steady_clock::now());
+  const auto Now = steady_clock::now();
+  Intake.recordSent(Backend->instance(), Now);
+  Cold.recordSent(Backend->Key, Now);
   updateIntake(*Backend);
 }
 
--- a/src/gateway/forward_attempt.cpp
+++ b/src/gateway/forward_attempt.cpp
@@ -88,6 +88,9 @@
     return failure::of(errc::no_backend);
   auto Excluded = Context.Directory.membersWithoutModel(*Pool, Model);
   Excluded.insert(Excluded.end(), TriedBackends.begin(), TriedBackends.end());
+  const auto Cold = Context.Directory.membersAtColdLimit(*Pool);
+  Context.Counters.ColdExclusions += Cold.size();
+  Excluded.insert(Excluded.end(), Cold.begin(), Cold.end());
   if (!Request.Prompt.empty())
     if (const auto Chosen = choosePromptServer(*Pool, Excluded))
       return *Chosen;
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -46,6 +46,8 @@
   std::uint64_t Retries = 0;
   std::uint64_t Resumed = 0;     ///< Streams continued at another server.
   std::uint64_t Escalations = 0; ///< To a larger model of the cascade.
+  /// Cold servers that were left out of placements, each time.
+  std::uint64_t ColdExclusions = 0;
 };
 
 /// Request durations by route kind; null until metrics are registered.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -126,6 +126,8 @@
             std::min(MaxDrainPeriod, ShutdownLimit / DrainPeriodDivisor)),
         DrainTimer(TheLoop.oneShot([this] { Server->closeIdle(); })),
         EndTimer(TheLoop.oneShot([this] { endTasks(); })) {
+    ColdOverage = Settings.Gateway.ColdOverage;
+    ColdSlack = Settings.Gateway.ColdSlack;
     Context.Memory.setLimit(answerMemory(Settings));
     Link.FollowMembers = true;
     Link.onChange([this] { applyView(); });
@@ -264,6 +266,10 @@
         .Set(static_cast<double>(Context.Memory.used()));
     Metrics.gauge(metric::evacuated_zones)
         .Set(static_cast<double>(Directory.evacuatedCount()));
+    Metrics.gauge(metric::cold_backends)
+        .Set(static_cast<double>(Directory.coldCount()));
+    SetCounter(Metrics.counter(metric::cold_exclusions),
+               Counters.ColdExclusions);
     const auto Counts = Directory.intakeCounts({});
     const auto SetIntake = [&](intake_state State, std::size_t Count) {
       Metrics
@@ -353,6 +359,7 @@
     if (Decoded) {
       Table = std::make_shared<const routing_table>(std::move(*Decoded));
       Server->setLimits(Table->Limits);
+      Directory.setColdLimits(*Table, ColdOverage, ColdSlack);
       logInfo(log_category::catalogue, "applied a routing document",
               {{"number", Table->Number},
                {"routes", Table->routeCount()},
@@ -391,6 +398,8 @@
   std::unique_ptr<loop_timer> DrainTimer;
   std::unique_ptr<loop_timer> EndTimer;
   time_point ListReadAt{}; ///< Last poll of the list, here or by control.
+  double ColdOverage = 1;  ///< See gateway.cold_overage.
+  double ColdSlack = 0;
   bool Stopping = false;
   time_point StoppingAt{};
 };
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -81,6 +81,8 @@
   /// Time for which a server that rejected the request wants no other one.
   std::optional<duration> RetryAfter;
   std::optional<backend_load> Load;
+  /// Time for which the server takes few requests since its start.
+  std::optional<duration> ColdFor;
   std::optional<std::uint32_t> Confidence; ///< 0 to 100.
   std::optional<duration> IdleLimit;       ///< Idle timeout of the connection.
 
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -4,6 +4,7 @@
 #include "core/log_func.h"
 #include "node/crash_codec.h"
 
+#include <cmath>
 #include <optional>
 #include <vector>
 
@@ -14,6 +15,9 @@
 /// A long prompt occupies a server for some hundred milliseconds; the other
 /// gateways should know of it within a fraction of that.
 constexpr duration ExchangeInterval = std::chrono::milliseconds(100);
+constexpr double ExchangesPerSecond = 10;
+/// Weight of one interval in the mean request rate, which spans two seconds.
+constexpr double RateWeight = 0.05;
 /// An answer takes a few milliseconds; a disconnected leader sends none.
 constexpr duration AnswerTimeout = std::chrono::milliseconds(400);
 
@@ -25,6 +29,7 @@
 struct exchange_answer {
   std::vector<server_work> Others;
   crash_verdicts Verdicts;
+  std::vector<cold_share> ColdShares;
 };
 using answer = std::optional<exchange_answer>;
 
@@ -37,15 +42,19 @@
   Rows.reserve(Servers.size());
   for (unsigned Index = 0; Index < Servers.size(); ++Index)
     Rows.push_back({Servers[Index], Work[Index]});
+  std::vector<cold_share> Shares;
+  for (const auto Row : Response.getCold())
+    Shares.push_back({Row.getServer(), Row.getRequests()});
   return exchange_answer{std::move(Rows),
-                         readCrashVerdicts(Response.getVerdicts())};
+                         readCrashVerdicts(Response.getVerdicts()),
+                         std::move(Shares)};
 }
 
 } // namespace
 
 work_reporter::work_reporter(event_loop &TheLoop, node_link &TheLink,
                              work_board &TheBoard, crash_watch &TheCrashes,
-                             const backend_directory &TheDirectory,
+                             backend_directory &TheDirectory,
                              std::string TheNode)
     : Loop(TheLoop), Link(TheLink), Board(TheBoard), Crashes(TheCrashes),
       Directory(TheDirectory), Node(std::move(TheNode)),
@@ -64,6 +73,18 @@
   return Rows;
 }
 
+auto work_reporter::writeColdServers(auto &Request, time_point Now) -> void {
+  auto &Limiter = Directory.coldLimiter();
+  Rate += RateWeight * (Limiter.takeSent() * ExchangesPerSecond - Rate);
+  Request.setRate(static_cast<std::uint32_t>(std::lround(Rate)));
+  const auto Known = Limiter.knownCold(Now);
+  auto Rows = Request.initCold(static_cast<unsigned>(Known.size()));
+  for (unsigned Index = 0; Index < Rows.size(); ++Index) {
+    Rows[Index].setServer(Known[Index].Server);
+    Rows[Index].setRequests(Known[Index].Limit);
+  }
+}
+
 auto work_reporter::tick() -> void {
   auto *Leader = Link.leaderPeer();
   if (Call.running() || Leader == nullptr)
@@ -82,6 +103,8 @@
   }
   writeCrashReport(Request.initCrashes(), Crashes.report(),
                    steady_clock::now());
+  const auto AskedAt = steady_clock::now();
+  writeColdServers(Request, AskedAt);
   auto Answer = Request.send().then(
       [](auto &&Response) { return decodeRows(Response); },
       [](kj::Exception &&Exception) -> answer {
@@ -93,11 +116,12 @@
   auto Limit =
       Loop.delay(AnswerTimeout).then([]() -> answer { return std::nullopt; });
   Call.start(Answer.exclusiveJoin(kj::mv(Limit)),
-             [this](const answer &Received) {
+             [this, AskedAt](const answer &Received) {
                if (!Received)
                  return;
                Board.setOthers(Received->Others, steady_clock::now());
                Crashes.accept(Received->Verdicts);
+               Directory.coldLimiter().setShares(Received->ColdShares, AskedAt);
              });
 }
 
--- a/src/gateway/work_reporter.h
+++ b/src/gateway/work_reporter.h
@@ -20,7 +20,7 @@
 class work_reporter {
 public:
   work_reporter(event_loop &Loop, node_link &Link, work_board &Board,
-                crash_watch &Crashes, const backend_directory &Directory,
+                crash_watch &Crashes, backend_directory &Directory,
                 std::string Node);
 
   /// Starts the exchange.
@@ -28,14 +28,16 @@
 
 private:
   auto tick() -> void;
+  auto writeColdServers(auto &Request, time_point Now) -> void;
   [[nodiscard]] auto ownRows() const -> std::vector<server_work>;
 
   event_loop &Loop;
   node_link &Link;
   work_board &Board;
   crash_watch &Crashes;
-  const backend_directory &Directory;
+  backend_directory &Directory;
   std::string Node;
+  double Rate = 0; ///< Requests per second to servers that may be cold.
   std::unique_ptr<loop_timer> Timer;
   sequential_call Call;
 };
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -90,6 +90,7 @@
   zone @5 :UInt16;
   version @6 :UInt16;
   leaving @7 :Bool;
+  cold @8 :Bool;             # Takes few requests since its start.
 }
 
 struct BackendList {
@@ -173,6 +174,11 @@
   epoch @3 :UInt64;
 }
 
+struct ColdServer {
+  server @0 :UInt32;    # Hash of its id.
+  requests @1 :UInt32;  # In each second.
+}
+
 interface Control extends(Admin) {
   subscribe @0 (facts :NodeFacts, revision :UInt64, epoch :UInt64, sink :NodeSink) -> (leader :Text, control :List(Text));
   # Returns when the subscription ends; at once from a process that does not
@@ -184,9 +190,11 @@
   join @3 (address :Text, token :UInt64, replica :UInt64) -> (grant :JoinGrant);
   # Asks for membership. A replica without identity sends replica 0; a token,
   # new with each start, makes a repeated call harmless.
-  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32), crashes :CrashReport) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32), verdicts :CrashVerdicts);
+  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32), crashes :CrashReport, rate :UInt32, cold :List(ColdServer)) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32), verdicts :CrashVerdicts, cold :List(ColdServer));
   # What a gateway has waiting at the backend servers that it uses, for what all
   # others have there. Servers are named by a hash, work is in thousandths of a
   # unit. Crashes are those that the gateway observed, for what all gateways do
-  # about them. Not accepted by a process that does not lead.
+  # about them. Not accepted by a process that does not lead. The gateway states
+  # its requests per second at servers that may be cold, and the cold servers
+  # that it knows with what each takes from all gateways; it gets its own share.
 }
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -46,6 +46,7 @@
 CAPNP_DECLARE_SCHEMA(90954b4e7138dff3);
 CAPNP_DECLARE_SCHEMA(dc400cbdcfd400e1);
 CAPNP_DECLARE_SCHEMA(e45b4541dc1509d9);
+CAPNP_DECLARE_SCHEMA(d97bc5a427e80357);
 CAPNP_DECLARE_SCHEMA(fd00c6892a8e2253);
 CAPNP_DECLARE_SCHEMA(db70ab980d97f648);
 CAPNP_DECLARE_SCHEMA(9f3599d8f4003a90);
@@ -487,6 +488,21 @@
   };
 };
 
+struct ColdServer {
+  ColdServer() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d97bc5a427e80357, 1, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct Control {
   Control() = delete;
 
@@ -642,7 +658,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -657,7 +673,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe5a16b35fcec616, 1, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(fe5a16b35fcec616, 1, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1937,6 +1953,8 @@
 
   inline bool getLeaving() const;
 
+  inline bool getCold() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1997,6 +2015,9 @@
   inline bool getLeaving();
   inline void setLeaving(bool value);
 
+  inline bool getCold();
+  inline void setCold(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3380,6 +3401,87 @@
 };
 #endif  // !CAPNP_LITE
 
+class ColdServer::Reader {
+public:
+  typedef ColdServer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer() const;
+
+  inline  ::uint32_t getRequests() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ColdServer::Builder {
+public:
+  typedef ColdServer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getServer();
+  inline void setServer( ::uint32_t value);
+
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ColdServer::Pipeline {
+public:
+  typedef ColdServer Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 #if !CAPNP_LITE
 class Control::Client
     : public virtual ::capnp::Capability::Client,
@@ -4185,6 +4287,11 @@
   inline bool hasCrashes() const;
   inline  ::acacianotch::wire::CrashReport::Reader getCrashes() const;
 
+  inline  ::uint32_t getRate() const;
+
+  inline bool hasCold() const;
+  inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader getCold() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4243,6 +4350,16 @@
   inline void adoptCrashes(::capnp::Orphan< ::acacianotch::wire::CrashReport>&& value);
   inline ::capnp::Orphan< ::acacianotch::wire::CrashReport> disownCrashes();
 
+  inline  ::uint32_t getRate();
+  inline void setRate( ::uint32_t value);
+
+  inline bool hasCold();
+  inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder getCold();
+  inline void setCold( ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder initCold(unsigned int size);
+  inline void adoptCold(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>> disownCold();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4298,6 +4415,9 @@
   inline bool hasVerdicts() const;
   inline  ::acacianotch::wire::CrashVerdicts::Reader getVerdicts() const;
 
+  inline bool hasCold() const;
+  inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader getCold() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4352,6 +4472,13 @@
   inline void adoptVerdicts(::capnp::Orphan< ::acacianotch::wire::CrashVerdicts>&& value);
   inline ::capnp::Orphan< ::acacianotch::wire::CrashVerdicts> disownVerdicts();
 
+  inline bool hasCold();
+  inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder getCold();
+  inline void setCold( ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder initCold(unsigned int size);
+  inline void adoptCold(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>> disownCold();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -5890,6 +6017,20 @@
       ::capnp::bounded<144>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BackendRow::Reader::getCold() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
+}
+
+inline bool BackendRow::Builder::getCold() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS);
+}
+inline void BackendRow::Builder::setCold(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<145>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t BackendList::Reader::getAgeMs() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7238,6 +7379,34 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t ColdServer::Reader::getServer() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ColdServer::Builder::getServer() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ColdServer::Builder::setServer( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ColdServer::Reader::getRequests() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ColdServer::Builder::getRequests() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ColdServer::Builder::setRequests( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 #if !CAPNP_LITE
 inline Control::Client::Client(decltype(nullptr))
     : ::capnp::Capability::Client(nullptr) {}
@@ -7831,6 +8000,54 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Control::ExchangeWorkParams::Reader::getRate() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Control::ExchangeWorkParams::Builder::getRate() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Control::ExchangeWorkParams::Builder::setRate( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Control::ExchangeWorkParams::Reader::hasCold() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkParams::Builder::hasCold() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader Control::ExchangeWorkParams::Reader::getCold() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder Control::ExchangeWorkParams::Builder::getCold() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkParams::Builder::setCold( ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder Control::ExchangeWorkParams::Builder::initCold(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkParams::Builder::adoptCold(
+    ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>> Control::ExchangeWorkParams::Builder::disownCold() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool Control::ExchangeWorkResults::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -7960,6 +8177,40 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Control::ExchangeWorkResults::Reader::hasCold() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Control::ExchangeWorkResults::Builder::hasCold() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader Control::ExchangeWorkResults::Reader::getCold() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder Control::ExchangeWorkResults::Builder::getCold() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Control::ExchangeWorkResults::Builder::setCold( ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Builder Control::ExchangeWorkResults::Builder::initCold(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Control::ExchangeWorkResults::Builder::adoptCold(
+    ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>> Control::ExchangeWorkResults::Builder::disownCold() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 
--- a/src/node/backend_list.cpp
+++ b/src/node/backend_list.cpp
@@ -53,6 +53,7 @@
   Out.setSlots(Row.Slots);
   Out.setLeaving(Row.Leaving);
   Out.setStartedMs(Row.StartedMs);
+  Out.setCold(Row.Cold);
 }
 
 auto readRow(wire::BackendRow::Reader In, const std::vector<std::string> &Texts)
@@ -72,6 +73,7 @@
   Row.Slots = In.getSlots();
   Row.Leaving = In.getLeaving();
   Row.StartedMs = In.getStartedMs();
+  Row.Cold = In.getCold();
   return Row;
 }
 
@@ -92,7 +94,6 @@
     ++Number;
   std::set<std::string> Present;
   for (auto &Record : Read) {
-    Record.Warmup = duration::zero();
     Present.insert(Record.Id);
     auto &Row = Rows[Record.Id];
     if (Row.Number != 0 && Row.Record == Record)
--- a/src/node/backend_list.h
+++ b/src/node/backend_list.h
@@ -23,9 +23,7 @@
 };
 
 /// The list as last read from the platform, with a sequence number for each
-/// change, so that a node is sent only the changes that it lacks. The remaining
-/// warm-up time of a server is cleared: it differs in each read and no receiver
-/// uses it.
+/// change, so that a node is sent only the changes that it lacks.
 class backend_list {
 public:
   /// Replaces the rows by those that were read at \p Now. \return whether the
--- a/src/platform/configuration_codec.cpp
+++ b/src/platform/configuration_codec.cpp
@@ -120,6 +120,11 @@
     Service.Name = Reader.text("name");
     Service.MaxConnections =
         static_cast<std::uint32_t>(Reader.number("max-connections", 0, 1e9));
+    constexpr double MaxColdSeconds = 3600;
+    Service.ColdStart =
+        std::chrono::duration_cast<duration>(std::chrono::duration<double>(
+            std::min(Reader.number("cold-start-s", 0), MaxColdSeconds)));
+    Service.ColdPerSecond = Reader.number("cold-per-s", 0, 1e6);
     if (const auto *Engine = Reader.member("engine"))
       readEngine(*Engine, Service);
     auto Name = Service.Name;
--- a/src/platform/instance_codec.cpp
+++ b/src/platform/instance_codec.cpp
@@ -43,8 +43,7 @@
   Record.Address = *Address;
   Record.Leaving = State == "draining";
   Record.Slots = static_cast<std::uint32_t>(Slots);
-  Record.Warmup =
-      std::chrono::milliseconds(static_cast<std::int64_t>(WarmupMs));
+  Record.Cold = WarmupMs > 0;
   Record.StartedMs = countAt(Entry, "born");
   return Record;
 }
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -30,6 +30,7 @@
 constexpr std::string_view ConfidenceName = "X-Acacianotch-Confidence";
 constexpr std::string_view LeavingName = "Server-Leaving";
 constexpr std::string_view RetryAfterName = "Retry-After";
+constexpr std::string_view ColdName = "X-Acacianotch-Cold-Ms";
 /// Model name with which a caller lets the gateway choose.
 constexpr std::string_view AnyModelText = "*";
 
@@ -279,6 +280,9 @@
     Facts.RetryAfter = decodeRetryAfter(Head);
   if (const auto *Id = Head.find(RequestIdName))
     Facts.RequestId = *Id;
+  if (const auto *ColdMs = Head.find(ColdName))
+    if (const auto Count = parseNumber<std::uint32_t>(*ColdMs))
+      Facts.ColdFor = std::chrono::milliseconds(*Count);
   if (const auto *Confidence = Head.find(ConfidenceName))
     Facts.Confidence = parseNumber<std::uint32_t>(*Confidence);
   if (const auto *Load = Head.find(LoadName)) {
--- a/src/routing/backend_type.h
+++ b/src/routing/backend_type.h
@@ -19,7 +19,9 @@
   std::string Version; ///< Software version.
   std::uint32_t Slots = 1;
   bool Leaving = false; ///< Accepts no new work.
-  duration Warmup{};    ///< Remaining warm-up time, in which it is slow.
+  /// It has just started and takes few requests. Each read states another
+  /// remaining time, so only the fact is kept.
+  bool Cold = false;
   /// Start time, wall clock; distinguishes servers that started under one id.
   std::uint64_t StartedMs = 0;
 
--- a/src/routing/routing_type.h
+++ b/src/routing/routing_type.h
@@ -80,6 +80,8 @@
   std::uint32_t Slots = 0;          ///< Model engines only.
   std::uint64_t KvCacheTokens = 0;  ///< Cache capacity; model engines only.
   std::vector<model_price> Models;  ///< Model engines only.
+  duration ColdStart{};     ///< For which a server is cold after its start.
+  double ColdPerSecond = 0; ///< Requests that a cold server takes; 0: any.
 };
 
 /// The client account that owns an API key.
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -222,6 +222,15 @@
                 "memory for answers that are held back until they are "
                 "complete; beyond it they are passed on as they arrive; 0 for "
                 "a fifth of the VM's memory, 24 at most"},
+    setting_row{"gateway.cold_overage",
+                in<&all::Gateway, &gateway::ColdOverage>(), "1.0", 0, 100,
+                need::none, "",
+                "factor on the rate that the routing document states for cold "
+                "backend servers"},
+    setting_row{"gateway.cold_slack", in<&all::Gateway, &gateway::ColdSlack>(),
+                "0.0", 0, 10000, need::none, "requests",
+                "requests a second that a cold backend server takes beyond "
+                "that rate"},
     setting_row{"gateway.retry_budget_share",
                 in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
