--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -5,6 +5,8 @@
 #include "net/kj_func.h"
 #include "node/crash_codec.h"
 
+#include <algorithm>
+
 namespace acacianotch {
 
 namespace {
@@ -157,12 +159,17 @@
 // replicas must get the same result.
 auto control_service::checkZone(const command &Command) const
     -> command_result {
-  const auto *Evacuation = std::get_if<evacuate_zone>(&Command.Body);
-  if (Evacuation == nullptr || Zones.empty() ||
-      std::find(Zones.begin(), Zones.end(), Evacuation->Zone) != Zones.end())
+  const std::string *Zone = nullptr;
+  if (const auto *Start = std::get_if<evacuate_zone>(&Command.Body))
+    Zone = &Start->Zone;
+  if (const auto *End = std::get_if<end_evacuation>(&Command.Body))
+    Zone = &End->Zone;
+  if (Zone == nullptr || Zones.empty() ||
+      State.data().Evacuations.contains(*Zone) ||
+      std::find(Zones.begin(), Zones.end(), *Zone) != Zones.end())
     return {};
   return command_result::of(errc::unknown_entry,
-                            "no availability zone " + Evacuation->Zone);
+                            "no availability zone " + *Zone);
 }
 
 auto control_service::apply(const log_record &Record) -> void {
@@ -343,7 +350,8 @@
     for (const auto Row : Params.getCold())
       Known.push_back({Row.getServer(), Row.getRequests()});
     const auto Shares = Service.coldShares().exchange(
-        toString(Params.getNode()), Params.getRate(), Known, Now);
+        toString(Params.getNode()) + "#" + std::to_string(Params.getToken()),
+        Params.getRate(), Known, Now);
     auto Cold = Results.initCold(static_cast<unsigned>(Shares.size()));
     for (unsigned Index = 0; Index < Shares.size(); ++Index) {
       Cold[Index].setServer(Shares[Index].Server);
--- a/src/controller/cold_limiter.cpp
+++ b/src/controller/cold_limiter.cpp
@@ -10,19 +10,35 @@
 /// Time between the check of a limit and the arrival of the request at the
 /// socket, by which two requests may be closer than their checks.
 constexpr duration SendTolerance = std::chrono::milliseconds(20);
+/// Without a leader a server counts as cold for this long after other gateways
+/// said so: by then the list of backend servers shows it.
+constexpr duration ToldLifetime = std::chrono::milliseconds(2500);
 
 } // namespace
 
 auto cold_limiter::setLimit(server_key Server, std::uint32_t Limit) -> void {
-  if (Limit == 0)
+  if (Limit == 0) {
     Entries.erase(Server);
-  else
-    Entries[Server].Limit = Limit;
+    return;
+  }
+  auto &Entry = Entries[Server];
+  Entry.Limit = Limit;
+  Entry.Released = false;
 }
 
-auto cold_limiter::markCold(server_key Server, time_point Until) -> void {
-  if (const auto Found = Entries.find(Server); Found != Entries.end())
-    Found->second.ColdUntil = std::max(Found->second.ColdUntil, Until);
+auto cold_limiter::markCold(server_key Server, time_point From,
+                            time_point Until) -> void {
+  const auto Found = Entries.find(Server);
+  if (Found == Entries.end())
+    return;
+  Found->second.MarkedFrom = std::max(Found->second.MarkedFrom, From);
+  Found->second.ColdUntil = std::max(Found->second.ColdUntil, Until);
+}
+
+auto cold_limiter::confirmListed(time_point Before) -> void {
+  for (auto &[Server, Entry] : Entries)
+    if (!Entry.Listed && Entry.MarkedFrom < Before)
+      Entry.ColdUntil = {};
 }
 
 auto cold_limiter::setListed(server_key Server, bool Cold) -> void {
@@ -30,21 +46,47 @@
     Found->second.Listed = Cold;
 }
 
-auto cold_limiter::remove(server_key Server) -> void { Entries.erase(Server); }
+auto cold_limiter::release(server_key Server) -> void {
+  if (const auto Found = Entries.find(Server); Found != Entries.end())
+    Found->second.Released = true;
+}
+
+auto cold_limiter::forgetReleased(time_point Now) -> void {
+  std::erase_if(Entries, [&](const auto &Row) {
+    const auto &Entry = Row.second;
+    return Entry.Released && !cold(Entry, Now) && recentlySent(Entry, Now) == 0;
+  });
+}
 
 auto cold_limiter::recordSent(server_key Server, time_point Now) -> void {
   const auto Found = Entries.find(Server);
   if (Found == Entries.end())
     return;
-  ++SentCount;
   auto &Sent = Found->second.Sent;
-  while (!Sent.empty() && Now - Sent.front() > ColdWindow + SendTolerance)
-    Sent.pop_front();
+  std::erase_if(Sent, [&](time_point At) {
+    return Now - At > ColdWindow + SendTolerance;
+  });
   Sent.push_back(Now);
 }
 
+auto cold_limiter::recordConnected(server_key Server, time_point SentAt,
+                                   time_point Now) -> void {
+  const auto Found = Entries.find(Server);
+  if (Found == Entries.end())
+    return;
+  auto &Sent = Found->second.Sent;
+  const auto Place = std::find_if(Sent.begin(), Sent.end(),
+                                  [&](time_point At) { return At >= SentAt; });
+  if (Place != Sent.end())
+    *Place = Now;
+}
+
+// An answer names all cold servers, so the others that it named before are
+// warm again.
 auto cold_limiter::setShares(std::span<const cold_share> Shares,
                              time_point AskedAt) -> void {
+  for (auto &[Server, Entry] : Entries)
+    Entry.ToldColdUntil = {};
   for (const auto &[Server, Requests] : Shares) {
     const auto Found = Entries.find(Server);
     if (Found == Entries.end())
@@ -52,7 +94,7 @@
     auto &Entry = Found->second;
     Entry.Share = Requests;
     Entry.ShareUntil = AskedAt + ColdShareLifetime;
-    Entry.ToldColdUntil = Entry.ShareUntil;
+    Entry.ToldColdUntil = AskedAt + ToldLifetime;
   }
 }
 
@@ -77,12 +119,15 @@
   const auto Found = Entries.find(Server);
   if (Found == Entries.end() || !cold(Found->second, Now))
     return true;
-  const auto &Sent = Found->second.Sent;
-  const auto Recent =
-      std::count_if(Sent.begin(), Sent.end(), [&](time_point At) {
+  return recentlySent(Found->second, Now) < shareOf(Server, Now);
+}
+
+auto cold_limiter::recentlySent(const entry &Entry, time_point Now)
+    -> std::uint32_t {
+  return static_cast<std::uint32_t>(
+      std::count_if(Entry.Sent.begin(), Entry.Sent.end(), [&](time_point At) {
         return Now - At <= ColdWindow + SendTolerance;
-      });
-  return static_cast<std::uint32_t>(Recent) < shareOf(Server, Now);
+      }));
 }
 
 auto cold_limiter::knownCold(time_point Now) const -> std::vector<cold_server> {
--- a/src/controller/cold_shares.cpp
+++ b/src/controller/cold_shares.cpp
@@ -10,11 +10,12 @@
 
 /// A gateway that has not asked for this long has no traffic to divide.
 constexpr duration GatewayTimeout = std::chrono::seconds(1);
-/// A server counts as cold for this long after a gateway has stated it, which
-/// is five exchanges of one gateway.
-constexpr duration KnownTimeout = std::chrono::milliseconds(500);
+/// A server counts as cold for this long after a gateway has stated it. One
+/// exchange that times out takes half of it.
+constexpr duration KnownTimeout = std::chrono::seconds(1);
 /// Targets follow the traffic this often. A request that moves to another
-/// gateway is lost for ColdShareLifetime and ColdWindow, so moves are rare.
+/// gateway cannot be used for ColdShareLifetime and ColdWindow, so moves are
+/// rare.
 constexpr duration TargetInterval = std::chrono::seconds(3);
 
 /// \return the weight of a gateway with \p Rate requests per second. Weights
@@ -28,7 +29,7 @@
 /// \return a number from 0 to 1 that differs between servers, so that rounding
 /// favours other gateways at each.
 auto offsetOf(server_key Key) -> double {
-  constexpr std::uint32_t Multiplier = 2654435761U; // Knuth's golden ratio
+  constexpr std::uint32_t Multiplier = 2654435761U; // Multiplicative hash
   constexpr double Range = 4294967296.0;            // 2^32
   return static_cast<double>(Key * Multiplier) / Range;
 }
--- a/src/controller/cold_shares.h
+++ b/src/controller/cold_shares.h
@@ -12,8 +12,8 @@
 
 /// Divides what a cold backend server can take in a ColdWindow among all
 /// gateways, by their traffic. Answers the load on servers that have just
-/// started, which would end under the traffic that all gateways together send
-/// to an idle server.
+/// started, which would crash under the traffic that all gateways together
+/// send to an idle server.
 ///
 /// Only the leader of control uses it. The sum of the shares in use never
 /// exceeds the limit, also while gateways start, stop and freeze: a share is
@@ -26,8 +26,9 @@
   auto restart(time_point Now) -> void;
 
   /// Records the traffic of gateway \p Node, in requests per second, and the
-  /// servers that it knows to be cold. \return its shares at all servers that
-  /// some gateway knows to be cold.
+  /// servers that it knows to be cold. Each process has another \p Node: after
+  /// a restart it does not know what it has sent. \return its shares at all
+  /// servers that some gateway knows to be cold.
   [[nodiscard]] auto exchange(const std::string &Node, std::uint32_t Rate,
                               std::span<const cold_server> Known,
                               time_point Now) -> std::vector<cold_share>;
--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -141,16 +141,25 @@
 auto backend_channel::onEvent(bufferevent * /*Event*/, short What, void *Self)
     -> void {
   const auto Channel = static_cast<backend_channel *>(Self)->shared_from_this();
-  if ((What & BEV_EVENT_CONNECTED) != 0) {
-    Channel->Connected = true;
-    Channel->ConnectTimer->stop();
-    Channel->State = Channel->HasCall ? state::busy : state::idle;
-    return;
-  }
+  if ((What & BEV_EVENT_CONNECTED) != 0)
+    return Channel->handleConnected();
   if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
     Channel->handleClosed((What & BEV_EVENT_EOF) != 0);
 }
 
+// After the process has stood still, the event of the connection comes before
+// the expired timer. The request would be sent late, when what allowed it may
+// not hold any more.
+auto backend_channel::handleConnected() -> void {
+  if (steady_clock::now() - ConnectingSince > 2 * ConnectTimeout)
+    return fail(errc::backend_unreachable, "the connection was set up late");
+  Connected = true;
+  ConnectTimer->stop();
+  State = HasCall ? state::busy : state::idle;
+  if (ConnectedCallback)
+    ConnectedCallback(ConnectingSince);
+}
+
 auto backend_channel::process() -> void {
   auto *Input = bufferevent_get_input(Socket.get());
   while (State == state::busy && evbuffer_get_length(Input) > 0) {
--- a/src/gateway/backend_channel.h
+++ b/src/gateway/backend_channel.h
@@ -73,6 +73,12 @@
   /// Fails a call of which no byte was sent.
   auto failIfUnsent() -> void;
 
+  /// Sets a callback that gets the time at which the connection was begun, once
+  /// it is established.
+  auto onConnected(std::function<void(time_point)> Callback) -> void {
+    ConnectedCallback = std::move(Callback);
+  }
+
   /// Runs \p Callback for the head of each answer, also of one to an earlier
   /// request, but not of interim answers.
   auto onHead(std::function<void(const answer_facts &)> Callback) -> void {
@@ -87,6 +93,7 @@
   static auto onRead(bufferevent *, void *Self) -> void;
   static auto onEvent(bufferevent *, short What, void *Self) -> void;
 
+  auto handleConnected() -> void;
   auto process() -> void;
   auto handleHead(http_head &&Head) -> void;
   auto handleBody(std::string_view Data) -> void;
@@ -105,6 +112,8 @@
   channel_events Events;
   bool HasCall = false;
   bool Connected = false;
+  std::function<void(time_point)> ConnectedCallback;
+  time_point ConnectingSince = steady_clock::now();
   bool AnswerBegan = false; ///< The head of the awaited answer has arrived.
   std::size_t UnrelatedBytes = 0; ///< Read before it.
   bool Skipping = false; ///< The current message is not the final answer.
--- a/src/gateway/backend_cold.cpp
+++ b/src/gateway/backend_cold.cpp
@@ -31,7 +31,7 @@
 auto backend_directory::applyColdRule(const known_backend &Backend) -> void {
   const auto Rule = ColdRules.find(Backend.Record.Service);
   if (Rule == ColdRules.end())
-    return Cold.remove(Backend.Key);
+    return Cold.setLimit(Backend.Key, 0);
   Cold.setLimit(Backend.Key, std::max(Rule->second.Limit, 1U));
   Cold.setListed(Backend.Key, Backend.Record.Cold);
 }
@@ -40,7 +40,16 @@
                                             time_point From) -> void {
   const auto Rule = ColdRules.find(Backend.Record.Service);
   if (Rule != ColdRules.end())
-    Cold.markCold(Backend.Key, From + Rule->second.Start + ListDelay);
+    Cold.markCold(Backend.Key, From, From + Rule->second.Start + ListDelay);
+}
+
+auto backend_directory::recordListRead(time_point ReadAt) -> void {
+  Cold.confirmListed(ReadAt - ListDelay);
+}
+
+auto backend_directory::recordDemand(const std::string &Service) -> void {
+  if (ColdRules.contains(Service))
+    Cold.recordDemand();
 }
 
 auto backend_directory::membersAtColdLimit(const backend_pool &Pool) const
--- a/src/gateway/backend_directory.cpp
+++ b/src/gateway/backend_directory.cpp
@@ -64,7 +64,8 @@
 auto backend_directory::applyList(std::vector<backend_record> Listed) -> void {
   const auto Now = steady_clock::now();
   std::set<std::string> Present;
-  auto Changed = !std::exchange(HasList, true);
+  const auto IsFirstList = !std::exchange(HasList, true);
+  auto Changed = IsFirstList;
   for (auto &Record : Listed) {
     Present.insert(Record.Id);
     auto &Backend = Backends[Record.Id];
@@ -73,7 +74,8 @@
                                Backend->Record.Address != Record.Address);
     if (IsNewInstance)
       remove(*Backend);
-    if (Backend == nullptr || IsNewInstance) {
+    const auto IsNew = Backend == nullptr || IsNewInstance;
+    if (IsNew) {
       Backend = std::make_unique<known_backend>();
       logInfo(log_category::placement, "backend server listed",
               {{"backend", Record.Id},
@@ -99,6 +101,8 @@
     Backend->Key = serverKey(Facts.Id);
     ByHandle[Backend->Handle] = Backend.get();
     applyColdRule(*Backend);
+    if (IsNew && !IsFirstList)
+      recordPossibleStart(*Backend, Now);
     updateIntake(*Backend);
   }
   for (auto Iterator = Backends.begin(); Iterator != Backends.end();) {
@@ -108,6 +112,7 @@
     }
     logInfo(log_category::placement, "backend server is no longer listed",
             {{"backend", Iterator->first}});
+    Cold.release(Iterator->second->Key);
     remove(*Iterator->second);
     Iterator = Backends.erase(Iterator);
     Changed = true;
@@ -124,7 +129,6 @@
   for (const auto &Channel : Backend.IdleChannels)
     Channel->cancel();
   ByHandle.erase(Backend.Handle);
-  Cold.remove(Backend.Key);
   Board.remove(backend_id(Backend.Record.Id));
 }
 
@@ -134,13 +138,20 @@
   rebuildPools();
 }
 
+// The end of an evacuation that this gateway missed counts as one that it saw,
+// except at its start, when the list has just been read.
 auto backend_directory::applyEvacuations(const catalogue_view &View) -> void {
+  EvacuatedZones.clear();
   for (const auto &[Zone, Evacuation] : View.evacuations()) {
-    const auto Changed = Evacuation.Active ? EvacuatedZones.insert(Zone).second
-                                           : EvacuatedZones.erase(Zone) > 0;
-    if (!Changed)
+    if (Evacuation.Active)
+      EvacuatedZones.insert(Zone);
+    const auto Known = Evacuations.find(Zone);
+    const auto IsNew = Known == Evacuations.end();
+    if (!IsNew && Known->second == Evacuation)
       continue;
-    if (!Evacuation.Active)
+    if (Evacuation.Active)
+      closeUnusedChannels(Zone);
+    else if (!IsNew)
       markZoneCold(Zone);
     logInfo(log_category::placement,
             Evacuation.Active ? "a zone is evacuated"
@@ -149,6 +160,13 @@
              {"since_ms", Evacuation.ChangedMs},
              {"revision", static_cast<std::uint64_t>(View.currentRevision())}});
   }
+  Evacuations = {View.evacuations().begin(), View.evacuations().end()};
+}
+
+auto backend_directory::closeUnusedChannels(const std::string &Zone) -> void {
+  for (const auto &[Id, Backend] : Backends)
+    if (Backend->Record.Zone == Zone)
+      closeUnusedChannels(*Backend);
 }
 
 // Idle servers may have been started anew during the evacuation, and the list
@@ -179,8 +197,8 @@
   for (const auto &[Id, Backend] : Backends) {
     const auto &Record = Backend->Record;
     const auto Found = Rollouts.find(Record.Service);
-    if (!Record.Leaving && Found != Rollouts.end() &&
-        Record.Version == Found->second.From)
+    if (!Record.Leaving && !EvacuatedZones.contains(Record.Zone) &&
+        Found != Rollouts.end() && Record.Version == Found->second.From)
       Services.insert(Record.Service);
   }
   return Services;
@@ -296,6 +314,9 @@
     return Channel == nullptr || !Channel->connecting();
   });
   Backend.NewChannels.push_back(*Opened);
+  (*Opened)->onConnected([this, Key = Backend.Key](time_point StartedAt) {
+    Cold.recordConnected(Key, StartedAt, steady_clock::now());
+  });
   (*Opened)->onHead([this, Handle = Backend.Handle](const answer_facts &Facts) {
     recordStatements(Handle, Facts);
   });
@@ -405,6 +426,7 @@
 auto backend_directory::tick() -> void {
   const auto Now = steady_clock::now();
   Intake.forgetUnlisted(Now);
+  Cold.forgetReleased(Now);
   for (auto &[Id, Backend] : Backends) {
     std::erase_if(Backend->IdleChannels, [&](const auto &Channel) {
       const auto Unusable = !Channel->reusable(Now);
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -206,7 +206,13 @@
   auto setColdLimits(const routing_table &Table, double Overage, double Slack)
       -> void;
 
-  /// Records that a backend server may have started anew.
+  /// Records that the list was read at \p ReadAt.
+  auto recordListRead(time_point ReadAt) -> void;
+
+  /// Records that a request for \p Service is to be placed.
+  auto recordDemand(const std::string &Service) -> void;
+
+  /// Records that a backend server may have started anew at \p From.
   auto recordPossibleStart(const known_backend &Backend, time_point From)
       -> void;
 
@@ -238,6 +244,7 @@
   };
 
   auto applyEvacuations(const catalogue_view &View) -> void;
+  auto closeUnusedChannels(const std::string &Zone) -> void;
   auto markZoneCold(const std::string &Zone) -> void;
   auto applyColdRule(const known_backend &Backend) -> void;
   auto logCold(known_backend &Backend, time_point Now) -> void;
@@ -272,6 +279,7 @@
   std::map<std::string, std::unique_ptr<backend_pool>> Pools;
   std::map<std::string, service_rollout> Rollouts;
   std::set<std::string> EvacuatedZones;
+  std::map<std::string, zone_evacuation> Evacuations; ///< By zone; also ended.
   cold_limiter Cold;
   std::map<std::string, cold_rule> ColdRules; ///< By service; limited ones.
   bool HasList = false;
--- a/src/gateway/backend_statements.cpp
+++ b/src/gateway/backend_statements.cpp
@@ -26,7 +26,7 @@
   if (Facts.Leaving)
     recordLeaving(Handle);
   if (Facts.ColdFor)
-    Cold.markCold(Backend->Key, Now + *Facts.ColdFor);
+    Cold.markCold(Backend->Key, Now + *Facts.ColdFor, Now + *Facts.ColdFor);
   if (!Facts.RetryAfter) {
     if (!Facts.NotRun)
       Intake.recordAccepted(Backend->instance(), Now);
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -70,6 +70,7 @@
   if (Request.TimeLeft)
     Limit = std::min(Limit, *Request.TimeLeft);
   Deadline->start(Limit);
+  Context.Directory.recordDemand(Service);
   startNextAttempt();
 }
 
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -112,6 +112,7 @@
                [this](std::vector<backend_record> Listed) {
                  ListReadAt = steady_clock::now();
                  Directory.applyList(std::move(Listed));
+                 Directory.recordListRead(ListReadAt);
                }),
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  toDuration(Settings.Gateway.SessionSeconds),
@@ -134,6 +135,7 @@
     Link.OnBackends = [this](duration Age,
                              const std::vector<backend_record> *Listed) {
       ListReadAt = steady_clock::now() - Age;
+      Directory.recordListRead(ListReadAt);
       if (Listed != nullptr)
         Directory.applyList(*Listed);
     };
--- a/src/gateway/work_reporter.cpp
+++ b/src/gateway/work_reporter.cpp
@@ -4,8 +4,10 @@
 #include "core/log_func.h"
 #include "node/crash_codec.h"
 
+#include <algorithm>
 #include <cmath>
 #include <optional>
+#include <random>
 #include <vector>
 
 namespace acacianotch {
@@ -15,9 +17,8 @@
 /// A long prompt occupies a server for some hundred milliseconds; the other
 /// gateways should know of it within a fraction of that.
 constexpr duration ExchangeInterval = std::chrono::milliseconds(100);
-constexpr double ExchangesPerSecond = 10;
-/// Weight of one interval in the mean request rate, which spans two seconds.
-constexpr double RateWeight = 0.05;
+/// Seconds over which the mean request rate reaches.
+constexpr double RateSpan = 2;
 /// An answer takes a few milliseconds; a disconnected leader sends none.
 constexpr duration AnswerTimeout = std::chrono::milliseconds(400);
 
@@ -58,9 +59,13 @@
                              std::string TheNode)
     : Loop(TheLoop), Link(TheLink), Board(TheBoard), Crashes(TheCrashes),
       Directory(TheDirectory), Node(std::move(TheNode)),
+      Token(std::random_device{}()),
       Timer(TheLoop.repeating([this] { tick(); })) {}
 
-auto work_reporter::start() -> void { Timer->start(ExchangeInterval); }
+auto work_reporter::start() -> void {
+  RateAt = steady_clock::now();
+  Timer->start(ExchangeInterval);
+}
 
 // Without SuspendedWork, a server that this gateway has just found to be
 // unreachable would look idle to the others, and they would choose it.
@@ -75,8 +80,11 @@
 
 auto work_reporter::writeColdServers(auto &Request, time_point Now) -> void {
   auto &Limiter = Directory.coldLimiter();
-  Rate += RateWeight * (Limiter.takeSent() * ExchangesPerSecond - Rate);
-  Request.setRate(static_cast<std::uint32_t>(std::lround(Rate)));
+  const auto Elapsed = std::chrono::duration<double>(Now - RateAt).count();
+  const auto Weight = std::min(1.0, Elapsed / RateSpan);
+  Rate += Weight * (Limiter.takeDemand() / Elapsed - Rate);
+  RateAt = Now;
+  Request.setRate(static_cast<std::uint32_t>(std::ceil(Rate)));
   const auto Known = Limiter.knownCold(Now);
   auto Rows = Request.initCold(static_cast<unsigned>(Known.size()));
   for (unsigned Index = 0; Index < Rows.size(); ++Index) {
@@ -95,6 +103,7 @@
   const auto Rows = ownRows();
   auto Request = Control->exchangeWorkRequest();
   Request.setNode(Node.c_str());
+  Request.setToken(Token);
   auto Servers = Request.initServers(static_cast<unsigned>(Rows.size()));
   auto Work = Request.initWork(static_cast<unsigned>(Rows.size()));
   for (unsigned Index = 0; Index < Rows.size(); ++Index) {
--- a/src/gateway/work_reporter.h
+++ b/src/gateway/work_reporter.h
@@ -37,7 +37,9 @@
   crash_watch &Crashes;
   backend_directory &Directory;
   std::string Node;
-  double Rate = 0; ///< Requests per second to servers that may be cold.
+  std::uint64_t Token; ///< Another one in each process.
+  double Rate = 0;     ///< Requests per second to services with cold limits.
+  time_point RateAt{};
   std::unique_ptr<loop_timer> Timer;
   sequential_call Call;
 };
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -190,11 +190,12 @@
   join @3 (address :Text, token :UInt64, replica :UInt64) -> (grant :JoinGrant);
   # Asks for membership. A replica without identity sends replica 0; a token,
   # new with each start, makes a repeated call harmless.
-  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32), crashes :CrashReport, rate :UInt32, cold :List(ColdServer)) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32), verdicts :CrashVerdicts, cold :List(ColdServer));
+  exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32), crashes :CrashReport, rate :UInt32, cold :List(ColdServer), token :UInt64) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32), verdicts :CrashVerdicts, cold :List(ColdServer));
   # What a gateway has waiting at the backend servers that it uses, for what all
   # others have there. Servers are named by a hash, work is in thousandths of a
   # unit. Crashes are those that the gateway observed, for what all gateways do
   # about them. Not accepted by a process that does not lead. The gateway states
   # its requests per second at servers that may be cold, and the cold servers
   # that it knows with what each takes from all gateways; it gets its own share.
+  # The token differs between processes with one name.
 }
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -658,7 +658,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b987706f550d5146, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4292,6 +4292,8 @@
   inline bool hasCold() const;
   inline  ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>::Reader getCold() const;
 
+  inline  ::uint64_t getToken() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4360,6 +4362,9 @@
   inline void adoptCold(::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::acacianotch::wire::ColdServer,  ::capnp::Kind::STRUCT>> disownCold();
 
+  inline  ::uint64_t getToken();
+  inline void setToken( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -8048,6 +8053,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint64_t Control::ExchangeWorkParams::Reader::getToken() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Control::ExchangeWorkParams::Builder::getToken() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Control::ExchangeWorkParams::Builder::setToken( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Control::ExchangeWorkResults::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/platform/request_codec.cpp
+++ b/src/platform/request_codec.cpp
@@ -31,6 +31,8 @@
 constexpr std::string_view LeavingName = "Server-Leaving";
 constexpr std::string_view RetryAfterName = "Retry-After";
 constexpr std::string_view ColdName = "X-Acacianotch-Cold-Ms";
+/// A server that states a longer time is read wrongly.
+constexpr duration MaxColdTime = std::chrono::minutes(1);
 /// Model name with which a caller lets the gateway choose.
 constexpr std::string_view AnyModelText = "*";
 
@@ -282,7 +284,8 @@
     Facts.RequestId = *Id;
   if (const auto *ColdMs = Head.find(ColdName))
     if (const auto Count = parseNumber<std::uint32_t>(*ColdMs))
-      Facts.ColdFor = std::chrono::milliseconds(*Count);
+      Facts.ColdFor =
+          std::min<duration>(std::chrono::milliseconds(*Count), MaxColdTime);
   if (const auto *Confidence = Head.find(ConfidenceName))
     Facts.Confidence = parseNumber<std::uint32_t>(*Confidence);
   if (const auto *Load = Head.find(LoadName)) {
