Add: [Test] crowds of clients outside the limits, failing

The tests start the processes with 48 MB and 256 descriptors in their settings and connect 24 clients to each port that clients reach. They check that the process lives, that it grows by no more than 48 MB, that descriptors stay under 256, and that one ordinary request is answered afterwards. Crowd and bounds are fixed with this commit.

node.memory_mb, node.max_descriptors and core/memory_budget are declared and not used yet.

--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -57,6 +57,16 @@
                 MaxPath, SecretRoles, "",
                 "file with the cluster secret, the same in all processes"},
 
+    setting_row{"node.memory_mb", in<&all::Node, &node::MemoryMb>(), "0", 0,
+                1e9, need::none, "MiB",
+                "memory that this process may use; half of it is for what "
+                "peers have sent and not yet read; 0 for the memory that the "
+                "system reports"},
+    setting_row{"node.max_descriptors", in<&all::Node, &node::MaxDescriptors>(),
+                "0", 0, 1e7, need::none, "descriptors",
+                "descriptors that this process may use, which bound its "
+                "connections; 0 for the limit of the process"},
+
     setting_row{"control.addresses", in<&all::Control, &ctl::Addresses>(), "",
                 1, MaxPort, NodeRoles, "", "RPC addresses of control"},
     setting_row{"control.data_folder", in<&all::Control, &ctl::DataFolder>(),
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -39,6 +39,8 @@
   std::string Id;
   std::string Zone;
   std::filesystem::path SecretFile;
+  std::uint64_t MemoryMb = 0;       ///< 0 for what the system reports.
+  std::uint64_t MaxDescriptors = 0; ///< 0 for the limit of the process.
 };
 
 /// Settings under `control`.
--- a/test/process/support/child_process.h
+++ b/test/process/support/child_process.h
@@ -49,6 +49,8 @@
 
   [[nodiscard]] auto running() -> bool;
 
+  [[nodiscard]] auto pid() const -> int { return Pid; }
+
   /// \return the scheduler's state of the process and the kernel function that
   /// it waits in, as /proc has them.
   [[nodiscard]] auto kernelState() const -> std::string;
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -15,6 +15,12 @@
 constexpr int HttpSeeOther = 307;
 constexpr int HttpServerError = 500;
 
+/// \return the settings of a VM with limits.
+auto nodeLimits(const platform_options &Options) -> std::string {
+  return "memory_mb = " + std::to_string(Options.MemoryMb) +
+         "\nmax_descriptors = " + std::to_string(Options.MaxDescriptors) + "\n";
+}
+
 } // namespace
 
 auto emptyConfiguration(int Version) -> std::string {
@@ -99,7 +105,8 @@
   const auto File = Folder / (Replica.Name + ".toml");
   std::filesystem::create_directories(data(Replica));
   std::ofstream(File) << "role = \"control\"\n[node]\nid = \"" << Replica.Name
-                      << "\"\nzone = \"a\"\n[control]\n"
+                      << "\"\nzone = \"a\"\n"
+                      << nodeLimits(Options) << "[control]\n"
                       << (Replica.RelayOnly ? ""
                                             : "data_folder = \"" +
                                                   data(Replica).string() + "\"")
@@ -126,7 +133,8 @@
                                 std::uint16_t ListPort) -> void {
   const auto File = Folder / (Gateway.Name + ".toml");
   std::ofstream(File) << "role = \"gateway\"\n[node]\nid = \"" << Gateway.Name
-                      << "\"\nzone = \"a\"\n[control]\naddresses = ["
+                      << "\"\nzone = \"a\"\n"
+                      << nodeLimits(Options) << "[control]\naddresses = ["
                       << Addresses
                       << "]\n[http]\nlisten = " << quotedLoopback(Gateway.Http)
                       << "\n[admin]\nlisten = " << quotedLoopback(Gateway.Admin)
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -48,6 +48,8 @@
   int SnapshotEvery = 10'000;     ///< See control.snapshot_every.
   bool Suspendable = false;       ///< VMs of daemons can be suspended.
   std::vector<std::string> Zones; ///< See control.zones.
+  int MemoryMb = 0;               ///< See node.memory_mb.
+  int MaxDescriptors = 0;         ///< See node.max_descriptors.
 };
 
 /// Control replicas that form a group, gateways and the stand-in for the users'
--- a/test/standin/standin_platform.cpp
+++ b/test/standin/standin_platform.cpp
@@ -8,7 +8,8 @@
 /// request expects another instance, it is rejected with status 421 and does
 /// not run. A path that begins with /stream/ returns a stream of events, which
 /// resumes after Last-Event-Id. A path that ends in /delay/N is answered after
-/// N ms. GET /api/report at a server returns its active streams.
+/// N ms, and one that ends in /bytes/N with N bytes. GET /api/report at a
+/// server returns its active streams.
 ///
 /// On the address of the list, GET /standin/runs returns all runs, POST
 /// /standin/drain/N marks server N as draining, and POST /standin/renew/N
@@ -135,17 +136,24 @@
   }
 
   static auto delayOf(const std::string &Path) -> duration {
-    const std::string Name = "/delay/";
+    return std::chrono::milliseconds(numberAfter("/delay/", Path));
+  }
+
+  /// \return the number that follows \p Name in \p Path; 0 without it.
+  static auto numberAfter(const std::string &Name, const std::string &Path)
+      -> std::size_t {
     const auto At = Path.rfind(Name);
-    return std::chrono::milliseconds(
-        At == std::string::npos ? 0 : std::stol(Path.substr(At + Name.size())));
+    return At == std::string::npos ? 0
+                                   : std::stoul(Path.substr(At + Name.size()));
   }
 
   auto replyAfter(duration Delay,
                   const std::shared_ptr<http_exchange> &Exchange,
                   const std::string &Id) -> void {
     const auto Reply = [Exchange, Id] {
-      Exchange->reply(HttpOk, headers(*Exchange, Id), Exchange->target());
+      const auto Size = numberAfter("/bytes/", Exchange->path());
+      Exchange->reply(HttpOk, headers(*Exchange, Id),
+                      Size > 0 ? std::string(Size, 'x') : Exchange->target());
     };
     if (Delay == duration::zero())
       return Reply();
