Feature: [Gateway] requests wait for the end of a gateway's start

The cause is that a gateway refused whatever arrived before its first document, with a fixed time.

A gateway now holds these requests (at most 512, 2 MB) for a third of the time that they have left, at most until gateway.startup_hold_ms after its start, and hands them over, earliest deadline first, when it is ready. Others are refused at once, with the time that the start is expected to take.

The deadline of a forwarded request started from the full time when forwarding began. It counts from the arrival now, so that the time for which a request was held is part of it.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -79,9 +79,20 @@
                "acacianotch_cold_exclusions_total", "", "gateway",
                "cold backend servers left out of a placement because this "
                "gateway's share was used"},
+    metric_row{metric::startup_held, kind::gauge, "acacianotch_startup_held",
+               "", "gateway",
+               "requests that wait until the gateway can serve after its "
+               "start"},
+    metric_row{metric::startup_held_total, kind::counter,
+               "acacianotch_startup_held_total", "", "gateway",
+               "requests that waited until the gateway could serve"},
+    metric_row{metric::startup_refused, kind::counter,
+               "acacianotch_startup_refused_total", "", "gateway",
+               "requests refused before the gateway could serve, at once or "
+               "after they waited"},
 };
 
-static_assert(Rows.size() == static_cast<std::size_t>(metric::cold_exclusions));
+static_assert(Rows.size() == static_cast<std::size_t>(metric::startup_refused));
 
 /// Bounds in seconds. 0.62 s and 2 s are targets in docs/design.md.
 const prometheus::Histogram::BucketBoundaries Bounds{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -42,6 +42,9 @@
   evacuated_zones,
   cold_backends,
   cold_exclusions,
+  startup_held,
+  startup_held_total,
+  startup_refused,
 };
 
 enum class metric_kind : std::uint8_t { invalid, counter, gauge, histogram };
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -69,6 +69,10 @@
   auto Limit = Route->Timeout;
   if (Request.TimeLeft)
     Limit = std::min(Limit, *Request.TimeLeft);
+  // A request may have been held before it came here.
+  Limit -= steady_clock::now() - Request.ReceivedAt;
+  if (Limit <= duration::zero())
+    return refuse(Unavailable, "the time for the request is over");
   Deadline->start(Limit);
   Context.Directory.recordDemand(Service);
   startNextAttempt();
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -7,6 +7,7 @@
 #include "gateway/backend_dump.h"
 #include "gateway/caller_server.h"
 #include "gateway/forward_task.h"
+#include "gateway/startup_queue.h"
 #include "gateway/work_reporter.h"
 #include "net/http_server.h"
 #include "net/stepped_work.h"
@@ -113,6 +114,7 @@
                  ListReadAt = steady_clock::now();
                  Directory.applyList(std::move(Listed));
                  Directory.recordListRead(ListReadAt);
+                 releaseHeld();
                }),
         Rollouts(TheLoop, Control, Settings.Node.Id,
                  toDuration(Settings.Gateway.SessionSeconds),
@@ -121,6 +123,11 @@
         Reporter(TheLoop, Link, Work, Crashes, Directory, Settings.Node.Id),
         Context{TheLoop, Directory, ExtraAttemptBudget, Rollouts, ReportClient,
                 Work,    Crashes,   model_cascade()},
+        Startup(TheLoop, Settings.Gateway.StartupHold,
+                [this](const std::shared_ptr<caller_connection> &Caller,
+                       caller_request &&Request) {
+                  handle(Caller, std::move(Request));
+                }),
         Ticker(TheLoop.repeating([this] { Directory.tick(); })),
         ShutdownLimit(shutdownLimit(Settings)),
         DrainPeriod(
@@ -135,9 +142,10 @@
     Link.OnBackends = [this](duration Age,
                              const std::vector<backend_record> *Listed) {
       ListReadAt = steady_clock::now() - Age;
-      Directory.recordListRead(ListReadAt);
       if (Listed != nullptr)
         Directory.applyList(*Listed);
+      Directory.recordListRead(ListReadAt);
+      releaseHeld();
     };
   }
 
@@ -151,6 +159,8 @@
 
   auto handle(const std::shared_ptr<caller_connection> &Caller,
               caller_request &&Request) -> void {
+    if (waitsForStart())
+      return Startup.add(Caller, std::move(Request));
     if (!Table || draining())
       return refuse(Caller, Request.Id);
     auto Task = std::make_shared<forward_task>(Context, Table, Caller,
@@ -167,6 +177,7 @@
     Stopping = true;
     Context.Stopping = true;
     StoppingAt = steady_clock::now();
+    Startup.refuseAll("this gateway stops", GatewayRefusalRetryAfter);
     Server->closeAfterAnswers();
     Server->closeIdle();
     DrainTimer->start(DrainPeriod);
@@ -204,6 +215,7 @@
         {"ready", ready().ok()},
         {"fresh", View.fresh(steady_clock::now())},
         {"open", Tasks.size()},
+        {"held_requests", Startup.heldCount()},
         {"callers", Server->connectionCount()},
         {"requests", Counters.Requests},
         {"answered", Counters.Answered},
@@ -272,6 +284,12 @@
         .Set(static_cast<double>(Directory.coldCount()));
     SetCounter(Metrics.counter(metric::cold_exclusions),
                Counters.ColdExclusions);
+    Metrics.gauge(metric::startup_held)
+        .Set(static_cast<double>(Startup.heldCount()));
+    SetCounter(Metrics.counter(metric::startup_held_total),
+               Startup.heldTotal());
+    SetCounter(Metrics.counter(metric::startup_refused),
+               Startup.refusedTotal());
     const auto Counts = Directory.intakeCounts({});
     const auto SetIntake = [&](intake_state State, std::size_t Count) {
       Metrics
@@ -307,6 +325,19 @@
     return steady_clock::now() - ListReadAt > MaxListAge;
   }
 
+  /// \return whether a request that arrives now is held, or refused by the same
+  /// rules. Without a list of backend servers this ends with the time for
+  /// holding, because the list may lack all servers for long.
+  [[nodiscard]] auto waitsForStart() const -> bool {
+    return !Stopping && Startup.enabled() && !ready() &&
+           (!Table || Startup.open());
+  }
+
+  auto releaseHeld() -> void {
+    if (ready())
+      Startup.release();
+  }
+
   // After a restart of all processes the other gateways wait for control as
   // well, so an immediate retry would be refused again.
   auto refuse(const std::shared_ptr<caller_connection> &Caller,
@@ -362,6 +393,7 @@
       Table = std::make_shared<const routing_table>(std::move(*Decoded));
       Server->setLimits(Table->Limits);
       Directory.setColdLimits(*Table, ColdOverage, ColdSlack);
+      releaseHeld();
       logInfo(log_category::catalogue, "applied a routing document",
               {{"number", Table->Number},
                {"routes", Table->routeCount()},
@@ -394,6 +426,7 @@
   time_point DecodingSince{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   caller_server *Server = nullptr;
+  startup_queue Startup;
   std::unique_ptr<loop_timer> Ticker;
   duration ShutdownLimit; ///< Time from SIGTERM to the end of the process.
   duration DrainPeriod;
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -241,6 +241,11 @@
                 "0.0", 0, 10000, need::none, "requests",
                 "requests a second that a cold backend server takes beyond "
                 "that rate"},
+    setting_row{"gateway.startup_hold_ms",
+                in<&all::Gateway, &gateway::StartupHold>(), "0", 0, 60000,
+                need::none, "milliseconds",
+                "time after the start up to which requests are held until the "
+                "gateway can serve; 0 to hold none, as does less than 500"},
     setting_row{"gateway.retry_budget_share",
                 in<&all::Gateway, &gateway::RetryShare>(), "0.8", 0, 1,
                 need::none, "of the requests",
--- a/src/table/settings_type.h
+++ b/src/table/settings_type.h
@@ -114,8 +114,9 @@
   double ExposureShare = 0; ///< Of a service's requests, on a bad version.
   double GraceSeconds = 0;
   std::uint64_t AnswerMemoryMb = 0; ///< 0 for a share of the VM's memory.
-  double ColdOverage = 0; ///< Times the rate that a cold server takes.
-  double ColdSlack = 0;   ///< Requests a second beyond it.
+  double ColdOverage = 0;     ///< Times the rate that a cold server takes.
+  double ColdSlack = 0;       ///< Requests a second beyond it.
+  milliseconds StartupHold{}; ///< Requests are held up to it; 0 to hold none.
 };
 
 /// Settings under `log`.
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -197,6 +197,7 @@
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
                caller_request &&Request) {
+          Request.ReceivedAt -= HeldFor;
           auto Task = std::make_shared<forward_task>(Context, Table, Caller,
                                                      std::move(Request));
           Tasks.insert(Task);
@@ -260,6 +261,7 @@
   std::shared_ptr<const routing_table> Table;
   std::unordered_set<std::shared_ptr<forward_task>> Tasks;
   std::unique_ptr<caller_server> Server;
+  duration HeldFor{0}; ///< Time between arrival and forwarding of requests.
 };
 
 /// A caller that records all received bytes.
--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -142,7 +142,9 @@
                       << quotedLoopback(Gateway.Ready)
                       << "\nbackends = " << quotedLoopback(ListPort)
                       << "\nbackend_interval_ms = 100\ngrace_s = "
-                      << Options.GraceSeconds << "\n";
+                      << Options.GraceSeconds
+                      << "\nstartup_hold_ms = " << Options.StartupHoldMs
+                      << "\n";
   Gateway.Process = startDaemon(File, Gateway.Name);
 }
 
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -48,6 +48,7 @@
   int SnapshotEvery = 10'000;     ///< See control.snapshot_every.
   bool Suspendable = false;       ///< VMs of daemons can be suspended.
   std::vector<std::string> Zones; ///< See control.zones.
+  int StartupHoldMs = 0;          ///< See gateway.startup_hold_ms.
   int MemoryMb = 0;               ///< See node.memory_mb.
   int MaxDescriptors = 0;         ///< See node.max_descriptors.
 };
