Fix: [Net] deferred callbacks run while connections are busy

Seen: a gateway whose callers pipeline requests that it rejects grew by 862 MB with 24 connections, although each connection held at most one answer.

Cause: defer() started the timer of the deferred callbacks anew each time. libevent removes a timer that is due from its queue when it is started again, so callbacks that were deferred in each iteration put off all earlier ones. Ended requests are freed by such callbacks.

Change: the timer is started only for the first callback of a batch.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -181,8 +181,12 @@
 }
 
 auto event_loop::defer(std::function<void()> Callback) -> void {
+  // libevent takes back a timer that is due when it is started again, so that
+  // callbacks deferred in each iteration would put off all of them for ever.
+  const auto Started = !State->DeferredCallbacks.empty();
   State->DeferredCallbacks.push_back(std::move(Callback));
-  State->Deferred.start(duration::zero());
+  if (!Started)
+    State->Deferred.start(duration::zero());
 }
 
 } // namespace acacianotch
