Fix: [Gateway] callers' connections stay within memory and descriptors

Seen: clients that leave bodies incomplete, send bodies far above the limit, pipeline requests without reading answers, or read large answers slowly made a gateway grow without bound: 98 MB for 24 bodies that stop short of their length (node.memory_mb = 48).

Cause: the stated length of a body was reserved at its head. Input was read without a limit while a body was incomplete and after a refusal. Pipelined requests were handled although earlier answers had not left the buffer. Nothing counted bodies and unread answers of all connections together, and nothing bounded the number of connections.

Change: a process has one budget, half of node.memory_mb, for bodies with their copies, both buffers of each connection and held answers (gateway.answer_memory_mb is a part of it; answer_memory.h is replaced by memory_budget.h). When it is used up, the largest incomplete body is refused with 503 and a Retry-After, answers of which the caller has taken nothing for 3 s are broken off, and later answers are passed on with 16 KiB of unsent output. Bodies under 64 KiB, or under the budget divided by the connections, are kept. A pipelined request waits until the answer before it has left the buffer; at most 16 KiB, or one head, are read ahead. A body takes 1.25 times of what has arrived at most, and one copy less is made for the backend server. Callers have half of node.max_descriptors; a connection beyond it replaces the one that has been idle longest, or is refused with 503. controller/connection_choice decides what is dropped.

A body of 4 MiB with an answer of 3 MiB is still served. The crowd tests of the readiness, admin and operator ports still fail; src/net/http_server is not part of this change.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -90,9 +90,18 @@
                "acacianotch_startup_refused_total", "", "gateway",
                "requests refused before the gateway could serve, at once or "
                "after they waited"},
+    metric_row{metric::memory_used, kind::gauge,
+               "acacianotch_memory_budget_used_bytes", "", "gateway",
+               "memory used for requests, held answers and unread answers, of "
+               "half of node.memory_mb"},
+    metric_row{metric::dropped_connections, kind::counter,
+               "acacianotch_dropped_connections_total", "reason", "gateway",
+               "callers' connections that were refused or closed because "
+               "memory or descriptors were used up"},
 };
 
-static_assert(Rows.size() == static_cast<std::size_t>(metric::startup_refused));
+static_assert(Rows.size() ==
+              static_cast<std::size_t>(metric::dropped_connections));
 
 /// Bounds in seconds. 0.62 s and 2 s are targets in docs/design.md.
 const prometheus::Histogram::BucketBoundaries Bounds{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -45,6 +45,8 @@
   startup_held,
   startup_held_total,
   startup_refused,
+  memory_used,
+  dropped_connections,
 };
 
 enum class metric_kind : std::uint8_t { invalid, counter, gauge, histogram };
--- a/src/gateway/backend_channel.h
+++ b/src/gateway/backend_channel.h
@@ -20,8 +20,8 @@
   std::string RequestId; ///< The answer must carry it.
   std::string Method;
   std::string Target;
-  http_headers Headers; ///< Without Content-Length.
-  std::string Body;
+  http_headers Headers;  ///< Without Content-Length.
+  std::string_view Body; ///< Copied by start().
 };
 
 /// Callbacks of a call. OnEnd is the last one.
--- a/src/gateway/caller_connection.cpp
+++ b/src/gateway/caller_connection.cpp
@@ -6,15 +6,22 @@
 #include "net/socket_func.h"
 #include "platform/request_codec.h"
 
+#include <algorithm>
 #include <sys/socket.h>
 
 namespace acacianotch {
 
 namespace {
 
-/// Input buffered while an answer is in progress; TCP flow control holds back a
+/// Input read ahead, unless a head may be larger; TCP flow control holds back a
 /// caller that sends more.
-constexpr std::size_t MaxPipelinedBytes = 64ULL * 1024;
+constexpr std::size_t MaxReadAheadBytes = 16ULL * 1024;
+/// A body is held for repeated attempts and copied into the output buffer for
+/// the backend server.
+constexpr std::size_t BodyCopies = 2;
+/// A body's buffer grows by this part of its size. Growing by its whole size
+/// would hold twice the memory of what has arrived.
+constexpr std::size_t BodyGrowthDivisor = 4;
 /// Input is still read for this long after the last answer: closing a socket
 /// with unread input resets the connection, and the caller could lose the
 /// answer.
@@ -27,13 +34,16 @@
 constexpr int RequestTimeout = 408;
 constexpr int BodyTooLarge = 413;
 constexpr int HeadTooLarge = 431;
+constexpr int Unavailable = 503;
 
 } // namespace
 
 caller_connection::caller_connection(event_loop &TheLoop, int Fd,
                                      const caller_limits &TheLimits,
+                                     std::shared_ptr<memory_budget> TheMemory,
                                      caller_events TheEvents)
     : Loop(TheLoop), Limits(TheLimits), Events(std::move(TheEvents)),
+      Memory(std::move(TheMemory)), Charge(Memory),
       Socket(bufferevent_socket_new(Loop.base(), Fd, BEV_OPT_CLOSE_ON_FREE)),
       Reader(http_message::request, Limits.HeaderBytes,
              {[this](http_head &&Head) { handleHead(std::move(Head)); },
@@ -42,11 +52,69 @@
       Timer(Loop.oneShot([this] { handleTimeout(); })) {
   setLiveness(Fd, LivenessSeconds);
   bufferevent_setcb(Socket.get(), onRead, onWritten, onEvent, this);
+  evbuffer_add_cb(input(), onInputChange, this);
+  evbuffer_add_cb(output(), onOutputChange, this);
+  setReadAhead();
 }
 
-caller_connection::~caller_connection() = default;
+caller_connection::~caller_connection() { removeBufferCallbacks(); }
+
+auto caller_connection::removeBufferCallbacks() -> void {
+  if (!Socket)
+    return;
+  evbuffer_remove_cb(input(), onInputChange, this);
+  evbuffer_remove_cb(output(), onOutputChange, this);
+}
+
+// A head that is too large must fit, to be recognized.
+auto caller_connection::setReadAhead() -> void {
+  bufferevent_setwatermark(Socket.get(), EV_READ, 0,
+                           std::max(MaxReadAheadBytes, Limits.HeaderBytes + 1));
+}
+
+auto caller_connection::onInputChange(evbuffer * /*Input*/,
+                                      const evbuffer_cb_info * /*Info*/,
+                                      void *Self) -> void {
+  static_cast<caller_connection *>(Self)->updateCharge();
+}
+
+auto caller_connection::onOutputChange(evbuffer * /*Output*/,
+                                       const evbuffer_cb_info *Info, void *Self)
+    -> void {
+  auto *Connection = static_cast<caller_connection *>(Self);
+  if (Info->n_deleted > 0 || Info->orig_size == 0)
+    Connection->OutputTakenAt = steady_clock::now();
+  Connection->updateCharge();
+}
+
+auto caller_connection::updateCharge() -> void {
+  Charge.resize(evbuffer_get_length(input()) + evbuffer_get_length(output()));
+}
+
+auto caller_connection::use() const -> connection_use {
+  connection_use Use;
+  if (State == state::closed)
+    return Use;
+  const auto Now = steady_clock::now();
+  if (State == state::reading && Request != nullptr)
+    Use.BodyBytes = Request->Charge->bytes();
+  Use.UnreadBytes = unsentBytes();
+  if (Use.UnreadBytes > 0)
+    Use.Unread = Now - OutputTakenAt;
+  else if (State == state::reading && !reading())
+    Use.Idle = Now - IdleSince;
+  return Use;
+}
+
+auto caller_connection::refuseBody() -> void {
+  if (State != state::reading || Request == nullptr)
+    return;
+  refuse(Unavailable, "the memory for requests is used up",
+         platform::gatewayHeaders(Request->Id, GatewayRefusalRetryAfter));
+}
 
 auto caller_connection::start() -> void {
+  IdleSince = steady_clock::now();
   bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
   startTimer();
 }
@@ -63,8 +131,7 @@
 
 auto caller_connection::reading() const -> bool {
   return State == state::reading &&
-         (Reader.inMessage() ||
-          evbuffer_get_length(bufferevent_get_input(Socket.get())) > 0);
+         (Reader.inMessage() || evbuffer_get_length(input()) > 0);
 }
 
 auto caller_connection::onRead(bufferevent * /*Event*/, void *Self) -> void {
@@ -78,6 +145,9 @@
     return Connection->linger();
   if (Connection->Drained)
     Connection->Drained();
+  // The next request may already be in the input buffer.
+  if (Connection->State == state::reading)
+    Connection->process();
 }
 
 auto caller_connection::onEvent(bufferevent * /*Event*/, short What, void *Self)
@@ -96,13 +166,16 @@
 }
 
 auto caller_connection::process() -> void {
-  auto *Input = bufferevent_get_input(Socket.get());
+  auto *Input = input();
   if (State == state::lingering) {
     evbuffer_drain(Input, evbuffer_get_length(Input));
     return;
   }
   while (State == state::reading && evbuffer_get_length(Input) > 0) {
     const auto WasReading = Reader.inMessage();
+    // Answers must not collect for a caller that does not read them.
+    if (!WasReading && unsentBytes() > 0)
+      return;
     const auto Done = Reader.read(Input);
     if (State != state::reading)
       return;
@@ -110,8 +183,11 @@
       return refuse(Done.error().Code == errc::body_too_large ? HeadTooLarge
                                                               : BadRequest,
                     Done.error().Detail);
-    if (!WasReading && Reader.inMessage())
+    if ((!WasReading && Reader.inMessage()) ||
+        std::exchange(BodyArrived, false))
       startTimer();
+    if (Reader.inBody() && Memory->full() && Events.OnMemoryFull)
+      Events.OnMemoryFull();
     if (!Reader.inBody())
       return;
     if (evbuffer_get_length(Input) == 0)
@@ -132,8 +208,8 @@
   if (!Decoded)
     return refuse(BadRequest, Decoded.error().Detail);
   Request = std::make_unique<caller_request>(std::move(Decoded).value());
-  if (Length > 0)
-    Request->Body.reserve(static_cast<std::size_t>(Length));
+  Request->Charge = std::make_shared<memory_charge>(Memory);
+  BodyLimit = Length > 0 ? static_cast<std::size_t>(Length) : Limits.BodyBytes;
   if (ExpectsContinue)
     appendText(output(), "HTTP/1.1 100 Continue\r\n\r\n");
   startTimer();
@@ -144,8 +220,23 @@
     return;
   if (Request->Body.size() + Data.size() > Limits.BodyBytes)
     return refuse(BodyTooLarge, "the body is too large");
-  Request->Body.append(Data);
-  startTimer();
+  appendBody(Data);
+  BodyArrived = true;
+}
+
+// std::string::reserve() would at least double the capacity.
+auto caller_connection::appendBody(std::string_view Data) -> void {
+  auto &Body = Request->Body;
+  const auto Size = Body.size() + Data.size();
+  if (Size > Body.capacity()) {
+    std::string Larger;
+    Larger.reserve(
+        std::max(Size, std::min(BodyLimit, Size + Size / BodyGrowthDivisor)));
+    Larger.append(Body);
+    Body = std::move(Larger);
+  }
+  Body.append(Data);
+  Request->Charge->resize(BodyCopies * Body.capacity());
 }
 
 auto caller_connection::handleEnd() -> void {
@@ -153,7 +244,6 @@
     return;
   State = state::answering;
   Timer->stop();
-  bufferevent_setwatermark(Socket.get(), EV_READ, 0, MaxPipelinedBytes);
   auto Received = std::move(*Request);
   Request.reset();
   Received.ReceivedAt = steady_clock::now();
@@ -162,12 +252,18 @@
 
 // The connection closes after the answer, because the end of the refused
 // request is not known.
-auto caller_connection::refuse(int Status, std::string_view Reason) -> void {
+auto caller_connection::refuse(int Status, std::string_view Reason,
+                               const http_headers &Headers) -> void {
   logInfo(log_category::http, "refused a malformed or incomplete request",
-          {{"status", Status}, {"reason", Reason}});
+          {{"request", Request ? Request->Id : ""},
+           {"status", Status},
+           {"reason", Reason},
+           {"body_bytes", Request ? Request->Body.size() : 0},
+           {"memory_used", Memory->used()}});
+  Request.reset();
   State = state::answering;
   Closing = true;
-  reply(Status, {}, "");
+  reply(Status, Headers, "");
 }
 
 auto caller_connection::reply(int Status, const http_headers &Headers,
@@ -216,13 +312,8 @@
     return;
   }
   State = state::reading;
-  bufferevent_setwatermark(Socket.get(), EV_READ, 0, 0);
+  IdleSince = steady_clock::now();
   startTimer();
-  // The next request may already be in the input buffer.
-  Loop.defer([Weak = weak_from_this()] {
-    if (const auto Self = Weak.lock(); Self && Self->State == state::reading)
-      Self->process();
-  });
 }
 
 auto caller_connection::abort() -> void {
@@ -247,6 +338,7 @@
 auto caller_connection::setLimits(const caller_limits &Values) -> void {
   Limits = Values;
   Reader.setMaxHeadBytes(Limits.HeaderBytes);
+  setReadAhead();
   if (State == state::reading && !Reader.inMessage())
     startTimer();
 }
@@ -271,7 +363,6 @@
 auto caller_connection::linger() -> void {
   State = state::lingering;
   ::shutdown(bufferevent_getfd(Socket.get()), SHUT_WR);
-  bufferevent_setwatermark(Socket.get(), EV_READ, 0, 0);
   Timer->start(LingerTime);
   process();
 }
@@ -281,6 +372,9 @@
     return;
   State = state::closed;
   Timer->stop();
+  Request.reset();
+  removeBufferCallbacks();
+  Charge.resize(0);
   bufferevent_disable(Socket.get(), EV_READ | EV_WRITE);
   bufferevent_setcb(Socket.get(), nullptr, nullptr, nullptr, nullptr);
   // Deferred, because functions further up the stack may still use this object.
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -1,11 +1,14 @@
 /// \file One caller's connection to a gateway.
 #pragma once
 
+#include "controller/connection_choice.h"
+#include "core/memory_charge.h"
 #include "gateway/request_type.h"
 #include "net/event_loop.h"
 #include "net/http_reader.h"
 #include "routing/routing_type.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
 
 #include <functional>
@@ -29,14 +32,19 @@
                      caller_request &&)>
       OnRequest;
   std::function<void(caller_connection &)> OnClosed; ///< The last event.
+  /// The memory is used up and this connection has taken some of it. The
+  /// handler may drop any connection.
+  std::function<void()> OnMemoryFull;
 };
 
 /// Reads requests one after another and writes their answers. OnRequest runs
-/// when the body is complete; the next request is read after the answer.
+/// when the body is complete; the next request is read when the answer has left
+/// the output buffer. Bodies and both buffers are charged to a memory budget.
 class caller_connection final
     : public std::enable_shared_from_this<caller_connection> {
 public:
   caller_connection(event_loop &Loop, int Fd, const caller_limits &Limits,
+                    std::shared_ptr<memory_budget> Memory,
                     caller_events Events);
   ~caller_connection();
   caller_connection(const caller_connection &) = delete;
@@ -83,6 +91,16 @@
   /// Closes an idle connection now.
   auto closeIfIdle() -> void;
 
+  /// \return what the connection uses.
+  [[nodiscard]] auto use() const -> connection_use;
+
+  /// Refuses an incomplete request with 503, because there is no memory for its
+  /// body.
+  auto refuseBody() -> void;
+
+  /// Closes the connection as if the caller had disconnected.
+  auto disconnect() -> void { handleDisconnect(); }
+
   /// Sets the limits of later requests.
   auto setLimits(const caller_limits &Values) -> void;
 
@@ -93,17 +111,30 @@
   static auto onWritten(bufferevent *, void *Self) -> void;
   static auto onEvent(bufferevent *, short What, void *Self) -> void;
 
+  static auto onInputChange(evbuffer *, const evbuffer_cb_info *Info,
+                            void *Self) -> void;
+  static auto onOutputChange(evbuffer *, const evbuffer_cb_info *Info,
+                             void *Self) -> void;
+
   auto process() -> void;
+  auto appendBody(std::string_view Data) -> void;
+  auto updateCharge() -> void;
+  auto setReadAhead() -> void;
+  auto removeBufferCallbacks() -> void;
   auto handleHead(http_head &&Head) -> void;
   auto handleBody(std::string_view Data) -> void;
   auto handleEnd() -> void;
-  auto refuse(int Status, std::string_view Reason) -> void;
+  auto refuse(int Status, std::string_view Reason,
+              const http_headers &Headers = {}) -> void;
   auto finishAnswer() -> void;
   auto handleDisconnect() -> void;
   auto startTimer() -> void;
   auto handleTimeout() -> void;
   auto linger() -> void;
   auto close() -> void;
+  [[nodiscard]] auto input() const -> evbuffer * {
+    return bufferevent_get_input(Socket.get());
+  }
   [[nodiscard]] auto output() const -> evbuffer * {
     return bufferevent_get_output(Socket.get());
   }
@@ -111,11 +142,17 @@
   event_loop &Loop;
   caller_limits Limits;
   caller_events Events;
+  std::shared_ptr<memory_budget> Memory;
+  memory_charge Charge; ///< For both buffers.
   bufferevent_handle Socket;
   http_reader Reader;
   std::unique_ptr<loop_timer> Timer;
   state State = state::reading;
   std::unique_ptr<caller_request> Request;
+  std::size_t BodyLimit = 0;  ///< Stated length, or the largest allowed one.
+  bool BodyArrived = false;   ///< Since the timer was started.
+  time_point IdleSince{};     ///< Begin, or end of the last answer.
+  time_point OutputTakenAt{}; ///< When the caller last took some output.
   bool KeepAlive = false;
   bool Closing = false;
   bool CloseAfterWrite = false;
--- a/src/gateway/forward_body.cpp
+++ b/src/gateway/forward_body.cpp
@@ -12,6 +12,8 @@
 /// Bytes buffered for a slow caller before reading from the backend server is
 /// paused.
 constexpr std::size_t MaxUnsentBytes = 128ULL * 1024;
+/// The same while the memory is used up.
+constexpr std::size_t MaxUnsentBytesWhenFull = 16ULL * 1024;
 /// Largest body of an answer, except for streams.
 constexpr std::size_t MaxBodyBytes = 8ULL * 1024 * 1024;
 /// Largest event of a stream, which is held back until it is complete. The
@@ -102,7 +104,9 @@
 }
 
 auto forward_task::pauseIfBehind() -> void {
-  if (Paused || Caller->unsentBytes() <= MaxUnsentBytes)
+  const auto Limit =
+      Context.Memory.full() ? MaxUnsentBytesWhenFull : MaxUnsentBytes;
+  if (Paused || Caller->unsentBytes() <= Limit)
     return;
   Paused = true;
   Attempt->Channel->pauseReading();
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -8,7 +8,7 @@
 #include "controller/prompt_placement.h"
 #include "controller/stall.h"
 #include "controller/traffic_budget.h"
-#include "gateway/answer_memory.h"
+#include "core/memory_budget.h"
 #include "gateway/backend_directory.h"
 #include "gateway/backend_report_client.h"
 #include "gateway/caller_connection.h"
@@ -27,11 +27,6 @@
 
 namespace acacianotch {
 
-/// Retry-After of a refusal that is caused by the state of this gateway only;
-/// the retry reaches another gateway.
-inline constexpr duration GatewayRefusalRetryAfter =
-    std::chrono::milliseconds(50);
-
 /// Largest number of bytes of answers that are held back unless settings state
 /// one.
 inline constexpr std::size_t DefaultAnswerMemory = 24ULL * 1024 * 1024;
@@ -74,12 +69,15 @@
   work_board &Work;
   crash_watch &Crashes;
   model_cascade Cascade;
+  /// Of the process; null if unlimited.
+  std::shared_ptr<memory_budget> ProcessMemory{};
   answer_value AnswerValues{};
   bool Stopping = false; ///< Shutting down; no long work may start.
   gateway_counters Counters;
   request_histograms RequestTimes;
   first_token_time FirstToken;
-  answer_memory Memory{DefaultAnswerMemory};
+  /// For answers that are held back.
+  memory_budget Memory{DefaultAnswerMemory, ProcessMemory.get()};
 };
 
 /// Forwards one request, from its arrival to the end of its answer. The gateway
@@ -105,7 +103,7 @@
 
 private:
   struct attempt {
-    explicit attempt(answer_memory &Memory) : Held(Memory) {}
+    explicit attempt(memory_budget &Memory) : Held(Memory) {}
 
     backend_handle Backend;
     std::string BackendId;
@@ -114,7 +112,7 @@
     answer_facts Facts;
     http_head Head;
     std::string Body;
-    answer_memory::share Held;
+    memory_budget::share Held;
     std::size_t BodyBytes = 0; ///< Received.
     time_point SentAt{};
     time_point AnsweredAt{}; ///< When the head of its answer arrived.
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -15,6 +15,7 @@
 #include "node/log_query.h"
 #include "node/loop_monitor.h"
 #include "node/node_link.h"
+#include "node/resource_func.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
 #include "platform/configuration_codec.h"
@@ -24,7 +25,6 @@
 #include <algorithm>
 #include <optional>
 #include <random>
-#include <unistd.h>
 #include <unordered_set>
 
 namespace acacianotch {
@@ -88,19 +88,30 @@
   constexpr std::size_t Least = 4 * Mebibyte;
   if (Settings.Gateway.AnswerMemoryMb != 0)
     return Settings.Gateway.AnswerMemoryMb * Mebibyte;
-  const auto Pages = ::sysconf(_SC_PHYS_PAGES);
-  const auto PageSize = ::sysconf(_SC_PAGESIZE);
-  if (Pages <= 0 || PageSize <= 0)
+  const auto Total = processMemory(Settings);
+  if (Total == 0)
     return DefaultAnswerMemory;
-  const auto Total =
-      static_cast<std::size_t>(Pages) * static_cast<std::size_t>(PageSize);
   return std::clamp(Total / Share, Least, DefaultAnswerMemory);
 }
 
+/// \return what all connections of callers may use.
+auto callerBounds(const settings &Settings) -> caller_bounds {
+  // The rest is for the program itself and for what the budget does not count.
+  constexpr std::size_t MemoryShare = 2;
+  // Each request may need a connection to a backend server as well.
+  constexpr std::size_t DescriptorShare = 2;
+  caller_bounds Bounds;
+  if (const auto Total = processMemory(Settings); Total != 0)
+    Bounds.Memory = std::make_shared<memory_budget>(Total / MemoryShare);
+  Bounds.Connections = processDescriptors(Settings) / DescriptorShare;
+  return Bounds;
+}
+
 /// State of a gateway process.
 class gateway_process {
 public:
-  gateway_process(event_loop &TheLoop, const settings &Settings)
+  gateway_process(event_loop &TheLoop, const settings &Settings,
+                  std::shared_ptr<memory_budget> Memory)
       : Loop(TheLoop),
         Control(TheLoop, controlAddresses(Settings), rpcOptions(Settings)),
         Link(TheLoop, Control, View,
@@ -121,8 +132,9 @@
                  maxCandidateShare(Settings.Gateway.ExposureShare)),
         ReportClient(TheLoop),
         Reporter(TheLoop, Link, Work, Crashes, Directory, Settings.Node.Id),
-        Context{TheLoop, Directory, ExtraAttemptBudget, Rollouts, ReportClient,
-                Work,    Crashes,   model_cascade()},
+        Context{TheLoop,  Directory,       ExtraAttemptBudget,
+                Rollouts, ReportClient,    Work,
+                Crashes,  model_cascade(), std::move(Memory)},
         Startup(TheLoop, Settings.Gateway.StartupHold,
                 [this](const std::shared_ptr<caller_connection> &Caller,
                        caller_request &&Request) {
@@ -228,7 +240,10 @@
         {"inquiries", ReportClient.calls()},
         {"held_answer_bytes", Context.Memory.used()},
         {"held_answer_bytes_largest", Context.Memory.largest()},
-        {"held_answer_bytes_limit", Context.Memory.limit()}};
+        {"held_answer_bytes_limit", Context.Memory.limit()},
+        {"memory_used", Context.ProcessMemory->used()},
+        {"memory_largest", Context.ProcessMemory->largest()},
+        {"memory_limit", Context.ProcessMemory->limit()}};
     if (What == "dump")
       Answer["backends"] = dumpBackends(Directory);
     return Answer;
@@ -278,6 +293,12 @@
         .Set(static_cast<double>(Directory.suspendedCount()));
     Metrics.gauge(metric::held_answer_bytes)
         .Set(static_cast<double>(Context.Memory.used()));
+    Metrics.gauge(metric::memory_used)
+        .Set(static_cast<double>(Context.ProcessMemory->used()));
+    for (const auto &Row : DropReasonNames.Rows)
+      SetCounter(Metrics.counter(metric::dropped_connections,
+                                 {{"reason", std::string(Row.Name)}}),
+                 Server->dropped(Row.Value));
     Metrics.gauge(metric::evacuated_zones)
         .Set(static_cast<double>(Directory.evacuatedCount()));
     Metrics.gauge(metric::cold_backends)
@@ -445,13 +466,15 @@
   auto Loop = event_loop::create();
   if (!Loop)
     return Loop.error();
-  gateway_process Process(**Loop, Settings);
+  const auto Bounds = callerBounds(Settings);
+  gateway_process Process(**Loop, Settings, Bounds.Memory);
   auto Callers = caller_server::create(
       **Loop, Settings.Http.Listen,
       [&](const std::shared_ptr<caller_connection> &Caller,
           caller_request &&Request) {
         Process.handle(Caller, std::move(Request));
-      });
+      },
+      Bounds);
   if (!Callers)
     return Callers.error();
   const auto Ready = http_server::create(
--- a/src/gateway/request_type.h
+++ b/src/gateway/request_type.h
@@ -4,16 +4,23 @@
 
 #include "core/address_type.h"
 #include "core/clock_type.h"
+#include "core/memory_charge.h"
 #include "net/http_reader.h"
 #include "routing/backend_type.h"
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace acacianotch {
 
+/// Retry-After of a refusal that is caused by the state of this gateway only;
+/// the retry reaches another gateway.
+inline constexpr duration GatewayRefusalRetryAfter =
+    std::chrono::milliseconds(50);
+
 /// One part of a prompt. Prompts that begin with the same parts share a cached
 /// prefix.
 struct prompt_part {
@@ -39,6 +46,7 @@
   std::vector<prompt_part> Prompt;
   http_headers Forwarded; ///< Headers to forward, as received.
   std::string Body;
+  std::shared_ptr<memory_charge> Charge; ///< For Body and its copies.
   time_point ReceivedAt{};
 
   [[nodiscard]] auto path() const -> std::string_view {
