Fix: [Net] HTTP servers bound the memory and the number of connections

Seen: with 24 connections the gateway grew by 392 MB under pipelined requests for readiness and by 208 MB at the admin port, 100 MB for bodies to the admin port that stopped short; the leader of control grew by 200 MB for such bodies at the operators' port and by 196 MB for pipelined requests. The tests allow 48 MB.

Cause: evhttp reads on while an answer is unsent, without a limit, and nothing limited the sum over all connections.

Change: http_connections gives evhttp its bufferevents with a high watermark of 64 KiB and counts received bytes, bodies and unsent output of each connection. The watermark is lifted while a body needs more. At the budget, the connection that holds most is closed, with 503 where no answer has begun; above the largest number of connections, the one that has been idle longest is. resource_limits derives the limits from node.memory_mb and node.max_descriptors.

The other unit and process tests were not run.

--- a/src/agent/agent_role.cpp
+++ b/src/agent/agent_role.cpp
@@ -155,7 +155,7 @@
   Callbacks.Query = [&](std::string_view Name, const json &Arguments) {
     return Process.query(Name, Arguments);
   };
-  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+  const auto Admin = admin_server::create(**Loop, Settings.Node, Settings.Admin,
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
--- a/src/control/control_relay.cpp
+++ b/src/control/control_relay.cpp
@@ -71,7 +71,7 @@
   std::unique_ptr<platform::operator_redirect> OperatorServer;
   if (Settings.Control.OperatorListen.valid()) {
     auto Created = platform::operator_redirect::create(
-        **Loop, Settings.Control.OperatorListen,
+        **Loop, Settings.Control.OperatorListen, Settings.Node,
         [&Link] { return Link.leader(); });
     if (!Created)
       return Created.error();
@@ -98,10 +98,12 @@
         {"leader", Leader ? Leader->text() : ""},
         {"revision", static_cast<std::uint64_t>(View.currentRevision())}};
   };
-  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+  const auto Admin = admin_server::create(**Loop, Settings.Node, Settings.Admin,
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
+  if (OperatorServer)
+    (*Admin)->countDropped(OperatorServer->server(), "operators");
   const graceful_shutdown Shutdown(
       **Loop, Settings.ShutdownDeadline, [] {}, [] { return true; });
   logInfo(log_category::control,
--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -181,7 +181,7 @@
   std::unique_ptr<platform::operator_api> OperatorServer;
   if (Settings.Control.OperatorListen.valid()) {
     auto Created = platform::operator_api::create(
-        **Loop, Settings.Control.OperatorListen, Service);
+        **Loop, Settings.Control.OperatorListen, Settings.Node, Service);
     if (!Created)
       return Created.error();
     OperatorServer = std::move(Created).value();
@@ -205,10 +205,12 @@
   Callbacks.UpdateMetrics = [&](metrics_registry &Metrics) {
     updateMetrics(Service, Metrics);
   };
-  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+  const auto Admin = admin_server::create(**Loop, Settings.Node, Settings.Admin,
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
+  if (OperatorServer)
+    (*Admin)->countDropped(OperatorServer->server(), "operators");
   observeCommands(Service, (*Admin)->metrics());
   const graceful_shutdown Shutdown(
       **Loop, Settings.ShutdownDeadline, [] {}, [] { return true; });
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -95,8 +95,8 @@
                "memory used for requests, held answers and unread answers, of "
                "half of node.memory_mb"},
     metric_row{metric::dropped_connections, kind::counter,
-               "acacianotch_dropped_connections_total", "reason", "gateway",
-               "callers' connections that were refused or closed because "
+               "acacianotch_dropped_connections_total", "port,reason", "all",
+               "clients' connections that were refused or closed because "
                "memory or descriptors were used up"},
 };
 
--- a/src/entry/entry_role.cpp
+++ b/src/entry/entry_role.cpp
@@ -8,6 +8,7 @@
 #include "node/admin_server.h"
 #include "node/log_query.h"
 #include "node/node_link.h"
+#include "node/resource_limits.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
 
@@ -151,15 +152,6 @@
   bool Stopping = false;
 };
 
-auto httpOptions(const http_settings &Settings) -> http_server_options {
-  http_server_options Options;
-  // evhttp rejects larger bodies itself, without the error format of this API,
-  // so it gets twice the limit that the service enforces.
-  Options.MaxBodyBytes = 2 * Settings.MaxBodyBytes;
-  Options.IdleSeconds = static_cast<int>(Settings.IdleTimeout.count());
-  return Options;
-}
-
 } // namespace
 
 auto runEntry(const settings &Settings) -> result<void> {
@@ -176,11 +168,12 @@
   if (!Lengths)
     return Lengths.error();
   entry_process Process(**Loop, Settings, *Sessions, std::move(*Lengths));
-  const auto Http = http_server::create(
-      **Loop, Settings.Http.Listen, httpOptions(Settings.Http),
-      [&](const std::shared_ptr<http_exchange> &Exchange) {
-        Process.service().handle(Exchange);
-      });
+  const auto Http =
+      http_server::create(**Loop, Settings.Http.Listen,
+                          entryServerOptions(Settings.Node, Settings.Http),
+                          [&](const std::shared_ptr<http_exchange> &Exchange) {
+                            Process.service().handle(Exchange);
+                          });
   if (!Http)
     return Http.error();
   admin_callbacks Callbacks;
@@ -188,10 +181,11 @@
   Callbacks.Query = [&](std::string_view Name, const json &Arguments) {
     return Process.query(Name, Arguments);
   };
-  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+  const auto Admin = admin_server::create(**Loop, Settings.Node, Settings.Admin,
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
+  (*Admin)->countDropped(**Http, "callers");
   const graceful_shutdown Shutdown(
       **Loop, Settings.ShutdownDeadline,
       [&] {
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -16,6 +16,7 @@
 #include "node/loop_monitor.h"
 #include "node/node_link.h"
 #include "node/resource_func.h"
+#include "node/resource_limits.h"
 #include "node/role_func.h"
 #include "node/shutdown.h"
 #include "platform/configuration_codec.h"
@@ -88,7 +89,7 @@
   constexpr std::size_t Least = 4 * Mebibyte;
   if (Settings.Gateway.AnswerMemoryMb != 0)
     return Settings.Gateway.AnswerMemoryMb * Mebibyte;
-  const auto Total = processMemory(Settings);
+  const auto Total = processMemory(Settings.Node);
   if (Total == 0)
     return DefaultAnswerMemory;
   return std::clamp(Total / Share, Least, DefaultAnswerMemory);
@@ -101,9 +102,9 @@
   // Each request may need a connection to a backend server as well.
   constexpr std::size_t DescriptorShare = 2;
   caller_bounds Bounds;
-  if (const auto Total = processMemory(Settings); Total != 0)
+  if (const auto Total = processMemory(Settings.Node); Total != 0)
     Bounds.Memory = std::make_shared<memory_budget>(Total / MemoryShare);
-  Bounds.Connections = processDescriptors(Settings) / DescriptorShare;
+  Bounds.Connections = processDescriptors(Settings.Node) / DescriptorShare;
   return Bounds;
 }
 
@@ -296,8 +297,9 @@
     Metrics.gauge(metric::memory_used)
         .Set(static_cast<double>(Context.ProcessMemory->used()));
     for (const auto &Row : DropReasonNames.Rows)
-      SetCounter(Metrics.counter(metric::dropped_connections,
-                                 {{"reason", std::string(Row.Name)}}),
+      SetCounter(Metrics.counter(
+                     metric::dropped_connections,
+                     {{"port", "callers"}, {"reason", std::string(Row.Name)}}),
                  Server->dropped(Row.Value));
     Metrics.gauge(metric::evacuated_zones)
         .Set(static_cast<double>(Directory.evacuatedCount()));
@@ -478,7 +480,8 @@
   if (!Callers)
     return Callers.error();
   const auto Ready = http_server::create(
-      **Loop, Settings.Gateway.ReadyListen, {},
+      **Loop, Settings.Gateway.ReadyListen,
+      readinessServerOptions(Settings.Node),
       [&](const std::shared_ptr<http_exchange> &Exchange) {
         Exchange->reply(Process.ready() ? Success : Unavailable, {}, "");
       });
@@ -492,10 +495,11 @@
   Callbacks.UpdateMetrics = [&](metrics_registry &Metrics) {
     Process.updateMetrics(Metrics);
   };
-  const auto Admin = admin_server::create(**Loop, Settings.Admin,
+  const auto Admin = admin_server::create(**Loop, Settings.Node, Settings.Admin,
                                           rpcOptions(Settings), Callbacks);
   if (!Admin)
     return Admin.error();
+  (*Admin)->countDropped(**Ready, "readiness");
   Process.registerMetrics((*Admin)->metrics());
   const graceful_shutdown Shutdown(
       **Loop, shutdownLimit(Settings), [&] { Process.stop(); },
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,8 @@
 /// \file HTTP server on evhttp.
 #include "net/http_server.h"
 
+#include "net/http_connections.h"
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/http.h>
@@ -58,15 +60,17 @@
 struct http_server::state {
   class exchange;
 
-  state(event_loop &TheLoop, http_handler TheHandler)
+  state(event_loop &TheLoop, const http_server_options &Options,
+        http_handler TheHandler)
       : Loop(TheLoop), Handler(std::move(TheHandler)),
-        Http(evhttp_new(TheLoop.base())) {}
+        Connections(TheLoop, Options), Http(evhttp_new(TheLoop.base())) {}
 
   static auto onRequest(evhttp_request *Request, void *Argument) -> void;
 
   event_loop &Loop;
   http_handler Handler;
   std::unordered_set<std::shared_ptr<exchange>> Open;
+  http_connections Connections;
   std::unique_ptr<evhttp, http_deleter> Http;
   evhttp_bound_socket *Bound = nullptr;
   bool Stopping = false;
@@ -87,7 +91,10 @@
     Body.resize(Size);
     evbuffer_remove(Input, Body.data(), Size);
     auto *Connection = evhttp_request_get_connection(Request);
-    evhttp_connection_set_closecb(Connection, onConnectionClosed, this);
+    Server->Connections.beginAnswer(Connection, Size, [this] {
+      const auto Self = shared_from_this();
+      Self->handleClose();
+    });
     watchCaller(Connection);
   }
 
@@ -178,12 +185,6 @@
     evhttp_connection_free(evhttp_request_get_connection(Request));
   }
 
-  static auto onConnectionClosed(evhttp_connection * /*Connection*/,
-                                 void *Argument) -> void {
-    const auto Self = static_cast<exchange *>(Argument)->shared_from_this();
-    Self->handleClose();
-  }
-
   // evhttp frees a request that is still attached to the connection right after
   // this call; one that it has detached is ours to free.
   auto handleClose() -> void {
@@ -223,7 +224,7 @@
   /// Detaches this exchange from evhttp; the answer's end follows.
   auto finish() -> evhttp_request * {
     auto *Connection = evhttp_request_get_connection(Request);
-    evhttp_connection_set_closecb(Connection, nullptr, nullptr);
+    Server->Connections.endAnswer(Connection);
     CloseWatch.reset();
     OnClosed = nullptr;
     Server->Open.erase(shared_from_this());
@@ -256,7 +257,7 @@
   auto Socket = listenOn(Address);
   if (!Socket)
     return Socket.error();
-  auto State = std::make_unique<state>(Loop, std::move(Handler));
+  auto State = std::make_unique<state>(Loop, Options, std::move(Handler));
   auto *Http = State->Http.get();
   evhttp_set_max_body_size(Http, static_cast<ev_ssize_t>(Options.MaxBodyBytes));
   evhttp_set_max_headers_size(Http,
@@ -264,6 +265,7 @@
   evhttp_set_timeout(Http, Options.IdleSeconds);
   evhttp_set_allowed_methods(Http, AllowedMethods);
   evhttp_set_default_content_type(Http, nullptr);
+  State->Connections.attach(Http);
   evhttp_set_gencb(Http, state::onRequest, State.get());
   State->Bound = evhttp_accept_socket_with_handle(Http, Socket->release());
   return std::unique_ptr<http_server>(new http_server(std::move(State)));
@@ -282,6 +284,10 @@
   return State->Open.size();
 }
 
+auto http_server::dropped() const -> const http_drop_counts & {
+  return State->Connections.dropped();
+}
+
 auto http_server::stopAccepting() -> void {
   State->Stopping = true;
   evconnlistener_disable(evhttp_bound_socket_get_listener(State->Bound));
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -70,6 +70,18 @@
   std::size_t MaxBodyBytes = 4ULL * 1024 * 1024; ///< Larger bodies get 413.
   std::size_t MaxHeaderBytes = 64ULL * 1024;     ///< Larger heads get 400.
   int IdleSeconds = 60; ///< A silent connection is closed after this.
+  /// Received and unsent bytes of all connections together. Above it, the
+  /// connection that holds most is closed; one request of the largest size
+  /// always fits.
+  std::size_t MaxHeldBytes = 1024ULL * 1024 * 1024;
+  /// Above it, the connection that has been idle longest is closed.
+  std::size_t MaxConnections = 10000;
+};
+
+/// Connections that a server has closed at a limit, by reason.
+struct http_drop_counts {
+  std::uint64_t Memory = 0;
+  std::uint64_t Connections = 0;
 };
 
 /// Accepts HTTP requests and gives each to a handler.
@@ -91,6 +103,10 @@
   /// \return the number of requests without a complete answer.
   [[nodiscard]] auto openExchanges() const -> std::size_t;
 
+  /// \return the connections closed because of MaxHeldBytes or
+  /// MaxConnections.
+  [[nodiscard]] auto dropped() const -> const http_drop_counts &;
+
   /// Accepts no further connection; open ones continue, and each is closed
   /// after its current answer.
   auto stopAccepting() -> void;
--- a/src/node/admin_server.cpp
+++ b/src/node/admin_server.cpp
@@ -2,6 +2,7 @@
 #include "node/admin_server.h"
 
 #include "net/kj_func.h"
+#include "node/resource_limits.h"
 
 #include <acacianotch.capnp.h>
 
@@ -44,19 +45,21 @@
 
 } // namespace
 
-auto admin_server::create(event_loop &Loop, const admin_settings &Settings,
+auto admin_server::create(event_loop &Loop, const node_settings &Node,
+                          const admin_settings &Settings,
                           const rpc_options &RpcOptions,
                           admin_callbacks Callbacks)
     -> result<std::unique_ptr<admin_server>> {
   std::unique_ptr<admin_server> Server(new admin_server(std::move(Callbacks)));
   auto Http = http_server::create(
-      Loop, Settings.Listen, {},
+      Loop, Settings.Listen, adminServerOptions(Node),
       [Raw = Server.get()](const std::shared_ptr<http_exchange> &Exchange) {
         Raw->handle(*Exchange);
       });
   if (!Http)
     return Http.error();
   Server->Http = std::move(Http).value();
+  Server->countDropped(*Server->Http, "admin");
   if (!Settings.RpcListen.valid())
     return Server;
   auto Rpc = rpc_server::create(Loop, Settings.RpcListen,
@@ -68,6 +71,28 @@
   return Server;
 }
 
+auto admin_server::countDropped(const http_server &Server, std::string Port)
+    -> void {
+  DropSources.push_back({&Server, std::move(Port), {}});
+  updateDropped();
+}
+
+auto admin_server::updateDropped() -> void {
+  for (auto &[Server, Port, Counted] : DropSources) {
+    const auto &Now = Server->dropped();
+    const auto Add = [&, &Label = Port](const char *Reason,
+                                        std::uint64_t Count) {
+      Metrics
+          .counter(metric::dropped_connections,
+                   {{"port", Label}, {"reason", Reason}})
+          .Increment(static_cast<double>(Count));
+    };
+    Add("memory", Now.Memory - Counted.Memory);
+    Add("connections", Now.Connections - Counted.Connections);
+    Counted = Now;
+  }
+}
+
 auto admin_server::handle(http_exchange &Exchange) -> void {
   const auto Path = Exchange.path();
   const http_headers Plain = {{"Content-Type", "text/plain"}};
@@ -81,6 +106,7 @@
   if (Path == "/metrics") {
     if (Callbacks.UpdateMetrics)
       Callbacks.UpdateMetrics(Metrics);
+    updateDropped();
     return Exchange.reply(HttpOk, Plain, Metrics.text());
   }
   if (Path != "/dump")
--- a/src/node/admin_server.h
+++ b/src/node/admin_server.h
@@ -11,7 +11,9 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace acacianotch {
 
@@ -29,21 +31,35 @@
 class admin_server {
 public:
   /// \return the server; `address_in_use` if another process uses an address.
-  [[nodiscard]] static auto
-  create(event_loop &Loop, const admin_settings &Settings,
-         const rpc_options &Rpc, admin_callbacks Callbacks)
+  [[nodiscard]] static auto create(event_loop &Loop, const node_settings &Node,
+                                   const admin_settings &Settings,
+                                   const rpc_options &Rpc,
+                                   admin_callbacks Callbacks)
       -> result<std::unique_ptr<admin_server>>;
 
+  /// Counts connections that \p Server closes at a limit under the label
+  /// \p Port. The server outlives this one.
+  auto countDropped(const http_server &Server, std::string Port) -> void;
+
   [[nodiscard]] auto metrics() -> metrics_registry & { return Metrics; }
 
 private:
   explicit admin_server(admin_callbacks TheCallbacks)
       : Callbacks(std::move(TheCallbacks)) {}
 
+  /// Connections of one server that were closed at a limit.
+  struct drop_source {
+    const http_server *Server;
+    std::string Port;
+    http_drop_counts Counted; ///< Already in the metrics.
+  };
+
   auto handle(http_exchange &Exchange) -> void;
+  auto updateDropped() -> void;
 
   admin_callbacks Callbacks;
   metrics_registry Metrics;
+  std::vector<drop_source> DropSources;
   std::unique_ptr<http_server> Http;
   std::unique_ptr<rpc_server> Rpc;
 };
--- a/src/node/resource.cpp
+++ b/src/node/resource.cpp
@@ -14,9 +14,9 @@
 
 } // namespace
 
-auto processMemory(const settings &Settings) -> std::size_t {
-  if (Settings.Node.MemoryMb != 0)
-    return Settings.Node.MemoryMb * Mebibyte;
+auto processMemory(const node_settings &Settings) -> std::size_t {
+  if (Settings.MemoryMb != 0)
+    return Settings.MemoryMb * Mebibyte;
   const auto Pages = ::sysconf(_SC_PHYS_PAGES);
   const auto PageSize = ::sysconf(_SC_PAGESIZE);
   if (Pages <= 0 || PageSize <= 0)
@@ -24,9 +24,9 @@
   return static_cast<std::size_t>(Pages) * static_cast<std::size_t>(PageSize);
 }
 
-auto processDescriptors(const settings &Settings) -> std::size_t {
-  if (Settings.Node.MaxDescriptors != 0)
-    return Settings.Node.MaxDescriptors;
+auto processDescriptors(const node_settings &Settings) -> std::size_t {
+  if (Settings.MaxDescriptors != 0)
+    return Settings.MaxDescriptors;
   rlimit Limit{};
   if (::getrlimit(RLIMIT_NOFILE, &Limit) != 0)
     return DefaultDescriptors;
--- a/src/platform/operator_api.cpp
+++ b/src/platform/operator_api.cpp
@@ -4,6 +4,7 @@
 #include "catalogue/cbor.h"
 #include "core/compression_func.h"
 #include "core/log_func.h"
+#include "node/resource_limits.h"
 #include "platform/operator_redirect.h"
 
 #include <cmath>
@@ -36,11 +37,10 @@
 } // namespace
 
 auto operator_api::create(event_loop &Loop, const address &Address,
-                          control_service &Service)
+                          const node_settings &Node, control_service &Service)
     -> result<std::unique_ptr<operator_api>> {
   std::unique_ptr<operator_api> Api(new operator_api(Loop, Service));
-  http_server_options Options;
-  Options.MaxBodyBytes = MaxOperatorBodyBytes;
+  const auto Options = operatorServerOptions(Node, MaxOperatorBodyBytes);
   auto Http = http_server::create(
       Loop, Address, Options, [Self = Api.get()](const exchange &Exchange) {
         Self->handle({Exchange, steady_clock::now(), ""});
--- a/src/platform/operator_api.h
+++ b/src/platform/operator_api.h
@@ -3,6 +3,7 @@
 
 #include "control/routing_publisher.h"
 #include "net/http_server.h"
+#include "table/settings_type.h"
 
 #include <memory>
 #include <string>
@@ -15,9 +16,13 @@
 public:
   /// \return the interface; `address_in_use` if the address is taken.
   [[nodiscard]] static auto create(event_loop &Loop, const address &Address,
+                                   const node_settings &Node,
                                    control_service &Service)
       -> result<std::unique_ptr<operator_api>>;
 
+  /// \return the server, for its counts.
+  [[nodiscard]] auto server() const -> const http_server & { return *Http; }
+
 private:
   using exchange = std::shared_ptr<http_exchange>;
 
--- a/src/platform/operator_redirect.cpp
+++ b/src/platform/operator_redirect.cpp
@@ -2,6 +2,7 @@
 #include "platform/operator_redirect.h"
 
 #include "core/log_func.h"
+#include "node/resource_limits.h"
 
 namespace acacianotch::platform {
 
@@ -35,11 +36,10 @@
 }
 
 auto operator_redirect::create(event_loop &Loop, const address &Address,
-                               leader_source Leader)
+                               const node_settings &Node, leader_source Leader)
     -> result<std::unique_ptr<operator_redirect>> {
   std::unique_ptr<operator_redirect> Created(new operator_redirect());
-  http_server_options Options;
-  Options.MaxBodyBytes = MaxOperatorBodyBytes;
+  const auto Options = operatorServerOptions(Node, MaxOperatorBodyBytes);
   auto Http =
       http_server::create(Loop, Address, Options,
                           [Source = std::move(Leader), Port = Address.Port](
--- a/src/platform/operator_redirect.h
+++ b/src/platform/operator_redirect.h
@@ -3,6 +3,7 @@
 
 #include "net/http_server.h"
 #include "platform/configuration_codec.h"
+#include "table/settings_type.h"
 
 #include <functional>
 #include <memory>
@@ -29,9 +30,13 @@
 
   /// \return the interface; `address_in_use` if the address is taken.
   [[nodiscard]] static auto create(event_loop &Loop, const address &Address,
+                                   const node_settings &Node,
                                    leader_source Leader)
       -> result<std::unique_ptr<operator_redirect>>;
 
+  /// \return the server, for its counts.
+  [[nodiscard]] auto server() const -> const http_server & { return *Http; }
+
 private:
   operator_redirect() = default;
 
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -7,6 +7,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
+
 using namespace acacianotch;
 
 namespace {
@@ -33,9 +36,11 @@
 }
 
 struct fixture {
-  explicit fixture(http_handler Handler) : Loop(testLoop()) {
+  explicit fixture(http_handler Handler,
+                   const http_server_options &Options = {})
+      : Loop(testLoop()) {
     auto Created =
-        http_server::create(*Loop, loopback(0), {}, std::move(Handler));
+        http_server::create(*Loop, loopback(0), Options, std::move(Handler));
     REQUIRE(Created.ok());
     Server = std::move(Created).value();
     Client = std::make_unique<http_client>(*Loop, loopback(Server->port()));
@@ -52,6 +57,94 @@
 
 using exchange_handle = std::shared_ptr<http_exchange>;
 
+constexpr std::size_t Mebibyte = 1024ULL * 1024;
+
+/// A client that sends what it is told and reads only on request.
+struct raw_client {
+  explicit raw_client(fixture &TheFixture)
+      : Loop(*TheFixture.Loop),
+        Socket(connectTo(loopback(TheFixture.Server->port()))) {
+    REQUIRE(Socket.ok());
+  }
+
+  /// Sends \p Text until the server takes no more for a while.
+  /// \return the bytes that it took.
+  auto send(std::string_view Text) -> std::size_t {
+    constexpr int IdleTurns = 20;
+    std::size_t Sent = 0;
+    for (int Idle = 0; Sent < Text.size() && Idle < IdleTurns; ++Idle) {
+      const auto Count = ::send(Socket->fd(), Text.data() + Sent,
+                                Text.size() - Sent, MSG_NOSIGNAL);
+      if (Count > 0) {
+        Sent += static_cast<std::size_t>(Count);
+        Idle = 0;
+      }
+      runFor(std::chrono::milliseconds(5));
+    }
+    return Sent;
+  }
+
+  /// Reads until \p Text is in \p Input \p Count times.
+  /// \return false if the server closes the connection before.
+  auto readCount(std::string_view Text, std::size_t Count,
+                 std::string Input = {}) -> bool {
+    std::size_t Found = 0;
+    std::size_t At = 0;
+    const auto Done = runUntil(Loop, [&] {
+      const auto Open = readAvailable(Input);
+      for (auto Next = Input.find(Text, At); Next != std::string::npos;
+           Next = Input.find(Text, At)) {
+        At = Next + Text.size();
+        ++Found;
+      }
+      At = std::max(At, Input.size() - std::min(Input.size(), Text.size()));
+      return !Open || Found >= Count;
+    });
+    return Done && Found >= Count;
+  }
+
+  /// \return whether the server has closed the connection; discards input.
+  auto closed() -> bool {
+    std::string Discarded;
+    return !readAvailable(Discarded);
+  }
+
+  /// Appends what has arrived. \return false if the connection is closed.
+  auto readAvailable(std::string &Text) -> bool {
+    char Buffer[16384];
+    while (true) {
+      const auto Read =
+          recv(Socket->fd(), Buffer, sizeof(Buffer), MSG_DONTWAIT);
+      if (Read <= 0)
+        return Read < 0 && errno == EAGAIN;
+      Text.append(Buffer, static_cast<std::size_t>(Read));
+    }
+  }
+
+  auto runFor(duration Time) -> void {
+    const auto End = steady_clock::now() + Time;
+    static_cast<void>(
+        runUntil(Loop, [&] { return steady_clock::now() > End; }));
+  }
+
+  event_loop &Loop;
+  result<unique_socket> Socket;
+};
+
+auto repeated(std::string_view Text, std::size_t Count) -> std::string {
+  std::string All;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    All += Text;
+  return All;
+}
+
+constexpr std::string_view SmallGet = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+auto postHead(std::size_t Length) -> std::string {
+  return "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: " +
+         std::to_string(Length) + "\r\n\r\n";
+}
+
 } // namespace
 
 // Guards against lost or altered parts of a request or an answer.
@@ -243,3 +336,165 @@
   CHECK(Recorder.End->error().Verdict == verdict::may_have_run);
   CHECK(runUntil(*Loop, [&] { return Server.Closed == 1; }));
 }
+
+// Guards against requests of one connection that are read ahead without a
+// bound, or whose answers collect, while the client reads nothing.
+TEST_CASE("pipelined requests with unread answers stay bounded") {
+  std::size_t Requests = 0;
+  fixture Fixture([&](const exchange_handle &Exchange) {
+    ++Requests;
+    Exchange->reply(200, {}, std::string(10'000, 'x'));
+  });
+  constexpr std::size_t Sent = 32 * Mebibyte;
+  raw_client Client(Fixture);
+  const auto Taken = Client.send(repeated(SmallGet, Sent / SmallGet.size()));
+  CHECK(Taken < Sent / 2);
+  CHECK(Requests < 2000);
+  CHECK(Fixture.Server->dropped().Memory == 0);
+}
+
+// Guards against requests that are lost or stall once input was held back.
+TEST_CASE("pipelined requests are all answered when the client reads") {
+  constexpr std::size_t Count = 20'000;
+  std::size_t Requests = 0;
+  fixture Fixture([&](const exchange_handle &Exchange) {
+    ++Requests;
+    Exchange->reply(200, {}, "answer");
+  });
+  raw_client Client(Fixture);
+  const auto Text = repeated(SmallGet, Count);
+  std::size_t Sent = 0;
+  std::string Answers;
+  CHECK(runUntil(*Fixture.Loop, [&] {
+    const auto Written = ::send(Client.Socket->fd(), Text.data() + Sent,
+                                Text.size() - Sent, MSG_NOSIGNAL);
+    if (Written > 0)
+      Sent += static_cast<std::size_t>(Written);
+    CHECK(Client.readAvailable(Answers));
+    return Requests >= Count;
+  }));
+  CHECK(Client.readCount("answer", Count, Answers));
+  CHECK(Requests == Count);
+}
+
+// Guards against bodies inside the limit that stall above the input that may
+// be read ahead, also behind a pipelined request.
+TEST_CASE("a body at the limit passes") {
+  http_server_options Options;
+  Options.MaxBodyBytes = 8 * Mebibyte;
+  Options.MaxHeldBytes = 0; // One request at the limits always fits.
+  std::size_t Size = 0;
+  fixture Fixture(
+      [&](const exchange_handle &Exchange) {
+        Size = Exchange->body().size();
+        Exchange->reply(200, {}, "answer");
+      },
+      Options);
+  raw_client Client(Fixture);
+  const std::string Body(Options.MaxBodyBytes, 'x');
+  std::string Before;
+  std::size_t Answers = 1;
+  SUBCASE("alone") {}
+  SUBCASE("behind other requests") {
+    Before = repeated(SmallGet, 100);
+    Answers = 101;
+  }
+  SUBCASE("in chunks") {
+    const std::string Chunk = "4000\r\n" + Body.substr(0, 0x4000) + "\r\n";
+    const auto Text =
+        "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        repeated(Chunk, 500) + "0\r\n\r\n";
+    CHECK(Client.send(Text) == Text.size());
+    CHECK(Client.readCount("answer", 1));
+    CHECK(Size == 500 * 0x4000);
+    return;
+  }
+  const auto Text = Before + postHead(Body.size()) + Body;
+  CHECK(Client.send(Text) == Text.size());
+  CHECK(Client.readCount("answer", Answers));
+  CHECK(Size == Body.size());
+}
+
+// Guards against bodies that are inside the limit but not together, and against
+// a refusal that hits the small request of another client.
+TEST_CASE("the connection that holds most is closed at the memory limit") {
+  http_server_options Options;
+  Options.MaxBodyBytes = 2 * Mebibyte;
+  Options.MaxHeldBytes = 3 * Mebibyte;
+  fixture Fixture(
+      [](const exchange_handle &Exchange) {
+        Exchange->reply(200, {}, "answer");
+      },
+      Options);
+  raw_client First(Fixture);
+  raw_client Second(Fixture);
+  raw_client Small(Fixture);
+  Small.send(postHead(2) + "x");
+  First.send(postHead(Options.MaxBodyBytes) +
+             std::string(9 * Mebibyte / 5, 'x'));
+  constexpr auto FirstPart = 7 * Mebibyte / 5;
+  Second.send(postHead(Options.MaxBodyBytes) + std::string(FirstPart, 'x'));
+  CHECK(First.readCount("503", 1));
+  CHECK_FALSE(Second.closed());
+  CHECK(Fixture.Server->dropped().Memory == 1);
+  Small.send("x");
+  CHECK(Small.readCount("answer", 1));
+  Second.send(std::string(Options.MaxBodyBytes - FirstPart, 'x'));
+  CHECK(Second.readCount("answer", 1));
+}
+
+// Guards against answers that collect because many clients read none of them.
+TEST_CASE("unread answers of all connections stay bounded") {
+  constexpr std::size_t AnswerBytes = 16 * Mebibyte;
+  http_server_options Options;
+  Options.MaxBodyBytes = Mebibyte;
+  Options.MaxHeldBytes = 20 * Mebibyte;
+  fixture Fixture(
+      [](const exchange_handle &Exchange) {
+        Exchange->reply(200, {}, std::string(AnswerBytes, 'x') + "end");
+      },
+      Options);
+  raw_client First(Fixture);
+  raw_client Second(Fixture);
+  First.send(SmallGet);
+  Second.send(SmallGet);
+  CHECK(Fixture.Server->dropped().Memory == 1);
+  CHECK_FALSE(First.readCount("end", 1));
+  CHECK(Second.readCount("end", 1));
+}
+
+// Guards against descriptors without a bound, and against new clients that are
+// kept out by idle ones.
+TEST_CASE("the longest idle connection is closed when there are too many") {
+  http_server_options Options;
+  Options.MaxConnections = 2;
+  std::vector<exchange_handle> Held;
+  fixture Fixture(
+      [&](const exchange_handle &Exchange) {
+        if (Exchange->method() == "POST")
+          Held.push_back(Exchange);
+        else
+          Exchange->reply(200, {}, "answer");
+      },
+      Options);
+  raw_client Working(Fixture);
+  Working.send(postHead(0));
+  REQUIRE(Held.size() == 1);
+  raw_client Idle(Fixture);
+  Idle.send(SmallGet);
+  CHECK(Idle.readCount("answer", 1));
+  raw_client New(Fixture);
+  New.send(SmallGet);
+  CHECK(New.readCount("answer", 1));
+  CHECK(runUntil(*Fixture.Loop, [&] { return Idle.closed(); }));
+  CHECK(Fixture.Server->dropped().Connections == 1);
+  New.send(postHead(0));
+  REQUIRE(Held.size() == 2);
+  // All connections have work, so the new one is refused.
+  raw_client Refused(Fixture);
+  CHECK(runUntil(*Fixture.Loop, [&] { return Refused.closed(); }));
+  for (const auto &Exchange : Held)
+    Exchange->reply(200, {}, "answer");
+  CHECK(Working.readCount("answer", 1));
+  CHECK(New.readCount("answer", 1));
+}
