--- a/src/gateway/backend_cold.cpp
+++ b/src/gateway/backend_cold.cpp
@@ -28,6 +28,8 @@
     applyColdRule(*Backend);
 }
 
+// A limit below one request would keep a server from being used until the list
+// shows it as warm.
 auto backend_directory::applyColdRule(const known_backend &Backend) -> void {
   const auto Rule = ColdRules.find(Backend.Record.Service);
   if (Rule == ColdRules.end())
--- a/src/gateway/backend_directory.h
+++ b/src/gateway/backend_directory.h
@@ -239,8 +239,9 @@
 private:
   /// What a cold server of one service takes.
   struct cold_rule {
-    std::uint32_t Limit = 0; ///< Requests a second over all gateways; 0: any.
-    duration Start{};        ///< For which it is cold after its start.
+    std::uint32_t Limit =
+        0;            ///< Requests a second over all gateways, 1 at least.
+    duration Start{}; ///< For which it is cold after its start.
   };
 
   auto applyEvacuations(const catalogue_view &View) -> void;
