--- a/review/harness-2/deployment.py
+++ b/review/harness-2/deployment.py
@@ -89,7 +89,8 @@
         value = scopes[0] if path == "." else lookup(path, scopes)
         return json.dumps(value) if as_json else plain(value)
 
-    return re.sub(r"\{\{([^{}]+)\}\}", put_value, section.sub(put_section, text))
+    text = section.sub(put_section, text)
+    return re.sub(r"\{\{([^{}]+)\}\}", put_value, text)
 
 
 class Record:
