Fix: [Net] The HTTP client takes an interim answer for the final one

What callers saw: a backend server behind an agent that sends "103 Early Hints" before its answer got the interim head delivered as the answer, without the body. The same client reads the platform's list, reports of backend servers and ratings.

Cause: evhttp skips only status 100.

Change: http_client reads answers with http_reader, as gateways do. The interface, the verdicts and the limits are the same. A head that cannot be sent as one (a line break in a header or in the target) ends the call with bad_request; evhttp left such headers out. bufferevent_handle moves to net/.

Evidence: "all final statuses are passed on, also after an interim answer" fails on for the client with each of the five statuses (status 103, no body), and passes now. The gateway passed it before.

--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -4,12 +4,12 @@
 #include "controller/connection_choice.h"
 #include "core/memory_charge.h"
 #include "gateway/request_type.h"
+#include "net/bufferevent_type.h"
 #include "net/event_loop.h"
 #include "net/http_reader.h"
 #include "routing/routing_type.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
 
 #include <functional>
 #include <memory>
@@ -18,12 +18,6 @@
 
 namespace acacianotch {
 
-/// Deletes a bufferevent with its socket.
-struct bufferevent_deleter {
-  auto operator()(bufferevent *Event) const -> void { bufferevent_free(Event); }
-};
-using bufferevent_handle = std::unique_ptr<bufferevent, bufferevent_deleter>;
-
 class caller_connection;
 
 /// Callbacks of a connection.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,13 +1,12 @@
-/// \file HTTP client on evhttp.
+/// \file HTTP client on http_reader.
 #include "net/http_client.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
+#include "net/bufferevent_type.h"
+#include "net/http_reader.h"
+#include "net/http_write.h"
+#include "net/socket_func.h"
 
-#include <array>
+#include <algorithm>
 #include <vector>
 
 namespace acacianotch {
@@ -15,133 +14,165 @@
 namespace {
 
 constexpr std::size_t MaxIdleConnections = 64;
-constexpr std::int64_t MicrosecondsPerSecond = 1'000'000;
 /// Largest head of an answer in bytes.
-constexpr ev_ssize_t MaxHeadBytes = 64L * 1024;
-
-struct connection_deleter {
-  auto operator()(evhttp_connection *Connection) const -> void {
-    evhttp_connection_free(Connection);
-  }
-};
-using connection_handle =
-    std::unique_ptr<evhttp_connection, connection_deleter>;
-
-/// A connection and whether it has handed bytes to a connected socket since
-/// the current call began.
-struct tracked_connection {
-  connection_handle Handle;
-  bool BytesHandedOver = false;
-};
-
-struct method_row {
-  std::string_view Name;
-  evhttp_cmd_type Type;
-};
-
-constexpr std::array Methods{
-    method_row{"GET", EVHTTP_REQ_GET},
-    method_row{"POST", EVHTTP_REQ_POST},
-    method_row{"PUT", EVHTTP_REQ_PUT},
-    method_row{"HEAD", EVHTTP_REQ_HEAD},
-    method_row{"PATCH", EVHTTP_REQ_PATCH},
-    method_row{"DELETE", EVHTTP_REQ_DELETE},
-};
-
-auto methodType(std::string_view Name) -> evhttp_cmd_type {
-  for (const auto &Row : Methods)
-    if (Row.Name == Name)
-      return Row.Type;
-  return EVHTTP_REQ_POST;
+constexpr std::size_t MaxHeadBytes = 64ULL * 1024;
+/// Interim answers before the final one.
+constexpr int MaxInterimAnswers = 16;
+constexpr int FirstFinalStatus = 200;
+
+/// \return whether \p Text can be a part of a request's head.
+auto isHeadText(std::string_view Text) -> bool {
+  constexpr std::string_view Breaks("\r\n\0", 3);
+  return Text.find_first_of(Breaks) == std::string_view::npos;
 }
 
-auto isConnected(evutil_socket_t Fd) -> bool {
-  socket_address Peer;
-  Peer.Length = sizeof(Peer.Storage);
-  return Fd >= 0 && getpeername(Fd, Peer.get(), &Peer.Length) == 0;
+auto isSendable(const http_call_options &Options) -> bool {
+  return isHeadText(Options.Method) && isHeadText(Options.Target) &&
+         std::all_of(Options.Headers.begin(), Options.Headers.end(),
+                     [](const auto &Row) {
+                       return isHeadText(Row.first) && isHeadText(Row.second);
+                     });
 }
 
-auto headersOf(evhttp_request *Request) -> http_headers {
-  http_headers Headers;
-  const auto *List = evhttp_request_get_input_headers(Request);
-  for (const auto *Row = List->tqh_first; Row != nullptr;
-       Row = Row->next.tqe_next)
-    Headers.emplace_back(Row->key, Row->value);
-  return Headers;
-}
-
-auto errorText(evhttp_request_error Error) -> const char * {
-  switch (Error) {
-  case EVREQ_HTTP_TIMEOUT:
-    return "the backend server was silent for too long";
-  case EVREQ_HTTP_EOF:
-    return "the backend server closed the connection";
-  case EVREQ_HTTP_INVALID_HEADER:
-    return "the backend server sent an invalid header";
-  case EVREQ_HTTP_BUFFER_ERROR:
-    return "the connection to the backend server failed";
-  case EVREQ_HTTP_REQUEST_CANCEL:
-    return "the call was cancelled";
-  case EVREQ_HTTP_DATA_TOO_LONG:
-    return "the backend server's answer is too long";
-  }
-  return "the call to the backend server failed";
+/// \return whether a request of this method states its length, even if it is 0.
+auto statesLength(const http_call_options &Options) -> bool {
+  const auto &Method = Options.Method;
+  return !Options.Body.empty() || Method == "POST" || Method == "PUT" ||
+         Method == "PATCH";
 }
 
 } // namespace
 
 struct http_client::state : std::enable_shared_from_this<state> {
+  class connection;
   class call;
+  using connection_handle = std::shared_ptr<connection>;
 
   state(event_loop &TheLoop, const address &TheAddress)
       : Loop(TheLoop), Address(TheAddress) {}
 
-  auto takeConnection(bool Reuse) -> std::shared_ptr<tracked_connection> {
-    if (Reuse && !Idle.empty()) {
-      auto Connection = std::move(Idle.back());
-      Idle.pop_back();
-      Connection->BytesHandedOver = false;
-      return Connection;
-    }
-    auto Connection = std::make_shared<tracked_connection>();
-    Connection->Handle.reset(evhttp_connection_base_new(
-        Loop.base(), nullptr, Address.Ip.c_str(), Address.Port));
-    auto *Buffered =
-        evhttp_connection_get_bufferevent(Connection->Handle.get());
-    evbuffer_add_cb(bufferevent_get_output(Buffered), onOutput,
-                    Connection.get());
-    return Connection;
+  auto takeConnection(bool Reuse) -> result<connection_handle>;
+  auto keepConnection(connection_handle Connection) -> void;
+  auto forget(const connection &Closed) -> void;
+
+  event_loop &Loop;
+  address Address;
+  std::vector<connection_handle> Idle;
+};
+
+/// One connection to the server. It runs one call at a time.
+class http_client::state::connection final
+    : public std::enable_shared_from_this<connection> {
+public:
+  static auto connect(const std::shared_ptr<state> &Client)
+      -> result<connection_handle> {
+    auto Fd = connectTo(Client->Address);
+    if (!Fd)
+      return failure{errc::backend_unreachable, Fd.error().Detail,
+                     verdict::not_run};
+    return connection_handle(new connection(Client, Fd->release()));
   }
 
-  // evhttp drains the output buffer also when it gives up, but by then it has
-  // closed the socket; so only bytes that leave while the socket is connected
-  // count as handed over.
-  static auto onOutput(evbuffer * /*Buffer*/, const evbuffer_cb_info *Info,
-                       void *Argument) -> void {
-    auto &Connection = *static_cast<tracked_connection *>(Argument);
-    if (Info->n_deleted == 0 || Connection.BytesHandedOver)
+  connection(const connection &) = delete;
+  auto operator=(const connection &) -> connection & = delete;
+
+  /// Sends the request of \p TheCall and tells it the answer.
+  auto send(call &TheCall, const http_call_options &Options) -> void;
+
+  /// Ends the call, which is told nothing more.
+  /// \return whether the connection stays open for another call.
+  auto release(bool Reusable) -> bool {
+    Active = nullptr;
+    const auto Clean =
+        Reusable && !Closed && length(input()) == 0 && length(output()) == 0;
+    if (Clean)
+      setReading(true);
+    else
+      close();
+    return Clean;
+  }
+
+  auto setReading(bool Reading) -> void {
+    if (Closed)
       return;
-    auto *Buffered = evhttp_connection_get_bufferevent(Connection.Handle.get());
-    Connection.BytesHandedOver = isConnected(bufferevent_getfd(Buffered));
+    if (Reading)
+      bufferevent_enable(Socket.get(), EV_READ);
+    else
+      bufferevent_disable(Socket.get(), EV_READ);
+  }
+
+  /// \return whether a byte of the call's request was handed to a connected
+  /// socket.
+  [[nodiscard]] auto bytesHandedOver() const -> bool { return BytesHandedOver; }
+
+private:
+  connection(const std::shared_ptr<state> &TheClient, int Fd)
+      : Client(TheClient), Loop(TheClient->Loop),
+        Socket(bufferevent_socket_new(Loop.base(), Fd, BEV_OPT_CLOSE_ON_FREE)),
+        Reader(http_message::answer, MaxHeadBytes,
+               {[this](http_head &&Head) { handleHead(std::move(Head)); },
+                [this](std::string_view Data) { handleBody(Data); },
+                [this] { handleAnswerEnd(); }}) {
+    bufferevent_setcb(Socket.get(), onRead, nullptr, onEvent, this);
+    evbuffer_add_cb(output(), onOutput, this);
+    // Makes libevent report when the pending connection is established.
+    bufferevent_socket_connect(Socket.get(), nullptr, 0);
+    bufferevent_enable(Socket.get(), EV_READ | EV_WRITE);
+  }
+
+  static auto onRead(bufferevent * /*Event*/, void *Self) -> void {
+    const auto Connection = static_cast<connection *>(Self)->shared_from_this();
+    Connection->process();
   }
 
-  auto keepConnection(std::shared_ptr<tracked_connection> Connection) -> void {
-    if (Idle.size() < MaxIdleConnections)
-      Idle.push_back(std::move(Connection));
+  static auto onEvent(bufferevent * /*Event*/, short What, void *Self) -> void {
+    const auto Connection = static_cast<connection *>(Self)->shared_from_this();
+    if ((What & BEV_EVENT_CONNECTED) != 0)
+      Connection->Connected = true;
+    if ((What & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+      Connection->handleClosed((What & BEV_EVENT_EOF) != 0);
   }
 
-  /// Frees a connection outside of evhttp's own callbacks.
-  auto discard(std::shared_ptr<tracked_connection> Connection) -> void {
-    Loop.defer([Connection = std::move(Connection)] {});
+  static auto onOutput(evbuffer * /*Buffer*/, const evbuffer_cb_info *Info,
+                       void *Self) -> void;
+
+  auto process() -> void;
+  auto handleHead(http_head &&Head) -> void;
+  auto handleBody(std::string_view Data) -> void;
+  auto handleAnswerEnd() -> void;
+  auto handleClosed(bool Clean) -> void;
+
+  // Functions further up the stack may still use the socket.
+  auto close() -> void {
+    if (std::exchange(Closed, true))
+      return;
+    evbuffer_remove_cb(output(), onOutput, this);
+    bufferevent_setcb(Socket.get(), nullptr, nullptr, nullptr, nullptr);
+    bufferevent_disable(Socket.get(), EV_READ | EV_WRITE);
+    Loop.defer([Self = shared_from_this()] { Self->Socket.reset(); });
+  }
+
+  [[nodiscard]] auto input() const -> evbuffer * {
+    return bufferevent_get_input(Socket.get());
+  }
+  [[nodiscard]] auto output() const -> evbuffer * {
+    return bufferevent_get_output(Socket.get());
+  }
+  static auto length(const evbuffer *Buffer) -> std::size_t {
+    return evbuffer_get_length(Buffer);
   }
 
+  std::weak_ptr<state> Client;
   event_loop &Loop;
-  address Address;
-  std::vector<std::shared_ptr<tracked_connection>> Idle;
+  bufferevent_handle Socket;
+  http_reader Reader;
+  call *Active = nullptr; ///< Null while the connection is idle.
+  bool Connected = false;
+  bool BytesHandedOver = false;
+  bool Closed = false;
 };
 
-/// One call. evhttp's callbacks hold a raw pointer to it; the destructor
-/// detaches them by discarding the connection.
+/// One call; destroying it closes its connection.
 class http_client::state::call final : public http_call {
 public:
   call(std::shared_ptr<state> TheClient, http_call_options TheOptions,
@@ -151,156 +182,120 @@
 
   ~call() override {
     *Alive = false;
-    detach();
+    if (Connection != nullptr)
+      Connection->release(false);
   }
+  call(const call &) = delete;
+  auto operator=(const call &) -> call & = delete;
 
   auto begin() -> void {
-    Connection = Client->takeConnection(Options.ReuseConnection);
-    auto *Raw = Connection->Handle.get();
-    const timeval Limit{Options.SilenceLimit.count() / MicrosecondsPerSecond,
-                        Options.SilenceLimit.count() % MicrosecondsPerSecond};
-    evhttp_connection_set_timeout_tv(Raw, &Limit);
-    evhttp_connection_set_max_headers_size(Raw, MaxHeadBytes);
-    constexpr ev_ssize_t Unlimited = -1;
-    evhttp_connection_set_max_body_size(
-        Raw, Options.MaxBodyBytes == 0
-                 ? Unlimited
-                 : static_cast<ev_ssize_t>(Options.MaxBodyBytes));
+    if (!isSendable(Options))
+      return endLater(failure{errc::bad_request,
+                              "a line break in the head of the request",
+                              verdict::not_run});
+    auto Taken = Client->takeConnection(Options.ReuseConnection);
+    if (!Taken)
+      return endLater(Taken.error());
+    Connection = std::move(Taken).value();
+    SilenceTimer = Client->Loop.oneShot(
+        [this] { fail("the backend server was silent for too long"); });
+    SilenceTimer->start(Options.SilenceLimit);
     if (Options.TimeLimit > duration::zero()) {
-      Timer = Client->Loop.oneShot([this] { handleTimeLimit(); });
+      Timer =
+          Client->Loop.oneShot([this] { fail("the answer took too long"); });
       Timer->start(Options.TimeLimit);
     }
-    Request = evhttp_request_new(onDone, this);
-    evhttp_request_set_header_cb(Request, onHead);
-    evhttp_request_set_chunked_cb(Request, onData);
-    evhttp_request_set_error_cb(Request, onError);
-    addHeaders();
-    evbuffer_add(evhttp_request_get_output_buffer(Request), Options.Body.data(),
-                 Options.Body.size());
-    const auto Status = evhttp_make_request(
-        Raw, Request, methodType(Options.Method), Options.Target.c_str());
-    if (Status == 0)
-      return;
-    // evhttp has freed the request.
-    Request = nullptr;
-    endLater(failure::of(errc::backend_unreachable));
+    Connection->send(*this, Options);
   }
 
-  auto pauseReading() -> void override { setReading(false); }
-  auto resumeReading() -> void override { setReading(true); }
-
-private:
-  // The connection is freed later, and its answer can arrive before that.
-  auto detach() -> void {
-    if (Request == nullptr)
+  auto pauseReading() -> void override {
+    if (Connection == nullptr)
       return;
-    evhttp_request_set_header_cb(Request, nullptr);
-    evhttp_request_set_chunked_cb(Request, nullptr);
-    evhttp_request_set_error_cb(Request, nullptr);
-    Request->cb = [](evhttp_request *, void *) {};
-    Request = nullptr;
-    Client->discard(std::move(Connection));
+    Paused = true;
+    SilenceTimer->stop();
+    Connection->setReading(false);
   }
 
-  auto handleTimeLimit() -> void {
-    if (Request == nullptr)
+  auto resumeReading() -> void override {
+    if (Connection == nullptr)
       return;
-    ErrorDetail = "the answer took too long";
-    auto Failure = failureOf(endCode(), ErrorDetail);
-    detach();
-    endLater(std::move(Failure));
+    Paused = false;
+    SilenceTimer->start(Options.SilenceLimit);
+    Connection->setReading(true);
   }
 
-  auto endCode() const -> errc {
-    if (HeadSeen)
-      return errc::incomplete_answer;
-    return Connection->BytesHandedOver ? errc::backend_failed
-                                       : errc::backend_unreachable;
+  /// Tells that bytes of the request or of the answer were transferred.
+  auto handleProgress() -> void {
+    if (!Paused)
+      SilenceTimer->start(Options.SilenceLimit);
   }
 
-  auto setReading(bool Reading) -> void {
-    if (Connection == nullptr || Request == nullptr)
+  auto handleHead(http_head &&Head) -> void {
+    Interim = Head.Status < FirstFinalStatus;
+    if (Interim) {
+      if (++InterimAnswers > MaxInterimAnswers)
+        fail("too many interim answers");
       return;
-    auto *Buffered =
-        evhttp_connection_get_bufferevent(Connection->Handle.get());
-    if (Reading)
-      bufferevent_enable(Buffered, EV_READ);
-    else
-      bufferevent_disable(Buffered, EV_READ);
-  }
-
-  auto addHeaders() -> void {
-    auto *Output = evhttp_request_get_output_headers(Request);
-    evhttp_add_header(Output, "Host", Client->Address.text().c_str());
-    if (!Options.ReuseConnection)
-      evhttp_add_header(Output, "Connection", "close");
-    for (const auto &[Name, Value] : Options.Headers)
-      evhttp_add_header(Output, Name.c_str(), Value.c_str());
+    }
+    HeadSeen = true;
+    KeepAlive = Head.KeepAlive && !Head.EndsWithConnection;
+    if (Events.OnHead)
+      Events.OnHead(Head.Status, Head.Headers);
+    if (Connection != nullptr && Options.Method != "HEAD" && Head.Length > 0 &&
+        exceedsBodyLimit(static_cast<std::size_t>(Head.Length)))
+      fail(TooLong);
   }
 
-  auto failureOf(errc Code, std::string Detail) const -> failure {
-    const auto Handed = Connection != nullptr && Connection->BytesHandedOver;
-    return {Code, std::move(Detail),
-            Handed ? verdict::may_have_run : verdict::not_run};
+  auto handleBody(std::string_view Data) -> void {
+    if (Interim)
+      return;
+    BodyBytes += Data.size();
+    if (exceedsBodyLimit(BodyBytes))
+      return fail(TooLong);
+    if (Events.OnData)
+      Events.OnData(Data);
   }
 
-  static auto onHead(evhttp_request *Request, void *Argument) -> int {
-    auto &Self = *static_cast<call *>(Argument);
-    Self.HeadSeen = true;
-    if (Self.Events.OnHead)
-      Self.Events.OnHead(evhttp_request_get_response_code(Request),
-                         headersOf(Request));
-    return 0;
+  auto handleAnswerEnd() -> void {
+    if (std::exchange(Interim, false))
+      return;
+    const auto Used = detach();
+    if (Used->release(Options.ReuseConnection && KeepAlive))
+      Client->keepConnection(Used);
+    endLater({});
   }
 
-  static auto onData(evhttp_request *Request, void *Argument) -> void {
-    auto &Self = *static_cast<call *>(Argument);
-    auto *Input = evhttp_request_get_input_buffer(Request);
-    const auto Size = evbuffer_get_length(Input);
-    if (Size == 0 || !Self.Events.OnData)
+  auto fail(std::string Detail) -> void {
+    if (Connection == nullptr)
       return;
-    const auto *Bytes =
-        reinterpret_cast<const char *>(evbuffer_pullup(Input, -1));
-    Self.Events.OnData({Bytes, Size});
+    const auto Used = detach();
+    const auto Handed = Used->bytesHandedOver();
+    Used->release(false);
+    endLater(failure{endCode(Handed), std::move(Detail),
+                     Handed ? verdict::may_have_run : verdict::not_run});
   }
 
-  static auto onError(evhttp_request_error Error, void *Argument) -> void {
-    static_cast<call *>(Argument)->ErrorDetail = errorText(Error);
-  }
+private:
+  static constexpr auto TooLong = "the backend server's answer is too long";
 
-  static auto onDone(evhttp_request *Done, void *Argument) -> void {
-    auto &Self = *static_cast<call *>(Argument);
-    Self.Request = nullptr;
-    const auto Complete = Done != nullptr &&
-                          evhttp_request_get_response_code(Done) != 0 &&
-                          Self.ErrorDetail.empty();
-    if (!Complete) {
-      Self.endWithError();
-      return;
-    }
-    onData(Done, Argument);
-    auto &Connection = Self.Connection;
-    if (Self.Options.ReuseConnection && keepsAlive(Done))
-      Self.Client->keepConnection(std::move(Connection));
-    else
-      Self.Client->discard(std::move(Connection));
-    Self.endLater({});
+  auto detach() -> connection_handle {
+    SilenceTimer->stop();
+    Timer.reset();
+    return std::exchange(Connection, nullptr);
   }
 
-  static auto keepsAlive(evhttp_request *Done) -> bool {
-    const auto *Value = evhttp_find_header(
-        evhttp_request_get_input_headers(Done), "Connection");
-    return Value == nullptr || evutil_ascii_strcasecmp(Value, "close") != 0;
+  [[nodiscard]] auto endCode(bool Handed) const -> errc {
+    if (HeadSeen)
+      return errc::incomplete_answer;
+    return Handed ? errc::backend_failed : errc::backend_unreachable;
   }
 
-  auto endWithError() -> void {
-    auto Failure = failureOf(endCode(), ErrorDetail);
-    Client->discard(std::move(Connection));
-    endLater(std::move(Failure));
+  [[nodiscard]] auto exceedsBodyLimit(std::size_t Bytes) const -> bool {
+    return Options.MaxBodyBytes > 0 && Bytes > Options.MaxBodyBytes;
   }
 
   // The owner usually destroys the call in OnEnd, which must not happen inside
-  // evhttp's callback.
+  // a callback of the connection.
   auto endLater(result<void> Result) -> void {
     Client->Loop.defer(
         [Guard = Alive, this, Result = std::move(Result)]() mutable {
@@ -314,14 +309,106 @@
   std::shared_ptr<state> Client;
   http_call_options Options;
   http_call_events Events;
-  std::shared_ptr<tracked_connection> Connection;
-  evhttp_request *Request = nullptr;
+  connection_handle Connection; ///< Null after the end.
+  std::unique_ptr<loop_timer> SilenceTimer;
   std::unique_ptr<loop_timer> Timer; ///< Runs if there is a time limit.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
-  std::string ErrorDetail;
+  std::size_t BodyBytes = 0;
+  int InterimAnswers = 0;
+  bool Interim = false; ///< The current message is not the final answer.
   bool HeadSeen = false;
+  bool KeepAlive = false;
+  bool Paused = false;
 };
 
+auto http_client::state::takeConnection(bool Reuse)
+    -> result<connection_handle> {
+  if (!Reuse || Idle.empty())
+    return connection::connect(shared_from_this());
+  auto Connection = std::move(Idle.back());
+  Idle.pop_back();
+  return Connection;
+}
+
+auto http_client::state::keepConnection(connection_handle Connection) -> void {
+  if (Idle.size() < MaxIdleConnections)
+    Idle.push_back(std::move(Connection));
+}
+
+auto http_client::state::forget(const connection &Closed) -> void {
+  std::erase_if(Idle, [&](const auto &Each) { return Each.get() == &Closed; });
+}
+
+auto http_client::state::connection::send(call &TheCall,
+                                          const http_call_options &Options)
+    -> void {
+  Active = &TheCall;
+  BytesHandedOver = false;
+  Reader.expectNoBody(Options.Method == "HEAD");
+  http_headers Headers{{"Host", Client.lock()->Address.text()}};
+  if (!Options.ReuseConnection)
+    Headers.emplace_back("Connection", "close");
+  if (statesLength(Options))
+    Headers.emplace_back("Content-Length", std::to_string(Options.Body.size()));
+  Headers.insert(Headers.end(), Options.Headers.begin(), Options.Headers.end());
+  appendText(output(), Options.Method + " " + Options.Target + " HTTP/1.1\r\n");
+  appendHeaders(output(), Headers);
+  appendText(output(), Options.Body);
+}
+
+auto http_client::state::connection::onOutput(evbuffer * /*Buffer*/,
+                                              const evbuffer_cb_info *Info,
+                                              void *Self) -> void {
+  auto &Connection = *static_cast<connection *>(Self);
+  if (Info->n_deleted == 0 || !Connection.Connected)
+    return;
+  Connection.BytesHandedOver = true;
+  if (Connection.Active != nullptr)
+    Connection.Active->handleProgress();
+}
+
+auto http_client::state::connection::process() -> void {
+  if (Active != nullptr)
+    Active->handleProgress();
+  while (Active != nullptr && length(input()) > 0) {
+    const auto Before = length(input());
+    if (auto Done = Reader.read(input()); !Done && Active != nullptr)
+      return Active->fail(Done.error().Detail);
+    if (Closed || length(input()) == Before)
+      return;
+  }
+  // Bytes after a complete answer belong to no request.
+  if (!Closed && Active == nullptr && length(input()) > 0)
+    handleClosed(false);
+}
+
+auto http_client::state::connection::handleHead(http_head &&Head) -> void {
+  if (Active != nullptr)
+    Active->handleHead(std::move(Head));
+}
+
+auto http_client::state::connection::handleBody(std::string_view Data) -> void {
+  if (Active != nullptr)
+    Active->handleBody(Data);
+}
+
+auto http_client::state::connection::handleAnswerEnd() -> void {
+  if (Active != nullptr)
+    Active->handleAnswerEnd();
+}
+
+auto http_client::state::connection::handleClosed(bool Clean) -> void {
+  if (Active != nullptr && Clean && Reader.finish())
+    return;
+  if (Active != nullptr)
+    return Active->fail(Connected
+                            ? "the backend server closed the connection"
+                            : "the connection to the backend server failed");
+  close();
+  if (const auto Owner = Client.lock())
+    Owner->forget(*this);
+}
+
 http_client::http_client(event_loop &Loop, const address &Address)
     : State(std::make_shared<state>(Loop, Address)) {}
 
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -1,4 +1,4 @@
-/// \file HTTP client on evhttp, for calls to backend servers.
+/// \file HTTP client for calls to backend servers and other services.
 #pragma once
 
 #include "core/result.h"
--- a/src/net/http_reader.h
+++ b/src/net/http_reader.h
@@ -2,7 +2,7 @@
 ///
 /// evhttp takes some malformed requests apart wrongly and delivers an answer's
 /// body only after the whole request was written, so connections that forward
-/// requests read messages with this class.
+/// requests, and all that read answers, read messages with this class.
 #pragma once
 
 #include "core/result.h"
--- /dev/null
+++ b/test/broken_answer_test.cpp
@@ -0,0 +1,78 @@
+/// \file Broken answers of backend servers at a gateway and at an HTTP client.
+#include "forward_fixture.h"
+#include "net/http_client.h"
+
+#include <optional>
+
+using namespace acacianotch;
+using namespace acacianotch::gateway_test;
+
+namespace {
+
+constexpr auto AnswerFields = "X-Acacianotch-Request-Id: $ID\r\n"
+                              "X-Acacianotch-Response-Seal: seal\r\n";
+
+/// \return what the caller gets if both servers of a gateway send \p Answer.
+auto answerToCaller(const scripted_answer &Answer) -> std::string {
+  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+  Fixture.setAnswers({Answer});
+  Fixture.Caller.request("POST", "a1", "body");
+  REQUIRE(Fixture.waitForText("\r\n\r\n"));
+  return Fixture.Caller.Received;
+}
+
+/// A call of an HTTP client to a scripted server.
+struct client_fixture {
+  explicit client_fixture(scripted_answer Answer, const std::string &Body = "")
+      : Loop(std::move(event_loop::create()).value()), Server(*Loop),
+        Client(*Loop, {"127.0.0.1", Server.Port}) {
+    Server.Answers->push_back(std::move(Answer));
+    http_call_options Options;
+    Options.Headers = {{"X-Acacianotch-Request-Id", "a1"}};
+    Options.Body = Body;
+    Options.SilenceLimit = std::chrono::seconds(10);
+    Call = Client.start(
+        std::move(Options),
+        {[this](int Code, const http_headers &) { Status = Code; },
+         [this](std::string_view Data) { Received += Data; },
+         [this](result<void> Result) { End = std::move(Result); }});
+  }
+
+  /// Runs the call to its end. \return its result.
+  auto finish() -> const result<void> & {
+    const auto WakeTimer = Loop->repeating([] {});
+    WakeTimer->start(std::chrono::milliseconds(2));
+    while (!End)
+      Loop->turn();
+    return *End;
+  }
+
+  std::unique_ptr<event_loop> Loop;
+  scripted_backend Server;
+  http_client Client;
+  std::unique_ptr<http_call> Call;
+  int Status = 0;
+  std::string Received;
+  std::optional<result<void>> End;
+};
+
+} // namespace
+
+// Guards against a check that refuses sound answers.
+TEST_CASE("all final statuses are passed on, also after an interim answer") {
+  for (const std::string Status : {"200", "299", "404", "500", "599"})
+    for (const std::string Interim : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
+      CAPTURE(Status);
+      CAPTURE(Interim);
+      const scripted_answer Answer{Interim + "HTTP/1.1 " + Status + " X\r\n" +
+                                   AnswerFields +
+                                   "Content-Length: 4\r\n\r\nbody"};
+      const auto Received = answerToCaller(Answer);
+      CHECK(Received.starts_with("HTTP/1.1 " + Status + " "));
+      CHECK(contains(Received, "seal"));
+      client_fixture Client(Answer);
+      CHECK(Client.finish().ok());
+      CHECK(std::to_string(Client.Status) == Status);
+      CHECK(Client.Received == "body");
+    }
+}
