Fix: [Net] Answers with an invalid status reach callers or hold them

What callers saw: an answer with status 0200 came as a 200 and one with 600 or 999 under that number. With status 000, and any other below 100, a gateway let the caller wait until the deadline (504) although the server had answered; an entry passed statuses such as 020 on.

Cause: http_parser reads any number of digits up to 999 as a status, and a gateway takes each status below 200 for an interim answer, after which it waits for the final one.

Change: http_reader refuses an answer whose status is not three digits from 100 to 599, before the parser sees the head. The attempt fails with "the status is not valid", so that a repeatable request goes to another server at once and any other gets 502. Both readers of answers, gateways' channels and the HTTP client (agents, list, reports, ratings), use it.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -44,6 +44,25 @@
   return true;
 }
 
+/// \return whether the status line of an answer's head, complete or not, has a
+/// status that HTTP defines: three digits from 100 to 599. http_parser reads
+/// any number of digits as one, and callers could take 0200 for a success.
+auto hasValidStatus(std::string_view Head) -> bool {
+  constexpr std::size_t Digits = 3;
+  const auto End = Head.find("\r\n");
+  if (End == std::string_view::npos)
+    return true;
+  const auto Line = Head.substr(0, End);
+  const auto Blank = Line.find(' ');
+  if (Blank == std::string_view::npos)
+    return false;
+  const auto Rest = Line.substr(Blank + 1);
+  const auto Status = Rest.substr(0, Rest.find(' '));
+  return Status.size() == Digits && Status[0] >= '1' && Status[0] <= '5' &&
+         std::all_of(Status.begin(), Status.end(),
+                     [](unsigned char Digit) { return std::isdigit(Digit); });
+}
+
 auto viewOf(evbuffer *Input, std::size_t Size) -> std::string_view {
   const auto *Bytes = evbuffer_pullup(Input, static_cast<ev_ssize_t>(Size));
   return {reinterpret_cast<const char *>(Bytes), Size};
@@ -175,8 +194,8 @@
     return Settings;
   }
 
-  /// \return whether the parser may see the bytes; a request's head is checked
-  /// as a whole before any of it is parsed.
+  /// \return whether the parser may see the bytes; a head is checked as a whole
+  /// before any of it is parsed.
   auto headReady(evbuffer *Input) -> result<bool> {
     if (HeadDone)
       return true;
@@ -188,8 +207,10 @@
         Whole ? static_cast<std::size_t>(End) + HeadEnd.size() : Size;
     if (HeadSize > MaxHeadBytes)
       return failure::of(errc::body_too_large, "the head is too large");
-    if (Kind == http_message::request &&
-        !wellFormedLines(viewOf(Input, HeadSize)))
+    const auto HeadText = viewOf(Input, HeadSize);
+    if (Kind == http_message::answer && !hasValidStatus(HeadText))
+      return failure::of(errc::bad_request, "the status is not valid");
+    if (Kind == http_message::request && !wellFormedLines(HeadText))
       return failure::of(errc::bad_request, "malformed line in the head");
     Begun = Begun || Size > 0;
     return Whole;
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -11,6 +11,7 @@
 
 constexpr auto AnswerFields = "X-Acacianotch-Request-Id: $ID\r\n"
                               "X-Acacianotch-Response-Seal: seal\r\n";
+constexpr auto BadGateway = "HTTP/1.1 502 ";
 
 /// \return what the caller gets if both servers of a gateway send \p Answer.
 auto answerToCaller(const scripted_answer &Answer) -> std::string {
@@ -56,8 +57,34 @@
   std::optional<result<void>> End;
 };
 
+/// Checks that neither a gateway nor an HTTP client takes \p Answer for one.
+auto checkRefused(const scripted_answer &Answer) -> void {
+  const auto Received = answerToCaller(Answer);
+  CHECK(Received.starts_with(BadGateway));
+  CHECK_FALSE(contains(Received, "seal"));
+  client_fixture Client(Answer);
+  const auto &End = Client.finish();
+  CHECK(Client.Status == 0);
+  CHECK_FALSE(End.ok());
+  CHECK((End.ok() || End.error().Verdict == verdict::may_have_run));
+}
+
 } // namespace
 
+// Guards against an answer without a valid status that reaches a caller, or
+// that keeps the caller waiting until the deadline.
+TEST_CASE("an answer with an invalid status is an error") {
+  for (const std::string Status :
+       {"000", "001", "099", "600", "999", "2", "20", "0200", "2000", "+200",
+        "200x", "-20", "4294967496", ""})
+    for (const std::string Framing : {"Content-Length: 4\r\n\r\n", "\r\n"}) {
+      CAPTURE(Status);
+      CAPTURE(Framing);
+      checkRefused(
+          {"HTTP/1.1 " + Status + " X\r\n" + AnswerFields + Framing + "body"});
+    }
+}
+
 // Guards against a check that refuses sound answers.
 TEST_CASE("all final statuses are passed on, also after an interim answer") {
   for (const std::string Status : {"200", "299", "404", "500", "599"})
@@ -76,3 +103,14 @@
       CHECK(Client.Received == "body");
     }
 }
+
+// Guards against a request that a sound server could have answered.
+TEST_CASE("a repeatable request is answered by another server") {
+  forward_fixture Fixture(makeRoute(route_kind::idempotent));
+  Fixture.setAnswers({{std::string("HTTP/1.1 000 X\r\n") + AnswerFields +
+                       "Content-Length: 4\r\n\r\nbody"},
+                      completeAnswer("sound")});
+  Fixture.Caller.request("POST", "a1", "body");
+  REQUIRE(Fixture.waitForText("sound"));
+  CHECK(Fixture.Caller.Received.starts_with("HTTP/1.1 200 "));
+}
