Fix: [Net] Answers with a blank in the name of a header reach callers

What callers saw: an answer with a line such as "X A: 1" was passed on with that line. "Content-Length : 4" or "Content Length: 4" was passed on as a header beside the gateway's own length, and the body was then all that came before the connection ended, which need not be the engine's body.

Cause: http_parser, as Debian builds it, takes a blank for a part of a name, so that the length is not known as one. http_reader checked the lines of requests only. A bare line feed or a folded line gives another name to the same bytes.

Change: the check of the lines of a head covers answers as well. Trailers are not passed on and have no part in framing; they are not checked.

--- a/src/net/http_reader.cpp
+++ b/src/net/http_reader.cpp
@@ -25,9 +25,10 @@
          Name.find_first_of(" \t") == std::string_view::npos;
 }
 
-/// \return whether each line of a request's head, complete or not, ends in CR
-/// LF, none continues the line before, and none has a space before its colon.
-/// Readers that differ on such lines could see different requests.
+/// \return whether each line of a head, complete or not, ends in CR LF, none
+/// continues the line before, and none has a space before its colon. Readers
+/// that differ on such lines could see different messages; http_parser takes a
+/// space for a part of the name, and refuses control characters in it.
 auto wellFormedLines(std::string_view Head) -> bool {
   if (Head.find('\0') != std::string_view::npos)
     return false;
@@ -210,7 +211,7 @@
     const auto HeadText = viewOf(Input, HeadSize);
     if (Kind == http_message::answer && !hasValidStatus(HeadText))
       return failure::of(errc::bad_request, "the status is not valid");
-    if (Kind == http_message::request && !wellFormedLines(HeadText))
+    if (!wellFormedLines(HeadText))
       return failure::of(errc::bad_request, "malformed line in the head");
     Begun = Begun || Size > 0;
     return Whole;
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -114,3 +114,30 @@
   REQUIRE(Fixture.waitForText("sound"));
   CHECK(Fixture.Caller.Received.starts_with("HTTP/1.1 200 "));
 }
+
+// Guards against a line in the head that readers take apart in different ways:
+// it could be passed on, or another length could be read.
+TEST_CASE("an answer whose field name holds a blank or control byte is an "
+          "error") {
+  std::vector<std::string> Lines{"Content-Length : 4",
+                                 "Content Length: 4",
+                                 " Content-Length: 4",
+                                 "\tX-A: 1",
+                                 "X A: 1",
+                                 "X-A\t: 1",
+                                 "X-A: 1\r\n b: 2",
+                                 "X-A: 1\nX B: 2",
+                                 ": 1",
+                                 "X-A"};
+  constexpr char Delete = 0x7f;
+  for (char Control = 0; Control < ' '; ++Control)
+    Lines.push_back(std::string("X") + Control + "A: 1");
+  Lines.push_back(std::string("X") + Delete + "A: 1");
+  for (const auto &Line : Lines)
+    for (const std::string More : {"", "Content-Length: 4\r\n"}) {
+      CAPTURE(Line);
+      CAPTURE(More);
+      checkRefused(
+          {AnswerHead + Line + "\r\n" + More + "\r\nbody and more", true});
+    }
+}
