Fix: [Net] A part of an answer without a length is taken for the whole

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of its body and ended the connection while the upload was still being sent. The caller got that part as a complete answer.

Cause: such a body ends with its connection, and the end of the server's direction counted as the end of the answer, whatever had become of the request. A reset behind that end is not reported to a reader: Linux keeps it as a pending error of the socket and goes on reporting the end of the stream.

Change: the end of a connection ends an answer only if nothing that was sent is undelivered: the output buffer is empty, the system has no unacknowledged bytes (SIOCOUTQ) and no pending error (SO_ERROR). A server that has read the whole request has acknowledged it with the end of its answer at the latest, so sound answers are not affected. Gateways' channels and the HTTP client use the same check. An attempt that fails so says "the backend server closed the connection before it had the whole request".

--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -1,6 +1,7 @@
 /// \file One connection from a gateway to a backend server.
 #include "gateway/backend_channel.h"
 
+#include "net/delivery_func.h"
 #include "net/http_write.h"
 #include "net/socket_func.h"
 #include "platform/request_codec.h"
@@ -227,11 +228,17 @@
   end({});
 }
 
+// A body without a length ends with the connection. A server that ends it
+// before it has the whole request has broken off, even if it closes in an
+// orderly way.
 auto backend_channel::handleClosed(bool Clean) -> void {
-  if (HasCall && Clean && !Skipping && Reader.finish())
+  const auto Delivered = !hasUndeliveredOutput(Socket.get());
+  if (HasCall && Clean && Delivered && !Skipping && Reader.finish())
     return;
   fail(Connected ? errc::incomplete_answer : errc::backend_unreachable,
-       "the backend server closed the connection");
+       Delivered ? "the backend server closed the connection"
+                 : "the backend server closed the connection before it had the "
+                   "whole request");
 }
 
 auto backend_channel::fail(errc Code, std::string Detail) -> void {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -2,6 +2,7 @@
 #include "net/http_client.h"
 
 #include "net/bufferevent_type.h"
+#include "net/delivery_func.h"
 #include "net/http_reader.h"
 #include "net/http_write.h"
 #include "net/socket_func.h"
@@ -397,8 +398,12 @@
     Active->handleAnswerEnd();
 }
 
+// A body without a length ends with the connection. A server that ends it
+// before it has the whole request has broken off, even if it closes in an
+// orderly way.
 auto http_client::state::connection::handleClosed(bool Clean) -> void {
-  if (Active != nullptr && Clean && Reader.finish())
+  if (Active != nullptr && Clean && !hasUndeliveredOutput(Socket.get()) &&
+      Reader.finish())
     return;
   if (Active != nullptr)
     return Active->fail(Connected
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -1,6 +1,7 @@
 /// \file Broken answers of backend servers at a gateway and at an HTTP client.
 #include "forward_fixture.h"
 #include "net/http_client.h"
+#include "net_support.h"
 
 #include <optional>
 
@@ -11,6 +12,7 @@
 
 constexpr auto AnswerFields = "X-Acacianotch-Request-Id: $ID\r\n"
                               "X-Acacianotch-Response-Seal: seal\r\n";
+constexpr std::size_t Kibibyte = 1024;
 constexpr auto BadGateway = "HTTP/1.1 502 ";
 
 /// \return what the caller gets if both servers of a gateway send \p Answer.
@@ -41,10 +43,7 @@
 
   /// Runs the call to its end. \return its result.
   auto finish() -> const result<void> & {
-    const auto WakeTimer = Loop->repeating([] {});
-    WakeTimer->start(std::chrono::milliseconds(2));
-    while (!End)
-      Loop->turn();
+    REQUIRE(runUntil(*Loop, [&] { return End.has_value(); }));
     return *End;
   }
 
@@ -69,6 +68,64 @@
   CHECK((End.ok() || End.error().Verdict == verdict::may_have_run));
 }
 
+/// Ends the sending direction of the last request's connection, and resets the
+/// connection after that if \p Reset.
+auto endLast(scripted_backend &Server, bool Reset) -> void {
+  Server.shutDownLast();
+  if (Reset)
+    Server.resetLast();
+}
+
+/// An answer without a length that does not wait for the request's body.
+auto earlyAnswer() -> scripted_answer {
+  scripted_answer Answer{AnswerHead + std::string("\r\ndata: part\n\n")};
+  Answer.Early = true;
+  return Answer;
+}
+
+/// Runs \p Loop until the request has been written as far as the server's
+/// system takes it.
+auto runUntilBlocked(event_loop &Loop) -> void {
+  const auto End = steady_clock::now() + std::chrono::milliseconds(20);
+  static_cast<void>(runUntil(Loop, [&] { return steady_clock::now() > End; }));
+}
+
+/// Checks that a gateway and an HTTP client take an early answer whose
+/// connection ends for an incomplete one.
+auto checkIncomplete(const std::string &Upload, bool Reset) -> void {
+  for (const auto Kind : {route_kind::idempotent, route_kind::non_idempotent,
+                          route_kind::streaming}) {
+    CAPTURE(RouteKindNames.name(Kind));
+    auto Route = makeRoute(Kind);
+    Route.MaxAttempts = 1;
+    forward_fixture Fixture(Route);
+    auto &Gateway = Fixture.Gateway;
+    Fixture.setAnswers({earlyAnswer()});
+    Fixture.Caller.request("POST", "a1", Upload);
+    REQUIRE(Gateway.runUntil([&] { return Fixture.requestCount() == 1; }));
+    runUntilBlocked(*Gateway.Loop);
+    endLast(Fixture.First.Requests.empty() ? Fixture.Second : Fixture.First,
+            Reset);
+    const auto &Caller = Fixture.Caller;
+    const auto &Answered = Gateway.Context.Counters.Answered;
+    const auto Failed = [&] {
+      return Caller.Closed || Caller.Received.starts_with(BadGateway);
+    };
+    REQUIRE(Gateway.runUntil([&] { return Failed() || Answered > 0; }));
+    CHECK(Failed());
+    CHECK(Answered == 0);
+    CHECK_FALSE(Caller.Received.ends_with("\r\n0\r\n\r\n"));
+  }
+  client_fixture Client(earlyAnswer(), Upload);
+  REQUIRE(
+      runUntil(*Client.Loop, [&] { return !Client.Server.Requests.empty(); }));
+  runUntilBlocked(*Client.Loop);
+  endLast(Client.Server, Reset);
+  const auto &End = Client.finish();
+  CHECK_FALSE(End.ok());
+  CHECK((End.ok() || End.error().Verdict == verdict::may_have_run));
+}
+
 } // namespace
 
 // Guards against an answer without a valid status that reaches a caller, or
@@ -141,3 +198,35 @@
           {AnswerHead + Line + "\r\n" + More + "\r\nbody and more", true});
     }
 }
+
+// Guards against a part of a body that is taken for the whole of it: behind the
+// end of the server's direction, a reset is not reported to a reader.
+TEST_CASE("an answer without a length that is reset is incomplete") {
+  for (const auto Size :
+       {std::size_t{16}, 256 * Kibibyte, 1024 * Kibibyte, 3072 * Kibibyte}) {
+    CAPTURE(Size);
+    checkIncomplete(std::string(Size, 'x'), true);
+  }
+}
+
+// Guards against the same if the reset is late: the server cannot have given a
+// whole answer to a request that it has not received. The sizes are more than
+// its system takes for a process that does not read.
+TEST_CASE("an answer that ends before its request was received is incomplete") {
+  for (const auto Size : {1024 * Kibibyte, 3072 * Kibibyte}) {
+    CAPTURE(Size);
+    checkIncomplete(std::string(Size, 'x'), false);
+  }
+}
+
+// Guards against a check that refuses sound answers: a server may end its
+// answer with the connection once it has the request.
+TEST_CASE("an answer without a length is whole after its request") {
+  const scripted_answer Answer{AnswerHead + std::string("\r\nbody"), true};
+  const auto Received = answerToCaller(Answer);
+  CHECK(Received.starts_with("HTTP/1.1 200 "));
+  CHECK(Received.ends_with("\r\n\r\nbody"));
+  client_fixture Client(Answer, std::string(64UL * 1024, 'x'));
+  CHECK(Client.finish().ok());
+  CHECK(Client.Received == "body");
+}
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -24,6 +24,7 @@
   bool Close = false; ///< Closes the connection after the text.
   bool Reset = false; ///< Resets it instead.
   std::string Repeat; ///< Sent after the text, again and again without end.
+  bool Early = false; ///< Sent after the request's head; its body is not read.
 };
 
 /// Longer texts are sent as the peer reads them, which excludes a close or
@@ -64,6 +65,18 @@
   int ReportRequests = 0;    ///< Received.
   int Closed = 0;            ///< Connections that the gateway has closed.
 
+  /// Resets the connection of the last request.
+  auto resetLast() -> void {
+    REQUIRE(LastRequest != nullptr);
+    close(*std::exchange(LastRequest, nullptr), true);
+  }
+
+  /// Ends the sending direction of that connection only.
+  auto shutDownLast() -> void {
+    REQUIRE(LastRequest != nullptr);
+    ::shutdown(bufferevent_getfd(LastRequest->Socket.get()), SHUT_WR);
+  }
+
   /// Sends \p Text on the connection of the last request.
   auto sendLate(const std::string &Text) -> void {
     REQUIRE(LastRequest != nullptr);
@@ -140,9 +153,15 @@
     const auto End = Connection.Received.find("\r\n\r\n");
     if (End == std::string::npos)
       return;
-    const auto Size = End + 4 + bodySize(Connection.Received.substr(0, End));
+    const auto Early = !Answers->empty() && Answers->front().Early;
+    const auto HeadSize = End + 4;
+    const auto Size =
+        Early ? HeadSize
+              : HeadSize + bodySize(Connection.Received.substr(0, End));
     if (Connection.Received.size() < Size)
       return;
+    if (Early)
+      bufferevent_disable(Connection.Socket.get(), EV_READ);
     const auto Request = Connection.Received.substr(0, Size);
     Connection.Received.erase(0, Size);
     if (Request.starts_with("GET /api/report "))
@@ -166,13 +185,16 @@
               static_cast<ssize_t>(Answer.Text.size()));
     Connection.Repeat = std::move(Answer.Repeat);
     onWritten(Connection.Socket.get(), &Connection);
-    if (Answer.Reset) {
-      const linger ResetOnClose{1, 0};
-      setsockopt(Fd, SOL_SOCKET, SO_LINGER, &ResetOnClose,
-                 sizeof(ResetOnClose));
-    }
     if (Answer.Close || Answer.Reset)
-      Connection.Socket.reset();
+      close(Connection, Answer.Reset);
+  }
+
+  static auto close(backend_connection &Connection, bool Reset) -> void {
+    const linger ResetOnClose{1, 0};
+    if (Reset)
+      setsockopt(bufferevent_getfd(Connection.Socket.get()), SOL_SOCKET,
+                 SO_LINGER, &ResetOnClose, sizeof(ResetOnClose));
+    Connection.Socket.reset();
   }
 
   event_loop &Loop;
