--- a/test/process/support/platform_deployment.cpp
+++ b/test/process/support/platform_deployment.cpp
@@ -65,8 +65,8 @@
 }
 
 auto platform_deployment::startStandin() -> void {
-  std::vector<std::string> Words{PROGRAM_FOLDER "/standin_platform", "--listen",
-                                 loopbackText(Platform)};
+  std::vector<std::string> Words{PROGRAM_FOLDER "/" + Options.Standin,
+                                 "--listen", loopbackText(Platform)};
   for (std::size_t Index = 0; Index < Options.Servers; ++Index) {
     const auto Listen = nextPort();
     const auto Listed = nextPort();
--- a/test/process/support/platform_deployment.h
+++ b/test/process/support/platform_deployment.h
@@ -51,6 +51,9 @@
   int StartupHoldMs = 0;          ///< See gateway.startup_hold_ms.
   int MemoryMb = 0;               ///< See node.memory_mb.
   int MaxDescriptors = 0;         ///< See node.max_descriptors.
+  /// Program that stands in for the platform. Only the default one has servers
+  /// behind relays.
+  std::string Standin = "standin_platform";
 };
 
 /// Control replicas that form a group, gateways and the stand-in for the users'
