Codechange: [Net] Tests of the HTTP client's connections, plainer log details

Callers saw nothing of it.

- A connection that was never established got the detail of one that ended before it had the request.
It has its own again, and a reset is named as one.
- A timer of a call was destroyed inside its own callback.
It is stopped now.
- Nothing tested that connections of the HTTP client are used again, that bytes behind an answer do not reach the next call, and that a head with a line break is not sent.
Three tests do.
They guard the new client; evhttp was not run against them.

--- a/src/gateway/backend_channel.cpp
+++ b/src/gateway/backend_channel.cpp
@@ -232,13 +232,16 @@
 // before it has the whole request has broken off, even if it closes in an
 // orderly way.
 auto backend_channel::handleClosed(bool Clean) -> void {
+  constexpr auto Closed = "the backend server closed the connection";
+  if (!Connected)
+    return fail(errc::backend_unreachable, Closed);
   const auto Delivered = !hasUndeliveredOutput(Socket.get());
   if (HasCall && Clean && Delivered && !Skipping && Reader.finish())
     return;
-  fail(Connected ? errc::incomplete_answer : errc::backend_unreachable,
-       Delivered ? "the backend server closed the connection"
-                 : "the backend server closed the connection before it had the "
-                   "whole request");
+  fail(errc::incomplete_answer,
+       Delivered ? Closed
+                 : "the backend server reset the connection, or closed it "
+                   "before it had the whole request");
 }
 
 auto backend_channel::fail(errc Code, std::string Detail) -> void {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -242,7 +242,7 @@
     KeepAlive = Head.KeepAlive && !Head.EndsWithConnection;
     if (Events.OnHead)
       Events.OnHead(Head.Status, Head.Headers);
-    if (Connection != nullptr && Options.Method != "HEAD" && Head.Length > 0 &&
+    if (Options.Method != "HEAD" && Head.Length > 0 &&
         exceedsBodyLimit(static_cast<std::size_t>(Head.Length)))
       fail(TooLong);
   }
@@ -281,7 +281,8 @@
 
   auto detach() -> connection_handle {
     SilenceTimer->stop();
-    Timer.reset();
+    if (Timer != nullptr)
+      Timer->stop();
     return std::exchange(Connection, nullptr);
   }
 
--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -15,6 +15,14 @@
 constexpr std::size_t Kibibyte = 1024;
 constexpr auto BadGateway = "HTTP/1.1 502 ";
 
+/// \return an answer with \p Status and \p More behind the fields of any
+/// answer.
+auto answerText(const std::string &Status, std::string_view More)
+    -> std::string {
+  std::string Text("HTTP/1.1 ");
+  return Text.append(Status).append(" X\r\n").append(AnswerFields).append(More);
+}
+
 /// \return what the caller gets if both servers of a gateway send \p Answer.
 auto answerToCaller(const scripted_answer &Answer) -> std::string {
   forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
@@ -137,8 +145,7 @@
     for (const std::string Framing : {"Content-Length: 4\r\n\r\n", "\r\n"}) {
       CAPTURE(Status);
       CAPTURE(Framing);
-      checkRefused(
-          {"HTTP/1.1 " + Status + " X\r\n" + AnswerFields + Framing + "body"});
+      checkRefused({answerText(Status, Framing).append("body")});
     }
 }
 
@@ -148,9 +155,8 @@
     for (const std::string Interim : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"}) {
       CAPTURE(Status);
       CAPTURE(Interim);
-      const scripted_answer Answer{Interim + "HTTP/1.1 " + Status + " X\r\n" +
-                                   AnswerFields +
-                                   "Content-Length: 4\r\n\r\nbody"};
+      const scripted_answer Answer{
+          Interim + answerText(Status, "Content-Length: 4\r\n\r\nbody")};
       const auto Received = answerToCaller(Answer);
       CHECK(Received.starts_with("HTTP/1.1 " + Status + " "));
       CHECK(contains(Received, "seal"));
@@ -164,8 +170,7 @@
 // Guards against a request that a sound server could have answered.
 TEST_CASE("a repeatable request is answered by another server") {
   forward_fixture Fixture(makeRoute(route_kind::idempotent));
-  Fixture.setAnswers({{std::string("HTTP/1.1 000 X\r\n") + AnswerFields +
-                       "Content-Length: 4\r\n\r\nbody"},
+  Fixture.setAnswers({{answerText("000", "Content-Length: 4\r\n\r\nbody")},
                       completeAnswer("sound")});
   Fixture.Caller.request("POST", "a1", "body");
   REQUIRE(Fixture.waitForText("sound"));
@@ -194,8 +199,9 @@
     for (const std::string More : {"", "Content-Length: 4\r\n"}) {
       CAPTURE(Line);
       CAPTURE(More);
-      checkRefused(
-          {AnswerHead + Line + "\r\n" + More + "\r\nbody and more", true});
+      auto Text = answerText("200", Line);
+      Text.append("\r\n").append(More).append("\r\nbody and more");
+      checkRefused({Text, true});
     }
 }
 
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -63,6 +63,7 @@
   std::string Report;
   std::string ReportHeaders; ///< More header lines of its report.
   int ReportRequests = 0;    ///< Received.
+  int Accepted = 0;          ///< Connections.
   int Closed = 0;            ///< Connections that the gateway has closed.
 
   /// Resets the connection of the last request.
@@ -99,6 +100,7 @@
                        void *Self) -> void {
     auto &Backend = *static_cast<scripted_backend *>(Self);
     evutil_make_socket_nonblocking(Fd);
+    ++Backend.Accepted;
     auto Connection = std::make_unique<backend_connection>();
     Connection->Owner = &Backend;
     Connection->Socket.reset(
--- a/test/http_test.cpp
+++ b/test/http_test.cpp
@@ -337,6 +337,72 @@
   CHECK(runUntil(*Loop, [&] { return Server.Closed == 1; }));
 }
 
+// Guards against bytes behind an answer that the next call takes for its own.
+TEST_CASE("bytes behind an answer close the connection") {
+  const std::string First = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  const std::string Extra = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+  const std::string Second = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo";
+  const auto Loop = testLoop();
+  gateway_test::scripted_backend Server(*Loop);
+  http_client Client(*Loop, loopback(Server.Port));
+  const auto Run = [&] {
+    recorder Recorder;
+    const auto Call = Client.start(options(), Recorder.events());
+    REQUIRE(runUntil(*Loop, [&] { return Recorder.End.has_value(); }));
+    CHECK(Recorder.End->ok());
+    return Recorder.Body;
+  };
+  SUBCASE("with the answer") {
+    *Server.Answers = {{First + Extra}, {Second}};
+    CHECK(Run() == "first");
+  }
+  SUBCASE("after it") {
+    *Server.Answers = {{First}, {Second}};
+    CHECK(Run() == "first");
+    Server.sendLate(Extra);
+  }
+  REQUIRE(runUntil(*Loop, [&] { return Server.Closed == 1; }));
+  CHECK(Run() == "two");
+}
+
+// Guards against connections that are set up for each call, and against a call
+// on a connection that the server is about to close.
+TEST_CASE("an idle connection is used again unless the server closes it") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n";
+  const auto Loop = testLoop();
+  gateway_test::scripted_backend Server(*Loop);
+  *Server.Answers = {{Head + "\r\nbody"},
+                     {Head + "Connection: close\r\n\r\nbody"},
+                     {Head + "\r\nbody"}};
+  http_client Client(*Loop, loopback(Server.Port));
+  for (const auto Connections : {1, 1, 2}) {
+    recorder Recorder;
+    const auto Call = Client.start(options(), Recorder.events());
+    REQUIRE(runUntil(*Loop, [&] { return Recorder.End.has_value(); }));
+    CHECK(Recorder.End->ok());
+    CHECK(Recorder.Body == "body");
+    CHECK(Server.Accepted == Connections);
+  }
+}
+
+// Guards against a header that becomes several, or a second request.
+TEST_CASE("a head with a line break is not sent") {
+  const auto Loop = testLoop();
+  gateway_test::scripted_backend Server(*Loop);
+  http_client Client(*Loop, loopback(Server.Port));
+  auto Options = options();
+  SUBCASE("in a value") { Options.Headers = {{"X-A", "b\r\nX-C: d"}}; }
+  SUBCASE("in a name") { Options.Headers = {{"X-A\n", "b"}}; }
+  SUBCASE("in the target") { Options.Target = "/a HTTP/1.1\r\nX-C: d"; }
+  recorder Recorder;
+  const auto Call = Client.start(Options, Recorder.events());
+  REQUIRE(runUntil(*Loop, [&] { return Recorder.End.has_value(); }));
+  REQUIRE_FALSE(Recorder.End->ok());
+  CHECK(Recorder.End->error().Code == errc::bad_request);
+  CHECK(Recorder.End->error().Verdict == verdict::not_run);
+  CHECK(Server.Accepted == 0);
+}
+
 // Guards against requests of one connection that are read ahead without a
 // bound, or whose answers collect, while the client reads nothing.
 TEST_CASE("pipelined requests with unread answers stay bounded") {
