Add: [Test] Neighbours of the broken answers

Change: tests only. The existing assertions stay and also run on a streaming route. Sound values with blanks and tabs are checked to pass. Both servers of a refused answer get one attempt, since a streaming route would repeat it.

On gateways already refused control characters in values, and gateways and the client already took framed answers that break off for incomplete ones.

--- a/test/broken_answer_test.cpp
+++ b/test/broken_answer_test.cpp
@@ -24,8 +24,12 @@
 }
 
 /// \return what the caller gets if both servers of a gateway send \p Answer.
-auto answerToCaller(const scripted_answer &Answer) -> std::string {
-  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+auto answerToCaller(const scripted_answer &Answer,
+                    route_kind Kind = route_kind::non_idempotent)
+    -> std::string {
+  auto Route = makeRoute(Kind);
+  Route.MaxAttempts = 1;
+  forward_fixture Fixture(Route);
   Fixture.setAnswers({Answer});
   Fixture.Caller.request("POST", "a1", "body");
   REQUIRE(Fixture.waitForText("\r\n\r\n"));
@@ -66,9 +70,12 @@
 
 /// Checks that neither a gateway nor an HTTP client takes \p Answer for one.
 auto checkRefused(const scripted_answer &Answer) -> void {
-  const auto Received = answerToCaller(Answer);
-  CHECK(Received.starts_with(BadGateway));
-  CHECK_FALSE(contains(Received, "seal"));
+  for (const auto Kind : {route_kind::non_idempotent, route_kind::streaming}) {
+    CAPTURE(RouteKindNames.name(Kind));
+    auto Received = answerToCaller(Answer, Kind);
+    CHECK(Received.starts_with(BadGateway));
+    CHECK_FALSE(contains(Received, "seal"));
+  }
   client_fixture Client(Answer);
   const auto &End = Client.finish();
   CHECK(Client.Status == 0);
@@ -76,18 +83,25 @@
   CHECK((End.ok() || End.error().Verdict == verdict::may_have_run));
 }
 
-/// Ends the sending direction of the last request's connection, and resets the
-/// connection after that if \p Reset.
-auto endLast(scripted_backend &Server, bool Reset) -> void {
-  Server.shutDownLast();
-  if (Reset)
+/// How a server ends the connection of an answer.
+enum class ending : std::uint8_t { reset, shutdown, shutdown_and_reset };
+
+/// Ends the connection of the last request.
+auto endLast(scripted_backend &Server, ending Ending) -> void {
+  if (Ending != ending::reset)
+    Server.shutDownLast();
+  if (Ending != ending::shutdown)
     Server.resetLast();
 }
 
-/// An answer without a length that does not wait for the request's body.
-auto earlyAnswer() -> scripted_answer {
-  scripted_answer Answer{AnswerHead + std::string("\r\ndata: part\n\n")};
-  Answer.Early = true;
+/// A part of an answer whose body is framed by \p Framing. An early one does
+/// not wait for the request's body.
+auto partialAnswer(bool Early, const std::string &Framing = "")
+    -> scripted_answer {
+  scripted_answer Answer{AnswerHead + Framing + "\r\n"};
+  const std::string Part = "data: part\n\n";
+  Answer.Text += contains(Framing, "chunked") ? chunk(Part) : Part;
+  Answer.Early = Early;
   return Answer;
 }
 
@@ -98,9 +112,11 @@
   static_cast<void>(runUntil(Loop, [&] { return steady_clock::now() > End; }));
 }
 
-/// Checks that a gateway and an HTTP client take an early answer whose
-/// connection ends for an incomplete one.
-auto checkIncomplete(const std::string &Upload, bool Reset) -> void {
+/// Checks that a gateway and an HTTP client take \p Answer for an incomplete
+/// one if its connection ends.
+auto checkIncomplete(const scripted_answer &Answer, std::size_t UploadBytes,
+                     ending Ending) -> void {
+  const std::string Upload(UploadBytes, 'x');
   for (const auto Kind : {route_kind::idempotent, route_kind::non_idempotent,
                           route_kind::streaming}) {
     CAPTURE(RouteKindNames.name(Kind));
@@ -108,12 +124,12 @@
     Route.MaxAttempts = 1;
     forward_fixture Fixture(Route);
     auto &Gateway = Fixture.Gateway;
-    Fixture.setAnswers({earlyAnswer()});
+    Fixture.setAnswers({Answer});
     Fixture.Caller.request("POST", "a1", Upload);
     REQUIRE(Gateway.runUntil([&] { return Fixture.requestCount() == 1; }));
     runUntilBlocked(*Gateway.Loop);
     endLast(Fixture.First.Requests.empty() ? Fixture.Second : Fixture.First,
-            Reset);
+            Ending);
     const auto &Caller = Fixture.Caller;
     const auto &Answered = Gateway.Context.Counters.Answered;
     const auto Failed = [&] {
@@ -124,11 +140,11 @@
     CHECK(Answered == 0);
     CHECK_FALSE(Caller.Received.ends_with("\r\n0\r\n\r\n"));
   }
-  client_fixture Client(earlyAnswer(), Upload);
+  client_fixture Client(Answer, Upload);
   REQUIRE(
       runUntil(*Client.Loop, [&] { return !Client.Server.Requests.empty(); }));
   runUntilBlocked(*Client.Loop);
-  endLast(Client.Server, Reset);
+  endLast(Client.Server, Ending);
   const auto &End = Client.finish();
   CHECK_FALSE(End.ok());
   CHECK((End.ok() || End.error().Verdict == verdict::may_have_run));
@@ -205,13 +221,38 @@
     }
 }
 
+// Guards against control characters that are passed on in a value.
+TEST_CASE("an answer whose field value holds a control byte is an error") {
+  constexpr char Delete = 0x7f;
+  std::string Controls(1, Delete);
+  for (char Control = 0; Control < ' '; ++Control)
+    if (Control != '\t')
+      Controls += Control;
+  for (const auto Control : Controls) {
+    CAPTURE(static_cast<int>(Control));
+    auto Text = answerText("200", "X-A: b");
+    Text.append(1, Control).append("c\r\nContent-Length: 4\r\n\r\nbody");
+    checkRefused({Text, true});
+  }
+}
+
+// Guards against a check that refuses sound answers.
+TEST_CASE("blanks and tabs in a field value are passed on") {
+  const auto Text =
+      answerText("200", "X-A: b c\td\r\nContent-Length: 4\r\n\r\nbody");
+  CHECK(contains(answerToCaller({Text}), "X-A: b c\td\r\n"));
+  client_fixture Client({Text});
+  CHECK(Client.finish().ok());
+  CHECK(Client.Received == "body");
+}
+
 // Guards against a part of a body that is taken for the whole of it: behind the
 // end of the server's direction, a reset is not reported to a reader.
 TEST_CASE("an answer without a length that is reset is incomplete") {
   for (const auto Size :
        {std::size_t{16}, 256 * Kibibyte, 1024 * Kibibyte, 3072 * Kibibyte}) {
     CAPTURE(Size);
-    checkIncomplete(std::string(Size, 'x'), true);
+    checkIncomplete(partialAnswer(true), Size, ending::shutdown_and_reset);
   }
 }
 
@@ -221,10 +262,27 @@
 TEST_CASE("an answer that ends before its request was received is incomplete") {
   for (const auto Size : {1024 * Kibibyte, 3072 * Kibibyte}) {
     CAPTURE(Size);
-    checkIncomplete(std::string(Size, 'x'), false);
+    checkIncomplete(partialAnswer(true), Size, ending::shutdown);
   }
 }
 
+// Guards against the same at any other end: by a reset alone, with a stated
+// length or in chunks, while the request is sent and after it.
+TEST_CASE("an answer that breaks off is incomplete") {
+  const std::string Unframed;
+  for (const auto &Framing : {Unframed, std::string("Content-Length: 100\r\n"),
+                              std::string("Transfer-Encoding: chunked\r\n")})
+    for (const auto Ending :
+         {ending::reset, ending::shutdown, ending::shutdown_and_reset}) {
+      CAPTURE(Framing);
+      CAPTURE(static_cast<int>(Ending));
+      checkIncomplete(partialAnswer(true, Framing), 1024 * Kibibyte, Ending);
+      // The end of the connection is the end of a body without a length.
+      if (Framing != Unframed || Ending != ending::shutdown)
+        checkIncomplete(partialAnswer(false, Framing), Kibibyte, Ending);
+    }
+}
+
 // Guards against a check that refuses sound answers: a server may end its
 // answer with the connection once it has the request.
 TEST_CASE("an answer without a length is whole after its request") {
