Add: [Replication] Log lines of elections tell roles and voters

Callers saw nothing.

Change: the line also has the role, the number of voters, whether this replica votes, and its last record.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -372,7 +372,12 @@
   LastRole = Node.role();
   LastTerm = Node.term();
   logInfo(log_category::replication, "role or term changed",
-          {{"leader", LastRole == raft_role::leader}, {"term", LastTerm}});
+          {{"leader", LastRole == raft_role::leader},
+           {"role", RaftRoleNames.name(LastRole)},
+           {"term", LastTerm},
+           {"voters", Node.members().voterCount()},
+           {"votes", Node.members().isVoter(Node.id())},
+           {"last_record", Node.lastIndex()}});
   Callbacks.RoleChanged();
 }
 
