Fix: [Control] A replaced replica keeps its vote after it has stopped

Cause: a replica that ends on SIGTERM stayed a voter. Only the leader removed it, after 4 s of silence. With its successor the group had four voters and a majority was three; the second loss left two, so that no leader could be elected, neither voter be removed and no replica be added.

The request is that for membership with a new field; a leader without it answers as before. A replica that the group needs keeps its vote, so restarts do not shrink a group; one that left and starts again joins anew, as after a removal while silent. New lines and acacianotch_voters, acacianotch_membership_changes_total tell it.

--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -4,6 +4,7 @@
 #include "control/control_relay.h"
 #include "control/control_service.h"
 #include "control/group_join.h"
+#include "control/group_leaver.h"
 #include "control/group_rejoiner.h"
 #include "control/membership_manager.h"
 #include "control/rollout_manager.h"
@@ -69,6 +70,8 @@
     -> void {
   const auto &Node = Service.replica().node();
   Metrics.gauge(metric::leader).Set(Node.role() == raft_role::leader ? 1 : 0);
+  Metrics.gauge(metric::voters)
+      .Set(static_cast<double>(Node.members().voterCount()));
   Metrics.gauge(metric::epoch).Set(static_cast<double>(Node.term()));
   Metrics.gauge(metric::catalogue_revision)
       .Set(static_cast<double>(Service.state().currentRevision()));
@@ -122,7 +125,7 @@
     return initialiseControl(withSeedMembers(Settings));
   }
   logInfo(log_category::replication, "requesting membership of the group");
-  group_joiner Joiner(Loop, seedAddresses(Settings), Settings.Rpc.Listen, 0,
+  group_joiner Joiner(Loop, seedAddresses(Settings), Settings.Rpc.Listen, {},
                       rpcOptions(Settings));
   const auto Grant = Joiner.wait(Stopped);
   if (!Grant)
@@ -158,13 +161,15 @@
   Service.Zones = Settings.Control.Zones;
   std::optional<membership_manager> MembershipManager;
   std::optional<group_rejoiner> Rejoiner;
+  std::optional<group_leaver> Leaver;
   if (SelfForming) {
     Rejoiner.emplace(**Loop, Service, Settings);
     MembershipManager.emplace(**Loop, Service,
                               2 * Settings.Control.ToleratedLosses + 1);
+    Leaver.emplace(**Loop, Service, *MembershipManager, Settings);
     Service.OnJoin = [&](const std::string &Address, std::uint64_t Token,
-                         std::uint64_t Replica) {
-      return MembershipManager->join(Address, Token, Replica);
+                         const membership_request &Request) {
+      return MembershipManager->join(Address, Token, Request);
     };
   }
   const rollout_manager RolloutManager(**Loop, Service,
@@ -212,8 +217,22 @@
   if (OperatorServer)
     (*Admin)->countDropped(OperatorServer->server(), "operators");
   observeCommands(Service, (*Admin)->metrics());
+  if (MembershipManager)
+    MembershipManager->OnChange = [&](std::string_view Action) {
+      (*Admin)
+          ->metrics()
+          .counter(metric::membership_changes,
+                   {{"action", std::string(Action)}})
+          .Increment();
+    };
   const graceful_shutdown Shutdown(
-      **Loop, Settings.ShutdownDeadline, [] {}, [] { return true; });
+      **Loop, Settings.ShutdownDeadline,
+      [&] {
+        Rejoiner.reset();
+        if (Leaver)
+          Leaver->start();
+      },
+      [&] { return !Leaver || Leaver->done(); });
   const loop_monitor Monitor(**Loop);
   Service.start();
   (*Loop)->run();
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -311,8 +311,9 @@
       Grant.setError(static_cast<std::uint16_t>(errc::not_allowed));
       return kj::READY_NOW;
     }
-    const auto Answer = Service.OnJoin(toString(Params.getAddress()),
-                                       Params.getToken(), Params.getReplica());
+    const auto Answer =
+        Service.OnJoin(toString(Params.getAddress()), Params.getToken(),
+                       {Params.getReplica(), Params.getLeaving()});
     Grant.setError(static_cast<std::uint16_t>(Answer.Code));
     Grant.setDetail(Answer.Detail.c_str());
     Grant.setGroup(Answer.Grant.Group);
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -66,7 +66,7 @@
   /// Answers a replica that requests membership. Not set in a group whose
   /// membership is changed by operators.
   std::function<join_answer(const std::string &Address, std::uint64_t Token,
-                            std::uint64_t Replica)>
+                            const membership_request &Request)>
       OnJoin;
 
   /// Names of the availability zones that may be evacuated; empty for any.
--- a/src/control/group_join.cpp
+++ b/src/control/group_join.cpp
@@ -36,6 +36,18 @@
   return Seeds;
 }
 
+auto groupAddresses(const settings &Settings, const membership &Members)
+    -> std::vector<address> {
+  auto Addresses = seedAddresses(Settings);
+  for (const auto &Member : Members.Members) {
+    const auto Address = parseAddress(Member.Address);
+    if (Address && std::find(Addresses.begin(), Addresses.end(), *Address) ==
+                       Addresses.end())
+      Addresses.push_back(*Address);
+  }
+  return Addresses;
+}
+
 auto formsGroup(const settings &Settings) -> bool {
   const auto Seeds = seedAddresses(Settings);
   return Settings.Control.Bootstrap &&
@@ -51,11 +63,11 @@
 }
 
 group_joiner::group_joiner(event_loop &TheLoop, std::vector<address> TheSeeds,
-                           address TheOwnAddress, std::uint64_t TheReplica,
+                           address TheOwnAddress, membership_request TheRequest,
                            const rpc_options &TheRpc)
     : Loop(TheLoop), Seeds(std::move(TheSeeds)),
       OwnAddress(std::move(TheOwnAddress)), Token(randomToken()),
-      Replica(TheReplica), Rpc(TheRpc),
+      Request(TheRequest), Rpc(TheRpc),
       Timer(TheLoop.oneShot([this] { sendRequest(); })) {
   Timer->start(duration::zero());
 }
@@ -70,11 +82,15 @@
   return std::exchange(Grant, std::nullopt);
 }
 
-auto group_joiner::scheduleRetry(const std::string &LeaderText) -> void {
+auto group_joiner::setLeader(const std::string &LeaderText) -> void {
   Leader.reset();
   if (const auto Address = parseAddress(LeaderText);
       Address && *Address != OwnAddress)
     Leader = *Address;
+}
+
+auto group_joiner::scheduleRetry(const std::string &LeaderText) -> void {
+  setLeader(LeaderText);
   Timer->start(RetryDelay);
 }
 
@@ -88,12 +104,13 @@
   auto Client = Peer->as<wire::Control>();
   if (!Client)
     return scheduleRetry("");
-  auto Request = Client->joinRequest();
-  Request.setAddress(OwnAddress.text().c_str());
-  Request.setToken(Token);
-  Request.setReplica(Replica);
+  auto Message = Client->joinRequest();
+  Message.setAddress(OwnAddress.text().c_str());
+  Message.setToken(Token);
+  Message.setReplica(Request.Replica);
+  Message.setLeaving(Request.Leaving);
   auto Answer =
-      Request.send().then([this, &Connection = *Peer](auto &&Response) {
+      Message.send().then([this, &Connection = *Peer](auto &&Response) {
         Connection.confirm();
         const auto Reply = Response.getGrant();
         if (Reply.getError() != 0)
--- a/src/control/group_rejoiner.cpp
+++ b/src/control/group_rejoiner.cpp
@@ -4,8 +4,6 @@
 #include "core/log_func.h"
 #include "node/role_func.h"
 
-#include <algorithm>
-
 namespace acacianotch {
 
 namespace {
@@ -41,9 +39,10 @@
 
 auto group_rejoiner::request(std::uint64_t Replica) -> void {
   Requested = Replica;
-  Joiner = std::make_unique<group_joiner>(Loop, memberAddresses(),
-                                          Settings.Rpc.Listen, Replica,
-                                          rpcOptions(Settings));
+  const auto &Members = Service.replica().node().members();
+  Joiner = std::make_unique<group_joiner>(
+      Loop, groupAddresses(Settings, Members), Settings.Rpc.Listen,
+      membership_request{Replica}, rpcOptions(Settings));
 }
 
 auto group_rejoiner::handleGrant(const join_grant &Grant) -> void {
@@ -66,15 +65,4 @@
   request(0);
 }
 
-auto group_rejoiner::memberAddresses() const -> std::vector<address> {
-  auto Addresses = seedAddresses(Settings);
-  for (const auto &Member : Service.replica().node().members().Members) {
-    const auto Address = parseAddress(Member.Address);
-    if (Address && std::find(Addresses.begin(), Addresses.end(), *Address) ==
-                       Addresses.end())
-      Addresses.push_back(*Address);
-  }
-  return Addresses;
-}
-
 } // namespace acacianotch
--- a/src/control/group_rejoiner.h
+++ b/src/control/group_rejoiner.h
@@ -7,7 +7,6 @@
 
 #include <memory>
 #include <optional>
-#include <vector>
 
 namespace acacianotch {
 
@@ -25,7 +24,6 @@
   /// Requests membership for \p Replica, or for a new id if 0.
   auto request(std::uint64_t Replica) -> void;
   auto handleGrant(const join_grant &Grant) -> void;
-  [[nodiscard]] auto memberAddresses() const -> std::vector<address>;
 
   event_loop &Loop;
   control_service &Service;
--- a/src/control/membership_manager.cpp
+++ b/src/control/membership_manager.cpp
@@ -17,6 +17,13 @@
 /// A learner that has not answered for this long is removed.
 constexpr duration LearnerTimeout = std::chrono::seconds(2);
 
+auto refuse(errc Code, std::string Detail) -> join_answer {
+  join_answer Answer;
+  Answer.Code = Code;
+  Answer.Detail = std::move(Detail);
+  return Answer;
+}
+
 } // namespace
 
 membership_manager::membership_manager(event_loop &Loop,
@@ -30,12 +37,18 @@
 auto membership_manager::change(std::string_view Action, replica_id Id,
                                 std::string Address) -> result<void> {
   auto Done = Service.changeMembers(Action, Id, Address);
-  if (Done)
-    logInfo(log_category::replication, "membership change proposed",
-            {{"action", Action},
-             {"replica", static_cast<std::uint64_t>(Id)},
-             {"address", Address},
-             {"term", Service.replica().node().term()}});
+  if (!Done)
+    return Done;
+  const auto &Node = Service.replica().node();
+  logInfo(log_category::replication, "membership change proposed",
+          {{"action", Action},
+           {"replica", static_cast<std::uint64_t>(Id)},
+           {"address", Address},
+           {"voters", Node.members().voterCount()},
+           {"target_voters", TargetVoters},
+           {"term", Node.term()}});
+  if (OnChange)
+    OnChange(Action);
   return Done;
 }
 
@@ -52,25 +65,38 @@
   return Answer;
 }
 
+auto membership_manager::canSpare(replica_id Id) const -> bool {
+  const auto &Members = Service.replica().node().members();
+  return Members.isVoter(Id) && Members.voterCount() > TargetVoters;
+}
+
+// A voter that stops counts towards the majority until it is removed. If it was
+// replaced, the loss of another voter in that time leaves the group without
+// one.
+auto membership_manager::answerMember(const membership_request &Request)
+    -> join_answer {
+  const auto Id = replica_id{Request.Replica};
+  const auto *Member = Service.replica().node().members().find(Id);
+  if (Member == nullptr || !Request.Leaving || !canSpare(Id))
+    return grant(Id, Member == nullptr);
+  const auto Done = change("remove_replica", Id, Member->Address);
+  return refuse(errc::not_ready, Done ? "the leaving member is being removed"
+                                      : Done.error().text());
+}
+
 // A replica without identity at a member's address has lost its disk, so that
 // member can never answer again and is removed. Its id is never reused.
 auto membership_manager::join(const std::string &Address, std::uint64_t Token,
-                              std::uint64_t Replica) -> join_answer {
+                              const membership_request &Request)
+    -> join_answer {
   const auto &Node = Service.replica().node();
-  const auto Refuse = [&](errc Code, std::string Detail) {
-    join_answer Answer;
-    Answer.Code = Code;
-    Answer.Detail = std::move(Detail);
-    return Answer;
-  };
   if (!Service.confirmedEpoch())
-    return Refuse(errc::not_leader, "");
+    return refuse(errc::not_leader, "");
   if (!Node.membersCommitted())
-    return Refuse(errc::not_ready, "a membership change is under way");
+    return refuse(errc::not_ready, "a membership change is under way");
+  if (Request.Replica != 0)
+    return answerMember(Request);
   const auto &Members = Node.members();
-  if (Replica != 0)
-    return grant(replica_id{Replica},
-                 Members.find(replica_id{Replica}) == nullptr);
   const auto Pending = PendingJoins.find(Token);
   if (Pending != PendingJoins.end() &&
       Members.find(Pending->second.Id) != nullptr)
@@ -78,14 +104,14 @@
   for (const auto &Member : Members.Members)
     if (Member.Address == Address) {
       const auto Done = change("remove_replica", Member.Id, Address);
-      return Refuse(errc::not_ready, Done ? "the lost member is being removed"
+      return refuse(errc::not_ready, Done ? "the lost member is being removed"
                                           : Done.error().text());
     }
   const auto Id = replica_id{Members.NextId};
   if (const auto Done = change("add_replica", Id, Address); !Done)
-    return Refuse(errc::not_ready, Done.error().text());
+    return refuse(errc::not_ready, Done.error().text());
   PendingJoins[Token] = {Address, Id};
-  return Refuse(errc::not_ready, "the learner is being added");
+  return refuse(errc::not_ready, "the learner is being added");
 }
 
 auto membership_manager::tick() -> void {
--- a/src/control/membership_manager.h
+++ b/src/control/membership_manager.h
@@ -4,9 +4,11 @@
 #include "control/control_service.h"
 #include "control/group_join.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace acacianotch {
 
@@ -19,10 +21,18 @@
   membership_manager(event_loop &Loop, control_service &Service,
                      std::size_t TargetVoters);
 
-  /// Handles a replica's request for membership. Each call proposes at most one
-  /// change; the replica repeats the request until membership is granted.
+  /// Handles a replica's request for membership or for its end. Each call
+  /// proposes at most one change; the replica repeats the request until it is
+  /// granted.
   [[nodiscard]] auto join(const std::string &Address, std::uint64_t Token,
-                          std::uint64_t Replica) -> join_answer;
+                          const membership_request &Request) -> join_answer;
+
+  /// \return whether the group can give up the vote of \p Id and keep the
+  /// voters that it needs to tolerate the configured losses.
+  [[nodiscard]] auto canSpare(replica_id Id) const -> bool;
+
+  /// Runs for each change that is proposed.
+  std::function<void(std::string_view Action)> OnChange;
 
 private:
   struct pending_join {
@@ -35,6 +45,8 @@
   auto promoteLearners() -> void;
   auto removeUnresponsive() -> void;
   [[nodiscard]] auto grant(replica_id Id, bool Removed) const -> join_answer;
+  [[nodiscard]] auto answerMember(const membership_request &Request)
+      -> join_answer;
   auto change(std::string_view Action, replica_id Id, std::string Address)
       -> result<void>;
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -38,6 +38,8 @@
   commits,
   commit_seconds,
   leader,
+  voters,
+  membership_changes,
   nodes,
   evacuated_zones,
   cold_backends,
--- a/src/net/acacianotch.capnp
+++ b/src/net/acacianotch.capnp
@@ -187,9 +187,10 @@
   # CBOR command; answered after it is committed and applied.
   replicate @2 (sender :Text, message :Data) -> ();
   # One consensus message; delivery is not confirmed.
-  join @3 (address :Text, token :UInt64, replica :UInt64) -> (grant :JoinGrant);
+  join @3 (address :Text, token :UInt64, replica :UInt64, leaving :Bool) -> (grant :JoinGrant);
   # Asks for membership. A replica without identity sends replica 0; a token,
-  # new with each start, makes a repeated call harmless.
+  # new with each start, makes a repeated call harmless. With leaving, asks to
+  # remove the stated replica, because its process ends.
   exchangeWork @4 (node :Text, servers :List(UInt32), work :List(UInt32), crashes :CrashReport, rate :UInt32, cold :List(ColdServer), token :UInt64) -> (accepted :Bool, servers :List(UInt32), work :List(UInt32), verdicts :CrashVerdicts, cold :List(ColdServer));
   # What a gateway has waiting at the backend servers that it uses, for what all
   # others have there. Servers are named by a hash, work is in thousandths of a
--- a/src/net/wire/acacianotch.capnp.h
+++ b/src/net/wire/acacianotch.capnp.h
@@ -628,7 +628,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fe1bb21f7005d271, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(fe1bb21f7005d271, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -4109,6 +4109,8 @@
 
   inline  ::uint64_t getReplica() const;
 
+  inline bool getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -4150,6 +4152,9 @@
   inline  ::uint64_t getReplica();
   inline void setReplica( ::uint64_t value);
 
+  inline bool getLeaving();
+  inline void setLeaving(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -7817,6 +7822,20 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool Control::JoinParams::Reader::getLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+
+inline bool Control::JoinParams::Builder::getLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+}
+inline void Control::JoinParams::Builder::setLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Control::JoinResults::Reader::hasGrant() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/src/table/settings_rows.cpp
+++ b/src/table/settings_rows.cpp
@@ -113,8 +113,8 @@
                 in<&all::Control, &ctl::ToleratedLosses>(), "1", 0, 100,
                 need::none, "replicas",
                 "replicas that may be lost at once; a group that forms itself "
-                "removes a silent voter only while more than twice as many and "
-                "one remain"},
+                "removes a silent or stopping voter only while more than twice "
+                "as many and one remain"},
     setting_row{"control.operator_listen",
                 in<&all::Control, &ctl::OperatorListen>(), "", 1, MaxPort,
                 need::none, "",
