Fix: [Control] A leader that is removed gets no answers from its followers

What callers saw: when the leader of a group that forms itself was removed, the group had no leader for the rest of its lease and an election, and the removal was committed only by the next leader.

Cause: a replica finds the address of another one in the membership of its log. A follower that stores the removal of its leader does not know the leader's address any more, so that its answer to that very record is not sent. Membership changes by operators were not affected: control.peers has the addresses.

Change: a replica keeps the last address of each id, also of former members. Ids are never reused.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -148,6 +148,7 @@
       Callbacks(std::move(TheCallbacks)), Folder(std::move(TheFolder)),
       Files(std::move(TheFiles)), Log(std::move(TheLog)),
       Node(std::move(TheNode)), Group(TheGroup),
+      KnownAddresses(Options.InitialAddresses),
       TickTimer(TheLoop.oneShot([this] {
         Node.tick(steady_clock::now());
         drive();
@@ -275,7 +276,8 @@
 auto replica_host::adoptIdentity(std::uint64_t Replica,
                                  const std::vector<replica_address> &Members)
     -> void {
-  Options.setInitialAddresses(Members);
+  for (const auto &Member : Members)
+    KnownAddresses[replica_id{Member.Id}] = Member.Address.text();
   auto Adopted = replaceIdentity(*Files, Options.DataFolder, {Group, Replica});
   if (Adopted)
     Adopted = reopen();
@@ -315,12 +317,13 @@
 }
 
 // A replica that has just joined knows no members yet. It needs an address to
-// answer the leader, which otherwise would not send it the missing records.
-auto replica_host::addressOf(replica_id Id) const -> std::string {
+// answer the leader, which otherwise would not send it the missing records. A
+// leader that removes itself needs the answers of its followers to commit that.
+auto replica_host::addressOf(replica_id Id) -> std::string {
   if (const auto *Member = Node.members().find(Id))
-    return Member->Address;
-  const auto Initial = Options.InitialAddresses.find(Id);
-  return Initial == Options.InitialAddresses.end() ? "" : Initial->second;
+    return KnownAddresses[Id] = Member->Address;
+  const auto Known = KnownAddresses.find(Id);
+  return Known == KnownAddresses.end() ? "" : Known->second;
 }
 
 auto replica_host::peerFor(replica_id Id) -> rpc_peer * {
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -30,7 +30,7 @@
   std::uint64_t SnapshotBytes = 8U << 20U;
   std::uint64_t Seed = 0;
   rpc_options Rpc;
-  /// Addresses to use for replicas that are not in the known membership.
+  /// Addresses of replicas before the membership is known.
   std::map<replica_id, std::string> InitialAddresses;
 
   /// Sets InitialAddresses to those of \p Members.
@@ -124,7 +124,7 @@
   auto applyEffects(raft_effects &Effects) -> void;
   auto persistBatch(const write_batch &Batch) -> void;
   auto send(const envelope &Envelope) -> void;
-  [[nodiscard]] auto addressOf(replica_id Id) const -> std::string;
+  [[nodiscard]] auto addressOf(replica_id Id) -> std::string;
   auto peerFor(replica_id Id) -> rpc_peer *;
   auto compactIfDue() -> void;
   auto scheduleTick() -> void;
@@ -138,6 +138,8 @@
   log_file<files> Log;
   raft_node Node;
   std::uint64_t Group;
+  /// Last addresses of members and former members, whose ids are never reused.
+  std::map<replica_id, std::string> KnownAddresses;
   std::map<std::string, std::unique_ptr<rpc_peer>> Peers;
   std::unique_ptr<loop_timer> TickTimer;
   std::unique_ptr<loop_timer> ReopenTimer;
--- a/test/process/replacement_test.cpp
+++ b/test/process/replacement_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
 
 using namespace acacianotch;
 
@@ -54,6 +55,19 @@
   REQUIRE(Replica.Process->wait() == 0);
 }
 
+/// \return the fields of the last line with \p Message in a log.
+auto lastLine(const std::filesystem::path &Log, const std::string &Message)
+    -> nlohmann::json {
+  auto Fields = nlohmann::json::object();
+  std::ifstream File(Log);
+  for (std::string Text; std::getline(File, Text);) {
+    const auto Line = nlohmann::json::parse(Text, nullptr, false);
+    if (Line.is_object() && Line.value("message", "") == Message)
+      Fields = Line["fields"];
+  }
+  return Fields;
+}
+
 auto forget(platform_deployment &System, const control_instance &Replica)
     -> void {
   std::erase_if(System.Replicas, [Rpc = Replica.Rpc](const auto &Row) {
@@ -98,6 +112,21 @@
   publish(System, 3);
 }
 
+// Guards against a leader whose followers store its removal and then have no
+// address to confirm it to, so that the group has no leader until its lease and
+// an election timeout have passed.
+TEST_CASE("a leader that is replaced commits its removal") {
+  platform_deployment System;
+  publish(System, 1);
+  addReplica(System);
+  auto &Replaced = findReplica(System, true);
+  stop(Replaced);
+  const auto Line = lastLine(System.folder() / (Replaced.Name + ".log"),
+                             "finished leaving the group");
+  CHECK(Line.value("outcome", "") == "removed");
+  CHECK(Line.value("commit_index", -1) == Line.value("last_record", -2));
+}
+
 // Guards against votes of ended replicas that add up over replacements.
 TEST_CASE("two replacements in a row leave no vote behind") {
   platform_deployment System;
