Fix: [Control] A replaced replica that was killed keeps its vote for seconds

Another loss within 4 s left no majority for good.

Cause: the leader removed a silent voter after 4 s, chosen so that a restart or a short partition costs no membership change. But a voter is removed only while there are spare ones, and then its removal never costs tolerance: the others need a majority of fewer, and a voter that comes back joins again.

Change: the limit is the longest election timeout (0.6 s by default), the time after which the group gives up a silent leader, too. That of learners is 2 s as before. control.tolerated_losses still decides below how many voters none goes.

What keeps removals from costing the majority: "pauses of voters never take the majority", "a voter that is needed is never removed", "time without a lease counts against no member", "a removed voter that comes back leaves the leader in place", and "a removed replica that comes back with its disk joins again" of process.replica_repair_test. Within the limit, or before a leader is elected, another loss still takes the majority: a silent removal cannot be told from a pause before.

--- a/src/control/control_role.cpp
+++ b/src/control/control_role.cpp
@@ -164,8 +164,9 @@
   std::optional<group_leaver> Leaver;
   if (SelfForming) {
     Rejoiner.emplace(**Loop, Service, Settings);
-    MembershipManager.emplace(**Loop, Service,
-                              2 * Settings.Control.ToleratedLosses + 1);
+    MembershipManager.emplace(
+        **Loop, Service, 2 * Settings.Control.ToleratedLosses + 1,
+        silence_limits::create(Settings.Control.ElectionTimeoutMax));
     Leaver.emplace(**Loop, Service, *MembershipManager, Settings);
     Service.OnJoin = [&](const std::string &Address, std::uint64_t Token,
                          const membership_request &Request) {
--- a/src/control/member_silence.cpp
+++ b/src/control/member_silence.cpp
@@ -1,8 +1,25 @@
 /// \file Members of a group that do not answer their leader.
 #include "control/member_silence.h"
 
+#include <algorithm>
+
 namespace acacianotch {
 
+namespace {
+
+constexpr duration LearnerLimit = std::chrono::seconds(2);
+
+} // namespace
+
+// Silent voters are removed only while there are spare ones. That never costs
+// tolerance: the other voters need a majority of fewer. A voter that comes back
+// joins again with its records, so the limit is as short as that for a leader;
+// until it has passed, the group bears one loss less. A learner has no vote to
+// lose, and it has to start and to store its identity first.
+auto silence_limits::create(duration ElectionMax) -> silence_limits {
+  return {ElectionMax, std::max<duration>(ElectionMax, LearnerLimit)};
+}
+
 member_silence::member_silence(const silence_limits &TheLimits,
                                duration TheInterval)
     : Limits(TheLimits), Interval(TheInterval) {}
--- a/src/control/member_silence.h
+++ b/src/control/member_silence.h
@@ -15,6 +15,10 @@
 struct silence_limits {
   duration Voter;
   duration Learner;
+
+  /// \return the limits in a group whose elections start after a silence of
+  /// the leader of up to \p ElectionMax.
+  [[nodiscard]] static auto create(duration ElectionMax) -> silence_limits;
 };
 
 /// Measures how long the members of a group have not answered their leader, and
--- a/src/control/membership_manager.cpp
+++ b/src/control/membership_manager.cpp
@@ -10,12 +10,6 @@
 namespace {
 
 constexpr duration TickInterval = std::chrono::milliseconds(100);
-/// A voter that has not answered for this long is removed while enough others
-/// remain. A restart takes well under a second; most network partitions and
-/// process freezes last a few seconds.
-constexpr duration VoterTimeout = std::chrono::seconds(4);
-/// A learner that has not answered for this long is removed.
-constexpr duration LearnerTimeout = std::chrono::seconds(2);
 
 auto refuse(errc Code, std::string Detail) -> join_answer {
   join_answer Answer;
@@ -28,10 +22,10 @@
 
 membership_manager::membership_manager(event_loop &Loop,
                                        control_service &TheService,
-                                       std::size_t TheTargetVoters)
+                                       std::size_t TheTargetVoters,
+                                       const silence_limits &Limits)
     : Service(TheService), TargetVoters(TheTargetVoters),
-      Silence({VoterTimeout, LearnerTimeout}, TickInterval),
-      Timer(Loop.repeating([this] { tick(); })) {
+      Silence(Limits, TickInterval), Timer(Loop.repeating([this] { tick(); })) {
   Timer->start(TickInterval);
 }
 
--- a/src/control/membership_manager.h
+++ b/src/control/membership_manager.h
@@ -20,7 +20,7 @@
   /// \p TargetVoters is the number of voters needed to tolerate the configured
   /// losses; an unresponsive voter is removed only while there are more.
   membership_manager(event_loop &Loop, control_service &Service,
-                     std::size_t TargetVoters);
+                     std::size_t TargetVoters, const silence_limits &Limits);
 
   /// Handles a replica's request for membership or for its end. Each call
   /// proposes at most one change; the replica repeats the request until it is
--- a/test/member_silence_test.cpp
+++ b/test/member_silence_test.cpp
@@ -14,10 +14,9 @@
 namespace {
 
 constexpr duration Interval = std::chrono::milliseconds(100);
-constexpr silence_limits SilenceLimits{raft_timing{}.ElectionMax,
-                                       std::chrono::seconds(2)};
+const auto SilenceLimits = silence_limits::create(raft_timing{}.ElectionMax);
 constexpr std::size_t TargetVoters = 3;
-constexpr int TicksToLimit = static_cast<int>(SilenceLimits.Voter / Interval);
+const auto TicksToLimit = static_cast<int>(SilenceLimits.Voter / Interval);
 
 /// Progress of the other members at a leader with the id 1.
 class observed_group {
@@ -155,7 +154,7 @@
   /// \return whether changes are still committed.
   auto bearsTwoLosses() -> bool {
     runUntil(Now + std::chrono::seconds(1));
-    killFollower();
+    kill(anyFollower());
     DropPercent = 35;
     runUntil(Now + std::chrono::seconds(5));
     DropPercent = 0;
@@ -163,6 +162,34 @@
     return commitsAgain();
   }
 
+  /// Kills a follower, or the leader, and another machine after \p Pause.
+  /// \return whether changes are still committed.
+  auto bearsLossAfter(duration Pause, bool Leader) -> bool {
+    runUntil(Now + std::chrono::seconds(1));
+    if (Leader)
+      kill(leaseHolder().value());
+    else
+      kill(anyFollower());
+    runUntil(Now + Pause);
+    killRunning();
+    return commitsAgain();
+  }
+
+  /// Pauses a follower until it is removed and lets it come back. \return
+  /// whether the leader stays in its term and changes are still committed.
+  auto bearsReturnOfRemoved() -> bool {
+    runUntil(Now + std::chrono::seconds(1));
+    const auto Leader = leaseHolder().value();
+    const auto Term = Machines[Leader]->Node->term();
+    Machines[anyFollower()]->PausedUntil = Now + std::chrono::seconds(2);
+    runUntil(Now + std::chrono::seconds(1));
+    if (voters() != TargetVoters)
+      return false;
+    runUntil(Now + std::chrono::seconds(5));
+    return leaseHolder() == Leader && Machines[Leader]->Node->term() == Term &&
+           commitsAgain();
+  }
+
   /// Pauses machines for short times while links lose messages.
   /// \return whether changes are still committed.
   auto bearsPauses() -> bool {
@@ -197,11 +224,11 @@
     });
   }
 
-  auto killFollower() -> void {
+  auto anyFollower() -> std::size_t {
     auto Index = random(Machines.size());
     while (Machines[Index]->Node->role() == raft_role::leader)
       Index = (Index + 1) % Machines.size();
-    kill(Index);
+    return Index;
   }
 
   auto killRunning() -> void {
@@ -245,6 +272,26 @@
   }
 }
 
+// Guards against a replaced voter that ends without a signal and keeps its vote
+// for seconds: the next loss would then take the majority for good.
+TEST_CASE("the group bears a loss shortly after a replaced voter was killed") {
+  for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    CAPTURE(Seed);
+    const auto Follower = std::chrono::seconds(1);
+    CHECK(spare_voter_group(Seed).bearsLossAfter(Follower, false));
+    const auto Election = raft_timing{}.ElectionMax;
+    CHECK(spare_voter_group(Seed).bearsLossAfter(Follower + Election, true));
+  }
+}
+
+// Guards against a removed voter that comes back and starts elections.
+TEST_CASE("a removed voter that comes back leaves the leader in place") {
+  for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
+    CAPTURE(Seed);
+    CHECK(spare_voter_group(Seed).bearsReturnOfRemoved());
+  }
+}
+
 // Guards against early removals that cost the majority: pauses and lost
 // messages that end must leave a group that works.
 TEST_CASE("pauses of voters never take the majority") {
