--- a/test/member_silence_test.cpp
+++ b/test/member_silence_test.cpp
@@ -277,10 +277,11 @@
 TEST_CASE("the group bears a loss shortly after a replaced voter was killed") {
   for (std::uint64_t Seed = 1; Seed <= SeedCount; ++Seed) {
     CAPTURE(Seed);
-    const auto Follower = std::chrono::seconds(1);
-    CHECK(spare_voter_group(Seed).bearsLossAfter(Follower, false));
+    constexpr auto Pause = std::chrono::seconds(1);
+    CHECK(spare_voter_group(Seed).bearsLossAfter(Pause, false));
+    // Without its leader, the group has to elect another one first.
     const auto Election = raft_timing{}.ElectionMax;
-    CHECK(spare_voter_group(Seed).bearsLossAfter(Follower + Election, true));
+    CHECK(spare_voter_group(Seed).bearsLossAfter(Pause + Election, true));
   }
 }
 
--- a/test/process/replacement_test.cpp
+++ b/test/process/replacement_test.cpp
@@ -27,19 +27,17 @@
   return Dump.is_object() && Dump.value("leader", false);
 }
 
-/// \return a replica that leads, or that follows one.
+/// Waits until a replica leads. \return it, or one that follows it.
 auto findReplica(platform_deployment &System, bool Leader)
     -> control_instance & {
-  const auto Find = [&] {
-    return std::find_if(
-        System.Replicas.begin(), System.Replicas.end(),
-        [&](const auto &Replica) { return leads(Replica) == Leader; });
-  };
-  REQUIRE(waitUntil([&] {
-    return std::any_of(System.Replicas.begin(), System.Replicas.end(), leads);
-  }));
-  const auto Found = Find();
-  REQUIRE(Found != System.Replicas.end());
+  auto &Replicas = System.Replicas;
+  REQUIRE(waitUntil(
+      [&] { return std::any_of(Replicas.begin(), Replicas.end(), leads); }));
+  const auto Found =
+      std::find_if(Replicas.begin(), Replicas.end(), [&](const auto &Replica) {
+        return leads(Replica) == Leader;
+      });
+  REQUIRE(Found != Replicas.end());
   return *Found;
 }
 
