Add: [Node] Log lines and a metric of subscriptions to control

Each subscription that begins or ends now has a line with the replica, the reason, the attempts, and how long ago control confirmed what the gateway holds; ends are counted by reason. 'request refused' and 'request answered' tell that age for the document that the request was judged by. No logic is changed.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -103,10 +103,14 @@
                "acacianotch_dropped_connections_total", "port,reason", "all",
                "clients' connections that were refused or closed because "
                "memory or descriptors were used up"},
+    metric_row{metric::subscription_ends, kind::counter,
+               "acacianotch_subscription_ends_total", "reason",
+               "entry, agent, gateway",
+               "subscriptions to updates of control that ended, by the reason"},
 };
 
 static_assert(Rows.size() ==
-              static_cast<std::size_t>(metric::dropped_connections));
+              static_cast<std::size_t>(metric::subscription_ends));
 
 /// Bounds in seconds. 0.62 s and 2 s are targets in docs/design.md.
 const prometheus::Histogram::BucketBoundaries Bounds{
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -49,6 +49,7 @@
   startup_refused,
   memory_used,
   dropped_connections,
+  subscription_ends,
 };
 
 enum class metric_kind : std::uint8_t { invalid, counter, gauge, histogram };
--- a/src/gateway/forward_end.cpp
+++ b/src/gateway/forward_end.cpp
@@ -40,7 +40,15 @@
            {"ms", elapsedMs()},
            {"first_event_ms", FirstEventDelay / std::chrono::milliseconds(1)},
            {"longest_gap_ms", LongestGap / std::chrono::milliseconds(1)},
-           {"routing", Table->Number}});
+           {"routing", Table->Number},
+           {"confirmed_ms", confirmedMs()}});
+}
+
+auto forward_task::confirmedMs() const -> std::int64_t {
+  const auto Confirmed = Context.View.lastConfirmation();
+  return Confirmed
+             ? (Request.ReceivedAt - *Confirmed) / std::chrono::milliseconds(1)
+             : -1;
 }
 
 auto forward_task::deliver() -> void {
@@ -63,7 +71,8 @@
            {"reason", Reason},
            {"service", Service},
            {"attempts", AttemptsSent},
-           {"routing", Table->Number}});
+           {"routing", Table->Number},
+           {"confirmed_ms", confirmedMs()}});
   Caller->reply(Status, platform::gatewayHeaders(Request.Id, RetryAfter), "");
   finish();
 }
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "board/work_board.h"
+#include "catalogue/catalogue_view.h"
 #include "controller/answer_value.h"
 #include "controller/first_token_time.h"
 #include "controller/model_cascade.h"
@@ -62,6 +63,7 @@
 /// State shared by all tasks of a gateway; it outlives them.
 struct gateway_context {
   event_loop &Loop;
+  const catalogue_view &View;
   backend_directory &Directory;
   traffic_budget &ExtraAttemptBudget;
   rollout_recorder &Rollouts;
@@ -217,6 +219,9 @@
   auto releaseAttempt(bool Clean) -> void;
   [[nodiscard]] auto tryAcquireRetry() -> bool;
   [[nodiscard]] auto elapsedMs() const -> std::int64_t;
+  /// \return how long before the request's arrival control had confirmed the
+  /// configuration, or -1.
+  [[nodiscard]] auto confirmedMs() const -> std::int64_t;
   auto logAnswer() const -> void;
   auto deliver() -> void;
   auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
--- a/src/gateway/gateway_role.cpp
+++ b/src/gateway/gateway_role.cpp
@@ -133,9 +133,16 @@
                  maxCandidateShare(Settings.Gateway.ExposureShare)),
         ReportClient(TheLoop),
         Reporter(TheLoop, Link, Work, Crashes, Directory, Settings.Node.Id),
-        Context{TheLoop,  Directory,       ExtraAttemptBudget,
-                Rollouts, ReportClient,    Work,
-                Crashes,  model_cascade(), std::move(Memory)},
+        Context{TheLoop,
+                View,
+                Directory,
+                ExtraAttemptBudget,
+                Rollouts,
+                ReportClient,
+                Work,
+                Crashes,
+                model_cascade(),
+                std::move(Memory)},
         Startup(TheLoop, Settings.Gateway.StartupHold,
                 [this](const std::shared_ptr<caller_connection> &Caller,
                        caller_request &&Request) {
@@ -323,6 +330,10 @@
     SetIntake(intake_state::leaving, Counts.Leaving);
     SetIntake(intake_state::paused, Counts.Paused);
     SetIntake(intake_state::resuming, Counts.Resuming);
+    for (const auto &Row : SubscriptionEndNames.Rows)
+      SetCounter(Metrics.counter(metric::subscription_ends,
+                                 {{"reason", std::string(Row.Name)}}),
+                 Link.endCount(Row.Value));
     if (const auto Confirmed = View.lastConfirmation())
       Metrics.gauge(metric::confirmation_age_seconds)
           .Set(std::chrono::duration<double>(steady_clock::now() - *Confirmed)
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -117,12 +117,11 @@
   LastActivityAt = steady_clock::now();
   AckedAt = LastActivityAt;
   UpdateReceived = false;
+  ++Attempts;
   SubscribedPeer = Client.peers()[NextPeer % Client.peers().size()].get();
   auto Control = SubscribedPeer->as<wire::Control>();
-  if (!Control) {
-    resubscribe();
-    return;
-  }
+  if (!Control)
+    return resubscribe(subscription_end::unreachable);
   auto Request = Control->subscribeRequest();
   auto FactsOut = Request.initFacts();
   FactsOut.setNodeId(Facts.Id.Text.c_str());
@@ -133,31 +132,36 @@
   Request.setRevision(static_cast<std::uint64_t>(View.currentRevision()));
   Request.setEpoch(static_cast<std::uint64_t>(View.currentEpoch()));
   Request.setSink(kj::heap<sink>(*this));
-  const auto OnEnded =
-      [this, Generation = Generation, OwnGeneration = *Generation](
-          const std::string &Leader, const std::vector<address> &Members) {
-        Loop.defer([this, Generation, OwnGeneration, Leader, Members] {
-          if (*Generation == OwnGeneration)
-            handleSubscriptionEnd(Leader, Members);
-        });
-      };
+  const auto OnEnded = [this, Generation = Generation,
+                        OwnGeneration = *Generation](
+                           subscription_end Reason, const std::string &Leader,
+                           const std::vector<address> &Members) {
+    Loop.defer([this, Generation, OwnGeneration, Reason, Leader, Members] {
+      if (*Generation == OwnGeneration)
+        handleSubscriptionEnd(Reason, Leader, Members);
+    });
+  };
   Subscription =
       Request.send()
           .then(
               [OnEnded](auto &&Response) {
-                OnEnded(toString(Response.getLeader()), readMembers(Response));
+                OnEnded(subscription_end::refused,
+                        toString(Response.getLeader()), readMembers(Response));
               },
-              [OnEnded](kj::Exception &&) { OnEnded("", {}); })
+              [OnEnded](kj::Exception &&) {
+                OnEnded(subscription_end::lost, "", {});
+              })
           .eagerlyEvaluate(nullptr);
 }
 
 // A replica that is not the leader may have an outdated list of members, so its
 // members are only added to the peers; only the leader's list replaces them.
-auto node_link::handleSubscriptionEnd(const std::string &Leader,
+auto node_link::handleSubscriptionEnd(subscription_end Reason,
+                                      const std::string &Leader,
                                       const std::vector<address> &Members)
     -> void {
   const auto *FormerPeer = SubscribedPeer;
-  resubscribe();
+  resubscribe(Reason);
   if (!FollowMembers)
     return;
   for (const auto &Member : Members)
@@ -167,7 +171,9 @@
     NextPeer = Client.addPeer(*LeaderAddress);
 }
 
-auto node_link::resubscribe() -> void {
+auto node_link::resubscribe(subscription_end Reason) -> void {
+  ++EndCounts[static_cast<std::size_t>(Reason)];
+  logEnd(Reason);
   ++*Generation;
   Subscription = nullptr;
   if (++NextPeer >= Client.peers().size()) {
@@ -190,7 +196,9 @@
   if (*Outcome == update_outcome::stale_epoch)
     return;
   LastActivityAt = steady_clock::now();
-  UpdateReceived = true;
+  if (!std::exchange(UpdateReceived, true))
+    logSubscribed();
+  Attempts = 0;
   SubscribedPeer->confirm();
   if (FollowMembers)
     Client.replacePeers(Members);
@@ -232,12 +240,41 @@
 auto node_link::checkStall() -> void {
   const auto Subscribed = Subscription != nullptr;
   const auto Timeout = UpdateReceived ? UpdateTimeout : FirstUpdateTimeout;
-  if (Subscribed && steady_clock::now() - LastActivityAt > Timeout) {
-    logWarning(log_category::catalogue,
-               "no update from control; subscribing to another replica",
-               {{"control", SubscribedPeer->peerAddress().text()}});
-    resubscribe();
-  }
+  if (Subscribed && steady_clock::now() - LastActivityAt > Timeout)
+    resubscribe(subscription_end::silent);
+}
+
+auto node_link::confirmedMs() const -> std::int64_t {
+  const auto Confirmed = View.lastConfirmation();
+  return Confirmed
+             ? (steady_clock::now() - *Confirmed) / std::chrono::milliseconds(1)
+             : -1;
+}
+
+auto node_link::logSubscribed() const -> void {
+  logInfo(log_category::catalogue, "subscribed to updates of control",
+          {{"control", SubscribedPeer->peerAddress().text()},
+           {"attempts", Attempts},
+           {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
+           {"revision", static_cast<std::uint64_t>(View.currentRevision())},
+           {"confirmed_ms", confirmedMs()}});
+}
+
+auto node_link::logEnd(subscription_end Reason) const -> void {
+  const auto Silent = steady_clock::now() - LastActivityAt;
+  const auto GivenUp = Reason == subscription_end::silent;
+  logLine(log_category::catalogue,
+          GivenUp ? log_level::warning : log_level::info,
+          GivenUp ? "no update from control; subscribing to another replica"
+                  : "the subscription to updates of control ended",
+          {{"control", SubscribedPeer->peerAddress().text()},
+           {"reason", SubscriptionEndNames.name(Reason)},
+           {"updated", UpdateReceived},
+           {"silent_ms", Silent / std::chrono::milliseconds(1)},
+           {"attempts", Attempts},
+           {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
+           {"revision", static_cast<std::uint64_t>(View.currentRevision())},
+           {"confirmed_ms", confirmedMs()}});
 }
 
 } // namespace acacianotch
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "catalogue/catalogue_view.h"
+#include "core/enum_table.h"
 #include "core/id_type.h"
 #include "node/backend_list.h"
 #include "node/leader_client.h"
 
+#include <array>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -21,6 +24,23 @@
   std::string Backend; ///< Name of the backend server; agents only.
 };
 
+/// Why a subscription ended.
+enum class subscription_end : std::uint8_t {
+  invalid,
+  refused,     ///< The replica does not lead, or cannot confirm that it does.
+  lost,        ///< The connection ended.
+  unreachable, ///< No connection could be made.
+  silent,      ///< No update arrived in time.
+};
+
+/// Names of the reasons in logs and metrics.
+inline constexpr enum_table<subscription_end, 4> SubscriptionEndNames{{{
+    {subscription_end::refused, "refused"},
+    {subscription_end::lost, "lost"},
+    {subscription_end::unreachable, "unreachable"},
+    {subscription_end::silent, "silent"},
+}}};
+
 /// Maintains a subscription to a control VM and applies its updates to the
 /// node's view. The client and the view must outlive the link.
 class node_link {
@@ -54,6 +74,11 @@
   /// as relays.
   bool FollowMembers = false;
 
+  /// \return how many subscriptions ended for \p Reason since the start.
+  [[nodiscard]] auto endCount(subscription_end Reason) const -> std::uint64_t {
+    return EndCounts[static_cast<std::size_t>(Reason)];
+  }
+
   /// Fills in the load report of an acknowledgement; set by agents.
   std::function<void(wire::LoadReport::Builder)> FillLoad;
 
@@ -61,13 +86,17 @@
   class sink;
 
   auto subscribe() -> void;
-  auto resubscribe() -> void;
-  auto handleSubscriptionEnd(const std::string &Leader,
+  auto resubscribe(subscription_end Reason) -> void;
+  auto handleSubscriptionEnd(subscription_end Reason, const std::string &Leader,
                              const std::vector<address> &Members) -> void;
   auto handle(const node_update &Update, const std::vector<address> &Members)
       -> void;
   auto handleBackends(wire::BackendList::Reader Backends) -> void;
   auto checkStall() -> void;
+  auto logSubscribed() const -> void;
+  auto logEnd(subscription_end Reason) const -> void;
+  /// \return the time since control confirmed the view, or -1.
+  [[nodiscard]] auto confirmedMs() const -> std::int64_t;
 
   event_loop &Loop;
   leader_client &Client;
@@ -77,6 +106,8 @@
   std::size_t NextPeer = 0;           ///< Index of the peer to try next.
   rpc_peer *SubscribedPeer = nullptr; ///< Peer of the current subscription.
   bool UpdateReceived = false;        ///< On the current subscription.
+  std::uint64_t Attempts = 0;         ///< Subscriptions since the last update.
+  std::array<std::uint64_t, SubscriptionEndNames.Rows.size() + 1> EndCounts{};
   /// Number of subscriptions; shared with sinks, which can outlive the link.
   std::shared_ptr<std::uint64_t> Generation =
       std::make_shared<std::uint64_t>(0);
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -213,10 +213,10 @@
         Control(*Loop, {address{"127.0.0.1", 1}}, rpc_options()),
         Directory(*Loop, node_id("g"), zone_id("a"), 1), Budget(1.0, 10.0),
         Recorder(*Loop, Control, "g", std::chrono::seconds(5), 0.08),
-        ReportClient(*Loop), Context{*Loop,        Directory,
-                                     Budget,       Recorder,
-                                     ReportClient, Work,
-                                     Crashes,      model_cascade({60, 1.0})} {
+        ReportClient(*Loop), Context{
+                                 *Loop,  View,     Directory,
+                                 Budget, Recorder, ReportClient,
+                                 Work,   Crashes,  model_cascade({60, 1.0})} {
     auto Created = caller_server::create(
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
@@ -275,6 +275,7 @@
 
   std::unique_ptr<event_loop> Loop;
   leader_client Control;
+  catalogue_view View;
   backend_directory Directory;
   traffic_budget Budget;
   rollout_recorder Recorder;
