Fix: [Replication] A replica that was held up takes its own pause for silence

Cause: a process that did not run for a while finds its timers due before it has read what its peers sent meanwhile. A follower forgot its leader and asked for votes, the others granted them, and a leader stepped down, though all heartbeats and answers waited in the sockets. A group that was held up as a whole elected a leader each time; without a leader that can confirm, no gateway gets an update.

Change: the host tells the replica when its tick is late by a heartbeat. The replica then starts no election, grants no vote against the leader that it knows and does not step down before another heartbeat has passed. If nothing has arrived by the next tick, it acts. Votes are only given later than before, so that the lease is as safe as it was.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -149,10 +149,7 @@
       Files(std::move(TheFiles)), Log(std::move(TheLog)),
       Node(std::move(TheNode)), Group(TheGroup),
       KnownAddresses(Options.InitialAddresses),
-      TickTimer(TheLoop.oneShot([this] {
-        Node.tick(steady_clock::now());
-        drive();
-      })),
+      TickTimer(TheLoop.oneShot([this] { tick(); })),
       ReopenTimer(TheLoop.oneShot([this] { tryReopen(); })) {}
 
 replica_host::~replica_host() = default;
@@ -166,6 +163,7 @@
                {{"error", Envelope.error().text()}});
     return;
   }
+  Resumed = false;
   Node.receive(*Envelope, steady_clock::now());
   scheduleDrive();
 }
@@ -384,10 +382,24 @@
   Callbacks.RoleChanged();
 }
 
+// A process that did not run for a while handles its timers before it reads
+// what arrived meanwhile. If nothing has arrived by the next tick, it acts even
+// though it is late again.
+auto replica_host::tick() -> void {
+  const auto Now = steady_clock::now();
+  const auto HeldUp = Now - TickDue >= Options.Timing.Heartbeat;
+  Resumed = HeldUp && !Resumed;
+  if (Resumed)
+    Node.resume(Now);
+  Node.tick(Now);
+  drive();
+}
+
 auto replica_host::scheduleTick() -> void {
   constexpr duration MinDelay = std::chrono::milliseconds(1);
-  TickTimer->start(
-      std::max(Node.nextDeadline() - steady_clock::now(), MinDelay));
+  const auto Now = steady_clock::now();
+  TickDue = std::max(Node.nextDeadline(), Now + MinDelay);
+  TickTimer->start(TickDue - Now);
 }
 
 } // namespace acacianotch
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -127,6 +127,8 @@
   [[nodiscard]] auto addressOf(replica_id Id) -> std::string;
   auto peerFor(replica_id Id) -> rpc_peer *;
   auto compactIfDue() -> void;
+  /// Lets the replica act on the time that has passed.
+  auto tick() -> void;
   auto scheduleTick() -> void;
   auto reportRoleChange() -> void;
 
@@ -142,6 +144,9 @@
   std::map<replica_id, std::string> KnownAddresses;
   std::map<std::string, std::unique_ptr<rpc_peer>> Peers;
   std::unique_ptr<loop_timer> TickTimer;
+  time_point TickDue{}; ///< When TickTimer is to fire.
+  /// The last tick was late, and no message has arrived since.
+  bool Resumed = false;
   std::unique_ptr<loop_timer> ReopenTimer;
   std::string ReopenError; ///< Reason of the last failed attempt to reopen.
   bool DriveScheduled = false;
--- a/src/replication/raft_election.cpp
+++ b/src/replication/raft_election.cpp
@@ -99,6 +99,8 @@
 /// The leader lease relies on this check: a replica that replied to a leader
 /// grants no vote for the minimum election timeout, which exceeds the lease.
 auto raft_node::heardFromLeader(time_point Now) const -> bool {
+  if (Leader != replica_id::none && Now < ReadUntil)
+    return true;
   if (Role == raft_role::leader)
     return leaseHeld(Now);
   return Now - LastLeaderContact < Timing.ElectionMin;
--- a/src/replication/raft_node.cpp
+++ b/src/replication/raft_node.cpp
@@ -41,8 +41,12 @@
   resetElectionTimer(Options.Start);
 }
 
+auto raft_node::resume(time_point Now) -> void {
+  ReadUntil = Now + Timing.Heartbeat;
+}
+
 auto raft_node::tick(time_point Now) -> void {
-  if (Failed)
+  if (Failed || Now < ReadUntil)
     return;
   if (Role == raft_role::leader) {
     const auto LastContact =
@@ -214,7 +218,8 @@
 auto raft_node::nextDeadline() const -> time_point {
   if (Failed)
     return time_point::max();
-  return Role == raft_role::leader ? HeartbeatDue : ElectionDeadline;
+  return Role == raft_role::leader ? HeartbeatDue
+                                   : std::max(ElectionDeadline, ReadUntil);
 }
 
 } // namespace acacianotch
--- a/test/silent_leader_test.cpp
+++ b/test/silent_leader_test.cpp
@@ -26,4 +26,38 @@
   CHECK(Node->leader() == replica_id::none);
 }
 
+// Guards against an election, or a vote, by a replica that did not run and has
+// not read yet what its leader sent meanwhile.
+TEST_CASE("a replica that was held up first reads what its leader sent") {
+  raft_options Options;
+  Options.Id = replica_id{2};
+  Options.Start = time_point{std::chrono::seconds(1)};
+  durable_state Durable;
+  Durable.BaseSnapshot = {0, 0, group(3)};
+  auto Node = raft_node::create(Options, std::move(Durable));
+  REQUIRE(Node.ok());
+  append_request Heartbeat;
+  Heartbeat.Term = 1;
+  const auto Leader = replica_id{1};
+  Node->receive({Leader, Options.Id, Heartbeat}, Options.Start);
+  const auto Resumed = Options.Start + 3 * Options.Timing.ElectionMax;
+  Node->resume(Resumed);
+  Node->tick(Resumed);
+  CHECK(Node->leader() == Leader);
+  CHECK(Node->nextDeadline() == Resumed + Options.Timing.Heartbeat);
+  Node->receive({replica_id{3}, Options.Id, vote_request{2, false, {}}},
+                Resumed);
+  CHECK(Node->term() == 1);
+  SUBCASE("and follows it") {
+    Node->receive({Leader, Options.Id, Heartbeat}, Resumed);
+    Node->tick(Resumed + Options.Timing.Heartbeat);
+    CHECK(Node->leader() == Leader);
+  }
+  SUBCASE("and starts an election if there is nothing") {
+    Node->tick(Resumed + Options.Timing.Heartbeat);
+    CHECK(Node->leader() == replica_id::none);
+    CHECK(Node->role() == raft_role::pre_candidate);
+  }
+}
+
 } // namespace acacianotch::test
