Fix: [Control] Updates wait for the next confirmation when the lease lapsed

Cause: a leader whose lease had lapsed at the moment of a push dropped the push; the next attempt came with the timer of 500 ms, which could meet another lapse. It also turned away each node that subscribed at such a moment, and the node went round among the other replicas at 100 ms each.

Change: an update that could not be confirmed is sent as soon as the lease is held again, and a leader accepts subscriptions without its lease. If it does not regain the lease it steps down and ends them.

--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -87,6 +87,7 @@
   Callbacks.Apply = [this](const log_record &Record) { apply(Record); };
   Callbacks.Snapshot = [this] { return State.encodeSnapshot(); };
   Callbacks.RoleChanged = [this] { roleChanged(); };
+  Callbacks.LeaseHeld = [this] { Nodes->sendUnconfirmed(); };
   return Callbacks;
 }
 
@@ -265,7 +266,9 @@
 
   auto subscribe(SubscribeContext Context) -> kj::Promise<void> override {
     const auto Params = Context.getParams();
-    if (!Service.confirmedEpoch()) {
+    // A leader without its lease either regains it soon or ends all
+    // subscriptions when it steps down.
+    if (Service.replica().node().role() != raft_role::leader) {
       fillLeader(Context.getResults());
       return kj::READY_NOW;
     }
--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -218,6 +218,8 @@
   }
   compactIfDue();
   reportRoleChange();
+  if (Node.leaseHeld(steady_clock::now()))
+    Callbacks.LeaseHeld();
   scheduleTick();
 }
 
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -44,6 +44,8 @@
   /// Encodes the state after the last Apply.
   std::function<std::string()> Snapshot;
   std::function<void()> RoleChanged;
+  /// Runs after inputs have been handled while the replica holds the lease.
+  std::function<void()> LeaseHeld;
 };
 
 /// Writes the identity and the first membership into an empty data folder.
--- a/src/control/subscriptions.cpp
+++ b/src/control/subscriptions.cpp
@@ -94,6 +94,11 @@
   }
 }
 
+auto subscriptions::sendUnconfirmed() -> void {
+  if (std::exchange(Unconfirmed, false))
+    push();
+}
+
 auto subscriptions::endAll() -> void {
   for (auto &Subscriber : Subscribers)
     if (!Subscriber->Ended)
@@ -122,8 +127,10 @@
   if (Subscriber.Waiting || Subscriber.Ended)
     return 0;
   const auto Epoch = CurrentEpoch();
-  if (!Epoch)
+  if (!Epoch) {
+    Unconfirmed = true;
     return 0;
+  }
   auto &Queue = Subscriber.Queue;
   if (Queue == nullptr || Subscriber.NextUpdate >= Queue->size()) {
     Queue = updatesSince(Subscriber.Node.Acknowledged);
--- a/src/control/subscriptions.h
+++ b/src/control/subscriptions.h
@@ -63,6 +63,9 @@
   /// Sends changes to every node without an unacknowledged update.
   auto push() -> void;
 
+  /// Sends what could not be confirmed before. Call it while the lease is held.
+  auto sendUnconfirmed() -> void;
+
   /// Ends all subscriptions; the nodes then search for the leader.
   auto endAll() -> void;
 
@@ -88,6 +91,7 @@
   subscriber_list Subscribers;
   std::map<revision, update_list> Updates; ///< By base, to revision UpdatesOf.
   revision UpdatesOf = revision::none;
+  bool Unconfirmed = false; ///< An update waits for the lease.
   backend_list Backends;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
