Fix: [Node] A node that was held up drops the update that waits for it

Cause: the watchdog of a subscription compared clocks. After a time in which the process itself did not run it gave up the subscription before the update that had arrived meanwhile was read, and rejected that update as one of a replaced subscription. Another replica then had 0.5 s for the first update, less than a process on a shared machine may be held up for.

Change: the watchdog counts its own calls, so that time in which the process did not run counts as one interval and what arrived is read before anything is decided.

--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -114,8 +114,8 @@
 
 auto node_link::subscribe() -> void {
   ++*Generation;
-  LastActivityAt = steady_clock::now();
-  AckedAt = LastActivityAt;
+  Silence = duration::zero();
+  AckedAt = steady_clock::now();
   UpdateReceived = false;
   ++Attempts;
   SubscribedPeer = Client.peers()[NextPeer % Client.peers().size()].get();
@@ -195,7 +195,7 @@
   }
   if (*Outcome == update_outcome::stale_epoch)
     return;
-  LastActivityAt = steady_clock::now();
+  Silence = duration::zero();
   if (!std::exchange(UpdateReceived, true))
     logSubscribed();
   Attempts = 0;
@@ -236,11 +236,13 @@
 }
 
 // The connection to a control VM that is frozen or partitioned stays open, so a
-// missing update is the only sign of the failure.
+// missing update is the only sign of the failure. A late call counts as one
+// interval: what arrived while this process did not run has not been read yet.
 auto node_link::checkStall() -> void {
-  const auto Subscribed = Subscription != nullptr;
-  const auto Timeout = UpdateReceived ? UpdateTimeout : FirstUpdateTimeout;
-  if (Subscribed && steady_clock::now() - LastActivityAt > Timeout)
+  if (Subscription == nullptr)
+    return;
+  Silence += StallCheckInterval;
+  if (Silence > (UpdateReceived ? UpdateTimeout : FirstUpdateTimeout))
     resubscribe(subscription_end::silent);
 }
 
@@ -261,7 +263,6 @@
 }
 
 auto node_link::logEnd(subscription_end Reason) const -> void {
-  const auto Silent = steady_clock::now() - LastActivityAt;
   const auto GivenUp = Reason == subscription_end::silent;
   logLine(log_category::catalogue,
           GivenUp ? log_level::warning : log_level::info,
@@ -270,7 +271,7 @@
           {{"control", SubscribedPeer->peerAddress().text()},
            {"reason", SubscriptionEndNames.name(Reason)},
            {"updated", UpdateReceived},
-           {"silent_ms", Silent / std::chrono::milliseconds(1)},
+           {"silent_ms", Silence / std::chrono::milliseconds(1)},
            {"attempts", Attempts},
            {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
            {"revision", static_cast<std::uint64_t>(View.currentRevision())},
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -111,8 +111,9 @@
   /// Number of subscriptions; shared with sinks, which can outlive the link.
   std::shared_ptr<std::uint64_t> Generation =
       std::make_shared<std::uint64_t>(0);
-  time_point AckedAt{};        ///< When the last acknowledgement was sent.
-  time_point LastActivityAt{}; ///< Of the last subscribe call or update.
+  time_point AckedAt{}; ///< When the last acknowledgement was sent.
+  /// Time since the last subscribe call or update for which this process ran.
+  duration Silence{};
   std::map<std::string, backend_record> KnownBackends; ///< By id.
   bool BackendsChanged = false; ///< Since OnBackends was last called with rows.
   kj::Maybe<kj::Promise<void>> Subscription;
