Fix: [Gateway] An unconfirmed configuration refuses routes and keys for good

Callers do not repeat a request after these, though another gateway would have served it.

Cause: nothing bounds the age of the configuration that a gateway obeys; entries and agents refuse after 2 s without a confirmation. A document that has arrived and is still being decoded counts as unknown, too.

Change: 401 and 404 need the document that control confirms: confirmed within the catalogue lease (2 s), and no newer one received. Otherwise the answer is 503 with Retry-After, which is not final and true. Requests that the document allows are served as before: a gateway that is cut off goes on serving, which is worth more to callers than a refusal.

--- a/src/gateway/forward_end.cpp
+++ b/src/gateway/forward_end.cpp
@@ -77,6 +77,23 @@
   finish();
 }
 
+/// \return whether the request is judged by the configuration that control
+/// confirms. A newer one may have arrived and not be decoded yet.
+auto forward_task::judgedByConfirmed() const -> bool {
+  const auto *Newest = Context.View.routing();
+  return Context.View.fresh(steady_clock::now()) &&
+         (Newest == nullptr || Newest->Number <= Table->Number);
+}
+
+// Callers do not repeat a request that was refused for good. A newer
+// configuration may allow it, and another gateway may have that.
+auto forward_task::refuseForGood(int Status, std::string_view Reason) -> void {
+  if (judgedByConfirmed())
+    return refuse(Status, Reason);
+  refuse(Unavailable, "the configuration is not confirmed",
+         GatewayRefusalRetryAfter);
+}
+
 auto forward_task::refuseNotRun(std::string_view Reason) -> void {
   refuseNotRun(Reason, OverloadRetryAfter);
 }
--- a/src/gateway/forward_task.cpp
+++ b/src/gateway/forward_task.cpp
@@ -81,7 +81,7 @@
 auto forward_task::admit() -> bool {
   Route = Table->match(Request.Host, Request.path());
   if (Route == nullptr) {
-    refuse(NotFound, "no route");
+    refuseForGood(NotFound, "no route");
     return false;
   }
   if (!Table->HasAccounts || Route->Anonymous)
@@ -89,7 +89,7 @@
   Account = Table->accountOf(Request.Key);
   if (Account != nullptr)
     return true;
-  refuse(Unauthorized, "unknown key");
+  refuseForGood(Unauthorized, "unknown key");
   return false;
 }
 
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -226,6 +226,9 @@
   auto deliver() -> void;
   auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
       -> void;
+  [[nodiscard]] auto judgedByConfirmed() const -> bool;
+  /// Refuses with a status after which callers do not repeat the request.
+  auto refuseForGood(int Status, std::string_view Reason) -> void;
   auto refuseNotRun(std::string_view Reason) -> void;
   auto refuseNotRun(std::string_view Reason, duration RetryAfter) -> void;
   auto refuseBlocked(part_id Part) -> void;
--- a/test/gateway_fixture.h
+++ b/test/gateway_fixture.h
@@ -217,6 +217,7 @@
                                  *Loop,  View,     Directory,
                                  Budget, Recorder, ReportClient,
                                  Work,   Crashes,  model_cascade({60, 1.0})} {
+    confirmView(steady_clock::now());
     auto Created = caller_server::create(
         *Loop, {"127.0.0.1", 0},
         [this](const std::shared_ptr<caller_connection> &Caller,
@@ -273,6 +274,22 @@
     return Condition();
   }
 
+  /// Lets control confirm, as of \p At, that the newest routing document has
+  /// the number \p Number; that there is none if 0.
+  auto confirmView(time_point At, std::uint64_t Number = 0) -> void {
+    node_update Update;
+    Update.Epoch = epoch{1};
+    Update.Revision = revision{Number + 1};
+    Update.Chunks = 1;
+    Update.Confirmed = true;
+    std::vector<shared_change> Changes;
+    if (Number != 0)
+      Changes.push_back(
+          {std::string(RoutingKey), routing_document{Number, {}}});
+    Update.Payload = encodeChanges(Changes);
+    REQUIRE(View.apply(Update, At).ok());
+  }
+
   std::unique_ptr<event_loop> Loop;
   leader_client Control;
   catalogue_view View;
--- a/test/gateway_forward_test.cpp
+++ b/test/gateway_forward_test.cpp
@@ -359,6 +359,30 @@
   CHECK(Fixture.requestCount() == 0);
 }
 
+// Guards against a final refusal by a document that is overtaken while the
+// newer one, which control has confirmed, is still being decoded.
+TEST_CASE("an overtaken document refuses no route or key for good") {
+  forward_fixture Fixture(makeRoute(route_kind::non_idempotent));
+  const auto Send = [&](const std::string &Host, const std::string &Id) {
+    Fixture.Caller.send("GET /x HTTP/1.1\r\nHost: " + Host +
+                        "\r\nX-Acacianotch-Request-Id: " + Id + "\r\n\r\n");
+  };
+  auto WithAccounts = *Fixture.Gateway.Table;
+  WithAccounts.HasAccounts = true;
+  WithAccounts.Number = 1;
+  Fixture.Gateway.Table = std::make_shared<const routing_table>(WithAccounts);
+  Fixture.Gateway.confirmView(steady_clock::now(), 2);
+  Send("other", "p1");
+  REQUIRE(Fixture.waitForText("HTTP/1.1 503"));
+  Fixture.Caller.request("GET", "p2");
+  REQUIRE(Fixture.waitForText("\r\nX-Acacianotch-Request-Id: p2"));
+  CHECK(!contains(Fixture.Caller.Received, "HTTP/1.1 4"));
+  WithAccounts.Number = 2;
+  Fixture.Gateway.Table = std::make_shared<const routing_table>(WithAccounts);
+  Send("other", "p3");
+  REQUIRE(Fixture.waitForText("HTTP/1.1 404"));
+}
+
 // Guards against repeats that are not charged to the budget of extra attempts
 // because the server did not execute the request.
 TEST_CASE("every attempt after the first is charged to the budget") {
