Fix: [Net] The end of a time limit comes before an answer that has arrived

Cause: libevent runs timers before the kj queue handles what the same turn has read. A process that was held up for longer than a time limit therefore dropped the answer that waited in its socket and sent the call again, which nobody answered twice but which cost a round.

Change: a delay that has passed waits for one more turn of the loop.

Evidence: unit.event_loop_test 'what arrived in time comes before the end of a delay' failed before.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <sys/time.h>
+#include <utility>
 
 namespace acacianotch {
 
@@ -63,6 +64,9 @@
 };
 
 /// Fulfils a promise after a delay; cancelling the promise removes the timer.
+/// libevent runs timers before the kj queue handles what the same turn has
+/// read, so the promise waits for another turn: an answer that arrived while
+/// the process did not run comes before the end of the time for it.
 class delay_adapter {
 public:
   delay_adapter(kj::PromiseFulfiller<void> &TheFulfiller, event_base *Base,
@@ -75,11 +79,16 @@
 private:
   static auto onTimeout(evutil_socket_t /*Socket*/, short /*Events*/,
                         void *Argument) -> void {
-    static_cast<delay_adapter *>(Argument)->Fulfiller.fulfill();
+    auto &Delay = *static_cast<delay_adapter *>(Argument);
+    if (std::exchange(Delay.Passed, true))
+      return Delay.Fulfiller.fulfill();
+    const timeval Now{0, 0};
+    event_add(Delay.Event.get(), &Now);
   }
 
   kj::PromiseFulfiller<void> &Fulfiller;
   event_handle Event;
+  bool Passed = false;
 };
 
 // A callback may destroy its own timer, so it is kept alive while it runs.
--- a/test/event_loop_test.cpp
+++ b/test/event_loop_test.cpp
@@ -2,6 +2,8 @@
 #include "net/event_loop.h"
 #include "net_support.h"
 
+#include "net/kj_stream.h"
+
 #include <doctest/doctest.h>
 
 #include <event2/event.h>
@@ -11,6 +13,7 @@
 
 #include <array>
 #include <memory>
+#include <thread>
 
 using namespace acacianotch;
 
@@ -53,3 +56,28 @@
   ::close(Sockets[0]);
   ::close(Sockets[1]);
 }
+
+// Guards against an answer that loses against its time limit because the
+// process did not run when it arrived.
+TEST_CASE("what arrived in time comes before the end of a delay") {
+  constexpr auto Limit = std::chrono::milliseconds(20);
+  auto Loop = testLoop();
+  std::array<int, 2> Sockets{};
+  REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0,
+                       Sockets.data()) == 0);
+  const unique_socket Writer(Sockets[0]);
+  socket_stream Reader(Loop->base(), unique_socket(Sockets[1]));
+  char Byte = 0;
+  std::optional<bool> Answered;
+  const auto Wait =
+      Reader.tryRead(&Byte, 1, 1)
+          .then([](std::size_t) { return true; })
+          .exclusiveJoin(Loop->delay(Limit).then([] { return false; }))
+          .then([&](bool Result) { Answered = Result; })
+          .eagerlyEvaluate(nullptr);
+  Loop->poll();
+  REQUIRE(::write(Writer.fd(), "x", 1) == 1);
+  std::this_thread::sleep_for(2 * Limit);
+  REQUIRE(runUntil(*Loop, [&] { return Answered.has_value(); }));
+  CHECK(*Answered);
+}
