Add: [Test] The soak asks every gateway for acknowledged routes under faults

Now a thread for each gateway asks for routes that were acknowledged over 2 s before, all the time: they may be served or put off, but not refused for good, whatever fails. Two faults join: all gateways and replicas are killed at once, and all processes are held up for 0.2 to 0.6 s three times. They draw from a generator of their own, so that known seeds stand for the same faults of single processes.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -2,10 +2,13 @@
 
 #include "process/support/unwritable_disk.h"
 
+#include <algorithm>
 #include <array>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <thread>
+#include <vector>
 
 namespace acacianotch::soak {
 
@@ -20,7 +23,7 @@
 
 fault_injector::fault_injector(platform_deployment &TheSystem,
                                std::uint64_t Seed)
-    : System(TheSystem), Random(Seed) {}
+    : System(TheSystem), Random(Seed), CommonRandom(Seed) {}
 
 auto fault_injector::randomBelow(std::size_t Count) -> std::size_t {
   return Random() % Count;
@@ -74,6 +77,25 @@
   }
   if (!Kind.empty())
     ++Counts[Kind];
+  injectCommonFault();
+}
+
+// Draws from a generator of its own, so that a seed still stands for the same
+// faults of single processes.
+auto fault_injector::injectCommonFault() -> void {
+  constexpr int OneOf = 8;
+  switch (CommonRandom() % OneOf) {
+  case 0:
+    restartAll();
+    ++Counts["restart_all"];
+    return;
+  case 1:
+    holdUpAll();
+    ++Counts["hold_up_all"];
+    return;
+  default:
+    return;
+  }
 }
 
 auto fault_injector::injectControlFault() -> std::string {
@@ -126,6 +148,41 @@
     killControl(Replica);
 }
 
+auto fault_injector::restartAll() -> void {
+  for (auto &Gateway : System.Gateways)
+    Gateway.Process->signal(SIGKILL);
+  killAllControl();
+  for (auto &Gateway : System.Gateways) {
+    Gateway.Process->kill();
+    scheduleRevert([this, &Gateway] {
+      if (!Gateway.Process->running())
+        System.start(Gateway);
+    });
+  }
+}
+
+// The processes of a shared machine all wait for a processor at times.
+auto fault_injector::holdUpAll() -> void {
+  constexpr int HoldUps = 3;
+  constexpr auto Shortest = std::chrono::milliseconds(200);
+  constexpr auto Spread = std::chrono::milliseconds(400);
+  std::vector<child_process *> Processes;
+  for (auto &Replica : System.Replicas)
+    Processes.push_back(Replica.Process.get());
+  for (auto &Gateway : System.Gateways)
+    Processes.push_back(Gateway.Process.get());
+  for (int Count = 0; Count < HoldUps; ++Count) {
+    for (auto *Process : Processes)
+      Process->signal(SIGSTOP);
+    std::this_thread::sleep_for(Shortest);
+    std::shuffle(Processes.begin(), Processes.end(), CommonRandom);
+    for (auto *Process : Processes) {
+      Process->signal(SIGCONT);
+      std::this_thread::sleep_for(Spread / Processes.size());
+    }
+  }
+}
+
 // After a power loss, the bytes after the last synced record can be garbage.
 auto fault_injector::appendTornRecord(control_instance &Replica) -> void {
   Replica.Process->kill();
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -35,6 +35,10 @@
   auto injectGatewayFault() -> std::string;
   auto injectConnectionFault() -> std::string;
   auto injectServerFault() -> std::string;
+  /// Sometimes injects a fault of all processes at once.
+  auto injectCommonFault() -> void;
+  auto restartAll() -> void;
+  auto holdUpAll() -> void;
 
   auto killControl(control_instance &Replica) -> void;
   auto killAllControl() -> void;
@@ -51,6 +55,7 @@
 
   platform_deployment &System;
   std::mt19937_64 Random;
+  std::mt19937_64 CommonRandom;
   std::multimap<fault_clock::time_point, std::function<void()>> PendingReverts;
   std::map<std::string, int> Counts;
 };
--- a/test/soak/operator.cpp
+++ b/test/soak/operator.cpp
@@ -19,6 +19,9 @@
 /// Longer than a fault, so that the connection outlives it.
 constexpr auto ReadLimit = std::chrono::seconds(5);
 constexpr auto KeptRead = "GET /api/config HTTP/1.1\r\nHost: localhost\r\n\r\n";
+/// Versions whose routes a document keeps: those of several times the delay
+/// above, at up to 3 versions in each interval.
+constexpr std::uint64_t ListedNumbers = 200;
 constexpr int HttpOk = 200;
 constexpr int HttpClientError = 400;
 constexpr int HttpServerError = 500;
@@ -39,13 +42,21 @@
 
 } // namespace
 
+auto routeListed(std::uint64_t RouteNumber, std::uint64_t Number) -> bool {
+  return RouteNumber <= Number && Number - RouteNumber < ListedNumbers;
+}
+
 auto routingDocument(std::uint64_t Number) -> std::string {
+  json Routes = {route("once", "unsafe", 2), route("safe", "safe", 3),
+                 route("stream", "streaming", 3)};
+  for (auto Listed = Number; routeListed(Listed, Number); --Listed) {
+    Routes.push_back(route("number-" + std::to_string(Listed), "safe", 2));
+    if (Listed == 0)
+      break;
+  }
   const json Document = {
       {"version", Number},
-      {"routes",
-       {route("once", "unsafe", 2), route("safe", "safe", 3),
-        route("stream", "streaming", 3),
-        route("number-" + std::to_string(Number), "safe", 2)}},
+      {"routes", std::move(Routes)},
       {"services", {{{"name", "chat"}, {"max-connections", 64}}}},
       {"tenants", {{{"name", "club"}, {"api-keys", {"key"}}}}}};
   return Document.dump();
@@ -94,7 +105,7 @@
 // A document whose publication had no definite result is sent again, unchanged,
 // to any replica.
 auto routing_operator::publish() -> void {
-  const auto Number = NextNumber;
+  const auto Number = NextNumber.load();
   const auto SendStale = Number > 3 && Random() % 5 == 0;
   const auto SentNumber = SendStale ? Number - 2 : Number;
   const auto Answer = sendRequest("PUT", routingDocument(SentNumber));
@@ -115,7 +126,7 @@
     VisibleNumber = AckTimes.begin()->second;
     AckTimes.erase(AckTimes.begin());
   }
-  const auto Before = VisibleNumber;
+  const auto Before = VisibleNumber.load();
   checkRead(sendRequest("GET", ""), Before);
 }
 
--- a/test/soak/operator.h
+++ b/test/soak/operator.h
@@ -15,10 +15,15 @@
 
 namespace acacianotch::soak {
 
-/// \return the routing document with version \p Number, which also names one of
-/// its routes.
+/// \return the routing document with version \p Number. It has a route for each
+/// number for which routeListed() holds.
 [[nodiscard]] auto routingDocument(std::uint64_t Number) -> std::string;
 
+/// \return whether the document with version \p Number has the route of the
+/// version \p RouteNumber.
+[[nodiscard]] auto routeListed(std::uint64_t RouteNumber, std::uint64_t Number)
+    -> bool;
+
 /// Publishes routing documents in sequence and reads them back from any
 /// replica, also on connections that stay open. Some documents are sent twice,
 /// and some are stale.
@@ -41,6 +46,10 @@
     return AckedNumber;
   }
 
+  /// \return the highest version that was acknowledged long enough ago to be in
+  /// force everywhere.
+  [[nodiscard]] auto visible() const -> std::uint64_t { return VisibleNumber; }
+
   /// \return the document version that is sent next.
   [[nodiscard]] auto sent() const -> std::uint64_t { return NextNumber; }
 
@@ -58,10 +67,10 @@
   const platform_deployment &System;
   ledger &Ledger;
   std::mt19937_64 Random;
-  std::uint64_t NextNumber = 1;
+  std::atomic<std::uint64_t> NextNumber = 1;
   std::atomic<std::uint64_t> AckedNumber = 0;
   /// Highest version acknowledged long enough ago that every read must see it.
-  std::uint64_t VisibleNumber = 0;
+  std::atomic<std::uint64_t> VisibleNumber = 0;
   std::map<soak_time, std::uint64_t> AckTimes;
   std::atomic<bool> Stop = false;
   std::thread Thread;
--- a/test/soak/soak.cpp
+++ b/test/soak/soak.cpp
@@ -8,6 +8,7 @@
 #include "soak/faults.h"
 #include "soak/ledger.h"
 #include "soak/operator.h"
+#include "soak/route_probes.h"
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
@@ -66,6 +67,7 @@
       Ledger.recordViolation("a group forms", "no acknowledgement");
     Operator.start();
     Callers.emplace(System, Ledger, Options.Callers, Seed + 100);
+    Probes.emplace(System, Ledger, Operator);
     const auto End = fault_clock::now() + std::chrono::seconds(Options.Seconds);
     do {
       injectFaults();
@@ -74,6 +76,7 @@
     } while (fault_clock::now() < End);
     Operator.stop();
     Callers->stop();
+    Probes->stop();
     checkFinalState();
     return report();
   }
@@ -92,7 +95,7 @@
   /// \return whether \p Gateway serves \p Path.
   auto serves(const gateway_instance &Gateway, const std::string &Path)
       -> bool {
-    const auto Id = "probe-" + std::to_string(++Probes);
+    const auto Id = "probe-" + std::to_string(++ServiceChecks);
     Ledger.recordRequest(Id, true);
     const auto Answer = http_call(Gateway.Callers,
                                   httpRequest("GET", Path,
@@ -207,6 +210,7 @@
             {"answers", Ledger.answers()},
             {"refusals", Ledger.refusals()},
             {"documents", Operator.acknowledged()},
+            {"route_probes", Probes->answers()},
             {"faults", Faults.counts()},
             {"broken", Ledger.violations()},
             {"folder", Options.Keep ? System.folder().string() : ""}};
@@ -220,7 +224,8 @@
   routing_operator Operator;
   fault_injector Faults;
   std::optional<callers> Callers;
-  std::uint64_t Probes = 0;
+  std::optional<route_probes> Probes;
+  std::uint64_t ServiceChecks = 0;
 };
 
 } // namespace
