Fix: [Test] The soak starts replicas on disks that are still unwritable

Traced in a repeat: restart_all at the end of a phase, control_unwritable_disk on the same replica. revertAll() started the process before it released the disk; the daemon ended with 'the process failed ... log.new: Is a directory', and the check whether it runs came before its end. The platform would start it again, the soak does not.

Disks are released first. The check is as it was.

--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -1,7 +1,5 @@
 #include "soak/faults.h"
 
-#include "process/support/unwritable_disk.h"
-
 #include <algorithm>
 #include <array>
 #include <csignal>
@@ -43,7 +41,11 @@
   }
 }
 
+// Disks come first: a replica does not start on one that cannot be written to.
 auto fault_injector::revertAll() -> void {
+  for (auto &Disk : BlockedDisks)
+    Disk->release();
+  BlockedDisks.clear();
   revertDue(fault_clock::time_point::max());
   for (auto &Relay : System.ServerRelays)
     Relay->setMode(relay_mode::pass);
@@ -223,9 +225,8 @@
 // Lasts until revertAll(), because a disk is written to once in several
 // changes.
 auto fault_injector::blockDisk(const control_instance &Replica) -> void {
-  const auto Disk = std::make_shared<unwritable_disk>(System.data(Replica));
-  PendingReverts.emplace(fault_clock::time_point::max(),
-                         [Disk] { Disk->release(); });
+  BlockedDisks.push_back(
+      std::make_unique<unwritable_disk>(System.data(Replica)));
 }
 
 // The process may be replaced by a new one before the fault is reverted.
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -2,13 +2,16 @@
 #pragma once
 
 #include "process/support/platform_deployment.h"
+#include "process/support/unwritable_disk.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace acacianotch::soak {
 
@@ -57,6 +60,7 @@
   std::mt19937_64 Random;
   std::mt19937_64 CommonRandom;
   std::multimap<fault_clock::time_point, std::function<void()>> PendingReverts;
+  std::vector<std::unique_ptr<unwritable_disk>> BlockedDisks;
   std::map<std::string, int> Counts;
 };
 
