--- a/src/catalogue/catalogue_view.h
+++ b/src/catalogue/catalogue_view.h
@@ -53,6 +53,13 @@
     return Confirmation;
   }
 
+  /// \return the milliseconds from the last confirmation until \p At; -1 if
+  /// there was none.
+  [[nodiscard]] auto confirmedMsBefore(time_point At) const -> std::int64_t {
+    return Confirmation ? (At - *Confirmation) / std::chrono::milliseconds(1)
+                        : -1;
+  }
+
   /// \return whether an epoch and a complete catalogue have been confirmed
   /// since the start.
   [[nodiscard]] auto ready() const -> bool { return Confirmation.has_value(); }
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -104,8 +104,7 @@
                "clients' connections that were refused or closed because "
                "memory or descriptors were used up"},
     metric_row{metric::subscription_ends, kind::counter,
-               "acacianotch_subscription_ends_total", "reason",
-               "entry, agent, gateway",
+               "acacianotch_subscription_ends_total", "reason", "gateway",
                "subscriptions to updates of control that ended, by the reason"},
 };
 
--- a/src/gateway/forward_end.cpp
+++ b/src/gateway/forward_end.cpp
@@ -26,29 +26,23 @@
 } // namespace
 
 auto forward_task::logAnswer() const -> void {
-  logInfo(log_category::entry, "request answered",
-          {{"request", Request.Id},
-           {"route", Route->Name},
-           {"status", Attempt->Facts.Status},
-           {"backend", Attempt->BackendId},
-           {"model", Model},
-           {"confidence", Attempt->Facts.Confidence.value_or(0)},
-           {"arm", VersionArmNames.name(Attempt->Arm)},
-           {"attempts", AttemptsSent},
-           {"prompt_tokens", Request.PromptTokens},
-           {"events", Events.count()},
-           {"ms", elapsedMs()},
-           {"first_event_ms", FirstEventDelay / std::chrono::milliseconds(1)},
-           {"longest_gap_ms", LongestGap / std::chrono::milliseconds(1)},
-           {"routing", Table->Number},
-           {"confirmed_ms", confirmedMs()}});
-}
-
-auto forward_task::confirmedMs() const -> std::int64_t {
-  const auto Confirmed = Context.View.lastConfirmation();
-  return Confirmed
-             ? (Request.ReceivedAt - *Confirmed) / std::chrono::milliseconds(1)
-             : -1;
+  logInfo(
+      log_category::entry, "request answered",
+      {{"request", Request.Id},
+       {"route", Route->Name},
+       {"status", Attempt->Facts.Status},
+       {"backend", Attempt->BackendId},
+       {"model", Model},
+       {"confidence", Attempt->Facts.Confidence.value_or(0)},
+       {"arm", VersionArmNames.name(Attempt->Arm)},
+       {"attempts", AttemptsSent},
+       {"prompt_tokens", Request.PromptTokens},
+       {"events", Events.count()},
+       {"ms", elapsedMs()},
+       {"first_event_ms", FirstEventDelay / std::chrono::milliseconds(1)},
+       {"longest_gap_ms", LongestGap / std::chrono::milliseconds(1)},
+       {"routing", Table->Number},
+       {"confirmed_ms", Context.View.confirmedMsBefore(Request.ReceivedAt)}});
 }
 
 auto forward_task::deliver() -> void {
@@ -65,14 +59,15 @@
 auto forward_task::refuse(int Status, std::string_view Reason,
                           duration RetryAfter) -> void {
   ++Context.Counters.Refused;
-  logInfo(log_category::entry, "request refused",
-          {{"request", Request.Id},
-           {"status", Status},
-           {"reason", Reason},
-           {"service", Service},
-           {"attempts", AttemptsSent},
-           {"routing", Table->Number},
-           {"confirmed_ms", confirmedMs()}});
+  logInfo(
+      log_category::entry, "request refused",
+      {{"request", Request.Id},
+       {"status", Status},
+       {"reason", Reason},
+       {"service", Service},
+       {"attempts", AttemptsSent},
+       {"routing", Table->Number},
+       {"confirmed_ms", Context.View.confirmedMsBefore(Request.ReceivedAt)}});
   Caller->reply(Status, platform::gatewayHeaders(Request.Id, RetryAfter), "");
   finish();
 }
--- a/src/gateway/forward_task.h
+++ b/src/gateway/forward_task.h
@@ -219,9 +219,6 @@
   auto releaseAttempt(bool Clean) -> void;
   [[nodiscard]] auto tryAcquireRetry() -> bool;
   [[nodiscard]] auto elapsedMs() const -> std::int64_t;
-  /// \return how long before the request's arrival control had confirmed the
-  /// configuration, or -1.
-  [[nodiscard]] auto confirmedMs() const -> std::int64_t;
   auto logAnswer() const -> void;
   auto deliver() -> void;
   auto refuse(int Status, std::string_view Reason, duration RetryAfter = {})
--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -246,20 +246,13 @@
     resubscribe(subscription_end::silent);
 }
 
-auto node_link::confirmedMs() const -> std::int64_t {
-  const auto Confirmed = View.lastConfirmation();
-  return Confirmed
-             ? (steady_clock::now() - *Confirmed) / std::chrono::milliseconds(1)
-             : -1;
-}
-
 auto node_link::logSubscribed() const -> void {
   logInfo(log_category::catalogue, "subscribed to updates of control",
           {{"control", SubscribedPeer->peerAddress().text()},
            {"attempts", Attempts},
            {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
            {"revision", static_cast<std::uint64_t>(View.currentRevision())},
-           {"confirmed_ms", confirmedMs()}});
+           {"confirmed_ms", View.confirmedMsBefore(steady_clock::now())}});
 }
 
 auto node_link::logEnd(subscription_end Reason) const -> void {
@@ -275,7 +268,7 @@
            {"attempts", Attempts},
            {"epoch", static_cast<std::uint64_t>(View.currentEpoch())},
            {"revision", static_cast<std::uint64_t>(View.currentRevision())},
-           {"confirmed_ms", confirmedMs()}});
+           {"confirmed_ms", View.confirmedMsBefore(steady_clock::now())}});
 }
 
 } // namespace acacianotch
--- a/src/node/node_link.h
+++ b/src/node/node_link.h
@@ -27,7 +27,7 @@
 /// Why a subscription ended.
 enum class subscription_end : std::uint8_t {
   invalid,
-  refused,     ///< The replica does not lead, or cannot confirm that it does.
+  refused,     ///< The replica does not lead.
   lost,        ///< The connection ended.
   unreachable, ///< No connection could be made.
   silent,      ///< No update arrived in time.
@@ -95,8 +95,6 @@
   auto checkStall() -> void;
   auto logSubscribed() const -> void;
   auto logEnd(subscription_end Reason) const -> void;
-  /// \return the time since control confirmed the view, or -1.
-  [[nodiscard]] auto confirmedMs() const -> std::int64_t;
 
   event_loop &Loop;
   leader_client &Client;
