Fix: [Node] A node waits for its old connection to control after a cut

The interval doubles (0.2, 0.6, 1.4, 3.0, 6.2 s after the first loss), and a connection ends only after rpc.keepalive_s (10 s by default) without an acknowledgement.

Cause: node_link gave up a silent subscription, but left the connection open and subscribed on it again at the next turn.

Change: a subscription given up as silent drops its connection, so that the next one makes a new connection.

Evidence: unit.node_link_test (29 subscriptions in 20 s without an answer before; 0.7 s now). On this machine's kernel a connection begun while SYNs were dropped was there up to 0.9 s after they passed again, a new one at once; older kernels double that interval too.

--- a/src/node/node_link.cpp
+++ b/src/node/node_link.cpp
@@ -171,11 +171,16 @@
     NextPeer = Client.addPeer(*LeaderAddress);
 }
 
+// After a cut, what an old connection carries waits for the kernel's next
+// retransmission, whose interval grows with the cut. A new connection gets
+// through at once.
 auto node_link::resubscribe(subscription_end Reason) -> void {
   ++EndCounts[static_cast<std::size_t>(Reason)];
   logEnd(Reason);
   ++*Generation;
   Subscription = nullptr;
+  if (Reason == subscription_end::silent)
+    SubscribedPeer->disconnect();
   if (++NextPeer >= Client.peers().size()) {
     NextPeer = 0;
     if (FollowMembers)
