Fix: [Replication] Replicas that run again before their leader depose it

Cause: a replica that was held up waited for one heartbeat (50 ms) before it counted the silence of its leader. If the leader runs again later than that, the others elect another one. That the one failure came from this is suspected; the new test shows the fault itself.

Change: a resumed replica restarts its election timer, and grants no vote before the shortest election timeout, as after a message of its leader.

--- a/src/replication/raft_node.cpp
+++ b/src/replication/raft_node.cpp
@@ -41,8 +41,11 @@
   resetElectionTimer(Options.Start);
 }
 
+// Its peers may have been held up as well, and may run again a little later, so
+// they get the time that a sound leader has in any case.
 auto raft_node::resume(time_point Now) -> void {
-  ReadUntil = Now + Timing.Heartbeat;
+  ReadUntil = Now + Timing.ElectionMin;
+  resetElectionTimer(Now);
 }
 
 auto raft_node::tick(time_point Now) -> void {
@@ -218,8 +221,7 @@
 auto raft_node::nextDeadline() const -> time_point {
   if (Failed)
     return time_point::max();
-  return Role == raft_role::leader ? HeartbeatDue
-                                   : std::max(ElectionDeadline, ReadUntil);
+  return Role == raft_role::leader ? HeartbeatDue : ElectionDeadline;
 }
 
 } // namespace acacianotch
--- a/src/replication/raft_node.h
+++ b/src/replication/raft_node.h
@@ -154,8 +154,7 @@
   [[nodiscard]] auto compact(log_index Index, std::string Data) -> result<void>;
 
   /// Tells that this replica did not run for a while until \p Now, so that it
-  /// has not read what its peers sent meanwhile. It takes nothing for their
-  /// silence before it has had time to read that.
+  /// has not read what its peers sent meanwhile. Their silence counts from now.
   auto resume(time_point Now) -> void;
 
   /// \return the actions that the host must execute now.
@@ -304,7 +303,7 @@
 
   // Election.
   time_point ElectionDeadline;
-  time_point ReadUntil{};       ///< Silence counts from here on; see resume().
+  time_point ReadUntil{}; ///< Before it silence has no effect; see resume().
   time_point LastLeaderContact; ///< Last message from a leader, or start time.
   std::set<replica_id> Votes;
 
--- a/test/process/held_up_test.cpp
+++ b/test/process/held_up_test.cpp
@@ -68,6 +68,11 @@
   return Dump.is_object() ? Dump.value("term", 0) : 0;
 }
 
+auto leads(const control_instance &Replica) -> bool {
+  const auto Dump = httpGet(Replica.Admin, "/dump").json();
+  return Dump.is_object() && Dump.value("leader", false);
+}
+
 auto highestTerm(const platform_deployment &System) -> int {
   int Highest = 0;
   for (const auto &Replica : System.Replicas)
@@ -145,6 +150,30 @@
   CHECK(highestTerm(System) == Before);
 }
 
+// Guards against an election by replicas that run again a little before their
+// leader does.
+TEST_CASE("replicas that run again before their leader keep it") {
+  constexpr auto Lead = std::chrono::milliseconds(150);
+  platform_deployment System;
+  publish(System, 1);
+  const auto Before = highestTerm(System);
+  auto &Replicas = System.Replicas;
+  const auto Leader = std::find_if(Replicas.begin(), Replicas.end(), leads);
+  REQUIRE(Leader != Replicas.end());
+  std::iter_swap(Leader, Replicas.begin());
+  for (int Round = 0; Round < Rounds; ++Round) {
+    for (auto &Replica : Replicas)
+      Replica.Process->signal(SIGSTOP);
+    std::this_thread::sleep_for(HoldUpTime);
+    for (std::size_t Index = 1; Index < Replicas.size(); ++Index)
+      Replicas[Index].Process->signal(SIGCONT);
+    std::this_thread::sleep_for(Lead);
+    Replicas.front().Process->signal(SIGCONT);
+    publish(System, 2 + Round);
+  }
+  CHECK(highestTerm(System) == Before);
+}
+
 // Guards against a gateway that drops its subscription together with the update
 // that arrived while it did not run.
 TEST_CASE("a gateway that was held up keeps its subscription") {
