Fix: [Replication] A hold-up within a turn of the loop deposes the leader

Cause, from a trial with a log line in the tick: the process is stopped within a turn, for instance while it sends a commit. Other inputs are handled before the tick then, and each schedules the tick anew, so that it is not late. Its timer also starts from the time that libevent took before the stop, so it fires at once: the leader counted 1.5 s of silence in the first millisecond.

Change: before the tick is scheduled anew, the replica is told of a hold-up if the former time for it has passed by a heartbeat.

--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -387,19 +387,29 @@
 // A process that did not run for a while handles its timers before it reads
 // what arrived meanwhile. If nothing has arrived by the next tick, it acts even
 // though it is late again.
+auto replica_host::excuseHoldUp(time_point Now) -> bool {
+  if (Resumed || Now - TickDue < Options.Timing.Heartbeat)
+    return false;
+  Resumed = true;
+  Node.resume(Now);
+  return true;
+}
+
 auto replica_host::tick() -> void {
   const auto Now = steady_clock::now();
-  const auto HeldUp = Now - TickDue >= Options.Timing.Heartbeat;
-  Resumed = HeldUp && !Resumed;
-  if (Resumed)
-    Node.resume(Now);
+  if (!excuseHoldUp(Now))
+    Resumed = false;
+  TickDue = Now;
   Node.tick(Now);
   drive();
 }
 
+// The process can be held up within a turn of the loop. Other inputs are then
+// handled before the tick, which is late only by the time scheduled before.
 auto replica_host::scheduleTick() -> void {
   constexpr duration MinDelay = std::chrono::milliseconds(1);
   const auto Now = steady_clock::now();
+  excuseHoldUp(Now);
   TickDue = std::max(Node.nextDeadline(), Now + MinDelay);
   TickTimer->start(TickDue - Now);
 }
--- a/src/control/replica_host.h
+++ b/src/control/replica_host.h
@@ -129,6 +129,9 @@
   [[nodiscard]] auto addressOf(replica_id Id) -> std::string;
   auto peerFor(replica_id Id) -> rpc_peer *;
   auto compactIfDue() -> void;
+  /// Tells the replica if this process was held up.
+  /// \return whether it was and the replica was told.
+  auto excuseHoldUp(time_point Now) -> bool;
   /// Lets the replica act on the time that has passed.
   auto tick() -> void;
   auto scheduleTick() -> void;
@@ -146,8 +149,9 @@
   std::map<replica_id, std::string> KnownAddresses;
   std::map<std::string, std::unique_ptr<rpc_peer>> Peers;
   std::unique_ptr<loop_timer> TickTimer;
-  time_point TickDue{}; ///< When TickTimer is to fire.
-  /// The last tick was late, and no message has arrived since.
+  time_point TickDue = steady_clock::now(); ///< When TickTimer is to fire.
+  /// The replica was told of a hold-up, and no message or tick in time
+  /// followed.
   bool Resumed = false;
   std::unique_ptr<loop_timer> ReopenTimer;
   std::string ReopenError; ///< Reason of the last failed attempt to reopen.
