--- a/src/control/replica_host.cpp
+++ b/src/control/replica_host.cpp
@@ -399,7 +399,7 @@
   const auto Now = steady_clock::now();
   if (!excuseHoldUp(Now))
     Resumed = false;
-  TickDue = Now;
+  TickDue = Now; // This hold-up has been handled; scheduleTick() looks again.
   Node.tick(Now);
   drive();
 }
--- a/test/process/held_up_test.cpp
+++ b/test/process/held_up_test.cpp
@@ -97,11 +97,7 @@
     for (auto &Gateway : System.Gateways)
       start(*Gateway.Process, ++Seed);
   }
-  ~hold_ups() {
-    Stop = true;
-    for (auto &Thread : Threads)
-      Thread.join();
-  }
+  ~hold_ups() { Stop = true; }
   hold_ups(const hold_ups &) = delete;
   auto operator=(const hold_ups &) -> hold_ups & = delete;
 
@@ -128,7 +124,7 @@
   }
 
   std::atomic<bool> Stop = false;
-  std::vector<std::thread> Threads;
+  std::vector<std::jthread> Threads;
 };
 
 } // namespace
--- a/test/soak/callers.cpp
+++ b/test/soak/callers.cpp
@@ -42,9 +42,7 @@
 
 auto callers::stop() -> void {
   Stop = true;
-  for (auto &Thread : Threads)
-    if (Thread.joinable())
-      Thread.join();
+  Threads.clear();
 }
 
 auto callers::generateRequest(std::size_t Index, std::uint64_t Number,
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -50,7 +50,7 @@
   ledger &Ledger;
   std::atomic<bool> Stop = false;
   std::atomic<bool> FaultFree = false;
-  std::vector<std::thread> Threads;
+  std::vector<std::jthread> Threads;
 };
 
 } // namespace acacianotch::soak
--- a/test/soak/route_probes.cpp
+++ b/test/soak/route_probes.cpp
@@ -25,9 +25,7 @@
 
 auto route_probes::stop() -> void {
   Stop = true;
-  for (auto &Thread : Threads)
-    if (Thread.joinable())
-      Thread.join();
+  Threads.clear();
 }
 
 auto route_probes::run(const gateway_instance &Gateway) -> void {
--- a/test/soak/route_probes.h
+++ b/test/soak/route_probes.h
@@ -35,7 +35,7 @@
   const routing_operator &Operator;
   std::atomic<std::uint64_t> Answers = 0;
   std::atomic<bool> Stop = false;
-  std::vector<std::thread> Threads;
+  std::vector<std::jthread> Threads;
 };
 
 } // namespace acacianotch::soak
